Log every few seconds how calls ended and why requests went unserved

Two lines, kept for service: the node counts requests, answers and the ends of calls at caches and origin with their mean times; the module counts unserved requests by its own reason.

--- a/src/bin/mothpier/main.rs
+++ b/src/bin/mothpier/main.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod config;
+mod counters;
 mod discovery;
 mod http;
 mod node;
@@ -90,6 +91,9 @@
             .map_err(|e| format!("cannot open {listen}: {e}"))?,
         None => None,
     };
+    let aims = site.classes.iter().zip(&site.decisions.classes);
+    let aims = aims.map(|(name, c)| format!("{name} {} of {} ms", c.aim / 1000, c.deadline / 1000));
+    let aims = format!("aims: {}; {} nodes", aims.collect::<Vec<_>>().join(", "), site.decisions.balancers);
     let watched = discovery::Wanted { watch: !site.decisions.ask_discovery, calls: 0 };
     let (wanted, wishes) = watch::channel(watched);
     let ready = Rc::new(Cell::new(false));
@@ -126,6 +130,7 @@
     });
     let listening = listener_address.map_err(|e| e.to_string())?;
     log(format_args!("{} listens on {listening}", config.name));
+    log(&aims);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/src/bin/mothpier/node.rs
+++ b/src/bin/mothpier/node.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::clients::{Answer, Command};
+use crate::counters::Counters;
 use crate::discovery::{Heard, List, Numbers, Wanted};
 use crate::origin::Origins;
 use crate::peers::Peers;
@@ -27,6 +28,8 @@
 pub type AttemptId = u64;
 /// A probe without answer after this time has failed.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
+/// Between two lines of the log that tell what was done meanwhile.
+const REPORT: Duration = Duration::from_secs(5);
 
 /// The largest figures of a load report that can be meant: of cores in use, and of the rest (a minute in
 /// milliseconds).
@@ -81,6 +84,7 @@
 enum Due {
     Timer(u32),
     GiveUp(AttemptId),
+    Report,
 }
 
 /// The parts that the node drives.
@@ -107,6 +111,7 @@
     /// Events that actions gave rise to: they come after the actions before them.
     events: VecDeque<Event>,
     actions: Vec<Action>,
+    counters: Counters,
 }
 
 impl Node {
@@ -124,6 +129,7 @@
             due: BinaryHeap::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
+            counters: Counters::default(),
         }
     }
 
@@ -132,6 +138,7 @@
         let known = known.unwrap_or(List { revision: 0, complete: true, members: Vec::new() });
         self.list(known, ListKind::Cached);
         self.settle();
+        self.wake(REPORT, Due::Report);
         loop {
             let next = self.due.peek().map(|Reverse((time, _))| *time);
             let idle = Instant::now() + Duration::from_secs(3600);
@@ -153,6 +160,10 @@
             match self.due.pop() {
                 Some(Reverse((_, Due::Timer(token)))) => self.events.push_back(Event::Timer(token)),
                 Some(Reverse((_, Due::GiveUp(id)))) => self.give_up(id, Status::TimedOut),
+                Some(Reverse((_, Due::Report))) => {
+                    self.counters.line(self.open.len()).into_iter().for_each(log);
+                    self.wake(REPORT, Due::Report);
+                }
                 None => {}
             }
             self.settle();
@@ -175,6 +186,7 @@
                 let ends = Instant::now() + Duration::from_micros(request.time_left);
                 let open = Open { command: command.into(), answer, ends, attempts: 0 };
                 self.open.insert(request.id, open);
+                self.counters.asked += 1;
                 self.events.push_back(Event::Request(request));
             }
             Input::Client(clients::Event::Gone(id)) => {
@@ -280,6 +292,14 @@
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
         if let Some(open) = self.open.remove(&request) {
+            match answer {
+                Answer::Value(_) => self.counters.served += 1,
+                Answer::Busy(_) => {
+                    self.counters.refused += 1;
+                    self.counters.untried += u32::from(open.attempts == 0);
+                }
+                Answer::Failed => self.counters.failed += 1,
+            }
             // A client that has just gone needs none.
             let _ = open.answer.send(answer);
         }
@@ -399,6 +419,7 @@
         let Some((request, attempt)) = flight.attempt else {
             return self.events.push_back(Event::Probed { server, ok: status == Status::Served, took, load });
         };
+        self.counters.ended(flight.call.is_some() || self.origin_ids.contains(&server), status, took);
         if status == Status::Served {
             self.answer(request, value.map_or(Answer::Failed, Answer::Value));
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -87,6 +87,7 @@
     subscribed: bool,
     subscribe_tries: u32,
     ask_at: Micros,
+    unserved: Unserved,
 }
 
 impl Policy {
@@ -132,7 +133,7 @@
         }
         while let Some(wake) = self.wakes.due(now, out) {
             match wake {
-                Wake::End(id) => self.end(id, out),
+                Wake::End(id) => self.end(id, Why::TimeUp, out),
                 Wake::Go(id, wait) if self.held.get(&id).map(|h| h.wait) == Some(wait) => self.step(id, out),
                 Wake::Patience(id, attempt) => self.patience(id, attempt, out),
                 Wake::Subscribe => self.subscribe(out),
@@ -165,7 +166,7 @@
         let admitted = self.admit(r.class, r.tenant) && self.now < ends;
         self.held.insert(r.id, held);
         if !admitted {
-            return self.end(r.id, out);
+            return self.end(r.id, Why::OverQuota, out);
         }
         self.admitted.count();
         self.retry_budget = (self.retry_budget + RETRY.0).min(RETRY.1);
@@ -200,18 +201,18 @@
     fn step(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id) else { return };
         if self.now >= self.useful_until(h) || u32::from(h.sent) >= self.settings.max_attempts {
-            return self.end(id, out);
+            return self.end(id, Why::TimeUp, out);
         }
         // A burst for one key: those behind the first are postponed, then ask the cache again.
         if !h.write && self.fetches.contains_key(&h.key) {
             self.held.entry(id).and_modify(|h| h.missed = false);
-            return self.postpone(id, out);
+            return self.postpone(id, Why::FetchOut, out);
         }
         if h.write || h.missed {
             return self.origin_call(id, out);
         }
         if !self.pick(id).is_some_and(|server| self.send(id, server, Call::Cache, out)) {
-            self.end(id, out);
+            self.end(id, Why::NoServer, out);
         }
     }
 
@@ -239,16 +240,11 @@
             }
         }
         // Passing a full server over would scatter its keys.
-        let full = |server: &ServerId| self.backlog(&self.servers[server]) > left * FULL.0;
+        let full =
+            |server: &ServerId| self.servers[server].backlog(self.now, self.aim, FULL.1) > left * FULL.0;
         best.map(|(.., server)| server).filter(|server| self.level >= LEVEL.2 || !full(server))
     }
 
-    /// Time until a server has answered what this balancer has in flight there, at the pace of its latest
-    /// answers (Little's law), with a credit for a server that has had little to answer.
-    fn backlog(&self, s: &Server) -> f64 {
-        f64::from(s.in_flight) * self.aim as f64 / (s.answered_lately(self.now, self.aim) + FULL.1)
-    }
-
     fn ready(&self, origin: bool) -> impl Iterator<Item = &Server> {
         self.servers.values().filter(move |s| s.line.condition == Condition::Ready && s.origin == origin)
     }
@@ -298,9 +294,10 @@
         let order = |a: &&Server, b: &&Server| self.place(id, a).total_cmp(&self.place(id, b));
         let origin = self.ready(true).min_by(order).map(|s| s.line.id);
         let target = if self.settings.origin_kind.is_some() { origin } else { self.pick(id) };
-        let Some(target) = target.filter(|_| self.gate_open(call)) else { return self.postpone(id, out) };
+        let target = target.filter(|_| self.gate_open(call));
+        let Some(target) = target else { return self.postpone(id, Why::GateShut, out) };
         if !self.send(id, target, call, out) {
-            self.end(id, out);
+            self.end(id, Why::NoServer, out);
         } else if call == Call::Fetch && key != 0 {
             self.fetches.insert(key, id);
         }
@@ -319,12 +316,12 @@
     }
 
     /// Parks a request that a shut gate stops, for a random delay, while its answer can still earn.
-    fn postpone(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn postpone(&mut self, id: RequestId, why: Why, out: &mut Vec<Action>) {
         let h = &self.held[&id];
         let aim = self.settings.classes[h.class].aim as f64;
         let delay = (aim * self.rng.between(DELAY)) as Micros + 1;
         if self.now + delay >= self.useful_until(h) {
-            return self.end(id, out);
+            return self.end(id, why, out);
         }
         if let Some(h) = self.held.get_mut(&id) {
             h.wait += 1;
@@ -385,13 +382,13 @@
             return; // Their outcomes decide; but what a copy found missing is fetched.
         }
         if flight.call != Call::Cache && o.status == Status::Full {
-            return self.postpone(o.request, out);
+            return self.postpone(o.request, Why::OriginFull, out);
         }
         // A miss and a failed connect cost no server work, and what was called off has been paid for.
         let free =
             matches!(o.status, Status::Miss | Status::ConnectFailed | Status::NotSent | Status::Cancelled);
         if !free && !self.may_retry(class, o.status == Status::Full) {
-            return self.end(o.request, out);
+            return self.end(o.request, Why::NoRetry, out);
         }
         self.step(o.request, out);
     }
@@ -527,8 +524,9 @@
     }
 
     /// The one place of final answers: where harmless a refusal, to come back after a delay, else a failure.
-    fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn end(&mut self, id: RequestId, why: Why, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id) else { return };
+        self.unserved.count(why);
         let class = &self.settings.classes[h.class];
         let retry_after = (class.aim as f64 * self.rng.between(DELAY)) as Micros + 1;
         let harmless = class.effect == Effect::Safe || h.may_have_run == 0;
@@ -620,6 +618,7 @@
             self.tell(out);
         }
         self.close_rested(strain, out);
+        self.unserved.report(self.now, self.level, self.gate.limit, out);
         self.servers.retain(|_, s| s.line.condition != Condition::Gone || s.in_flight > 0);
         self.wake(period, Wake::Review);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,6 +55,12 @@
     pub fn answered_lately(&self, now: Micros, span: Micros) -> f64 {
         self.answered * (-((now - self.heard) as f64) / span as f64).exp()
     }
+
+    /// Time until it has answered what this balancer has in flight there, at the pace of its latest answers
+    /// (Little's law), with a credit for a server that has had little to answer.
+    pub fn backlog(&self, now: Micros, span: Micros, credit: f64) -> f64 {
+        f64::from(self.in_flight) * span as f64 / (self.answered_lately(now, span) + credit)
+    }
 }
 
 /// A request that is owed a final answer.
@@ -318,6 +324,54 @@
     }
 }
 
+/// Why a request ended without being served.
+#[derive(Clone, Copy)]
+pub enum Why {
+    OverQuota,
+    NoServer,
+    GateShut,
+    FetchOut,
+    OriginFull,
+    NoRetry,
+    TimeUp,
+}
+
+/// How many requests ended unserved since the last line of the log, by the reason.
+#[derive(Default)]
+pub struct Unserved([u32; 7], Micros);
+
+impl Unserved {
+    const NAMES: [&str; 7] = [
+        "over quota",
+        "no server left",
+        "gate shut",
+        "behind another's fetch",
+        "origin full",
+        "no retry left",
+        "time up",
+    ];
+    const EVERY: Micros = 5_000_000;
+
+    /// Counts one.
+    pub fn count(&mut self, why: Why) {
+        self.0[why as usize] += 1;
+    }
+
+    /// Logs the counts now and then, where there are any, with what tenants are held to and the gate's limit.
+    pub fn report(&mut self, now: Micros, level: f64, limit: f64, out: &mut Vec<Action>) {
+        if now < self.1 + Self::EVERY {
+            return;
+        }
+        self.1 = now;
+        let counts = std::mem::take(&mut self.0).into_iter().zip(Self::NAMES).filter(|(count, _)| *count > 0);
+        let counts: Vec<_> = counts.map(|(count, name)| format!("{count} {name}")).collect();
+        if !counts.is_empty() {
+            let counts = counts.join(", ");
+            out.push(Action::Log(format!("unserved: {counts}; level {level:.2}, gate {limit:.1}")));
+        }
+    }
+}
+
 /// Logs when a figure falls below a mark or rises to it again.
 pub fn log_crossing(out: &mut Vec<Action>, was: f64, is: f64, mark: f64, fallen: &str, risen: &str) {
     if (was < mark) != (is < mark) {
