Measure a server's backlog over the aim that its answers were counted over

With the counters one node logged in 5 s: 3539 asked, 2401 refused, 2361 of those untried, 2150 of them for want of a server, though nine servers were ready and answered in 39 ms.

Evidence: a refusal for want of a server comes from pick(), which under strain takes no server that is full. Full means that in_flight * aim / (answers lately + credit) passes half of the time left. The answers fade over the aim of the class that was answered (190 ms here), but the product took the longest aim of all classes (630 ms), so each backlog came out over three times too long and a server with two calls out was full. Where all classes have one aim the two are the same, which is why the module's tests did not see it.

Ruled out: the origin (46 ms an answer), memory and descriptors of the node, servers missing from the list.

The new test fails without the change (46 of 100 requests refused).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -240,8 +240,8 @@
             }
         }
         // Passing a full server over would scatter its keys.
-        let full =
-            |server: &ServerId| self.servers[server].backlog(self.now, self.aim, FULL.1) > left * FULL.0;
+        let aim = self.settings.classes[h.class].aim; // The span over which answers are counted.
+        let full = |server: &ServerId| self.servers[server].backlog(self.now, aim, FULL.1) > left * FULL.0;
         best.map(|(.., server)| server).filter(|server| self.level >= LEVEL.2 || !full(server))
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -417,6 +417,24 @@
     assert_eq!(sent, 10, "a burst at an idle fleet is served");
 }
 
+#[test]
+fn a_server_that_keeps_pace_is_not_taken_for_full_where_another_class_has_a_longer_aim() {
+    let mut settings = settings();
+    settings.classes[0].aim = 190 * MS;
+    settings.classes[1].aim = 630 * MS;
+    let mut node = Node::just_started(settings, 1);
+    // One read in 30 ms, each answered 55 ms later: two at a time, a third of the read's aim.
+    for id in 1..=100 {
+        node.request(read(id, id));
+        node.pass(25 * MS);
+        if id > 1 {
+            node.outcome(id - 1, 0, 1, Status::Served);
+        }
+        node.pass(5 * MS);
+    }
+    assert_eq!(refusals(&node.actions), 0);
+}
+
 #[test]
 fn a_full_server_does_not_spill_its_keys_down_the_order() {
     // Found on incident ia996fa: full servers passed their keys on to servers that lacked them, the caches
