Ask a read's server once more when its connection was lost

Evidence: log lines at the end of each server connection showed connections of any age ending by themselves, idle or in use, some 0.1 ms after they came up, at every server, while the same servers answered others in 40 ms. The module took the reset for a sign against the server and sent the read to the next in the key's order.

outcome() now leaves the server open for one more attempt after a reset. Where the server is down the new connection is refused at once and the read goes on as before. Writes are not touched: a reset write is not sent again unless its class allows.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -368,7 +368,10 @@
         h.out -= 1;
         h.may_have_run -= u16::from(o.status.proves_not_run());
         h.missed |= o.status == Status::Miss;
-        if flight.call == Call::Cache && o.status != Status::Miss {
+        // A connection may be lost while its server is well and holds the key: it is asked once more, which costs
+        // little where it is down, for then it refuses the new connection.
+        let again = o.status == Status::Reset && h.lost_at.replace(flight.server) != Some(flight.server);
+        if flight.call == Call::Cache && o.status != Status::Miss && !again {
             h.tried.push(flight.server);
         }
         let (key, others_out, class) = (h.key, h.out > 0, h.class);
@@ -474,11 +477,7 @@
     fn weigh_kinds(&mut self) {
         let mut all = Ratio::default();
         self.kinds.values().for_each(|k| all.add(k.busy.cases, k.busy.all));
-        for k in self.kinds.values_mut().filter(|k| k.busy.all >= 1.0) {
-            k.weight *= 1.0 + KINDS.0 * (all.value() - k.busy.value());
-            k.weight = k.weight.clamp(KINDS.1, 1.0 / KINDS.1);
-            k.busy.fade(KINDS.2);
-        }
+        self.kinds.values_mut().for_each(|k| k.weigh(all.value(), KINDS));
         self.sum_weights();
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -79,6 +79,8 @@
     /// How many attempts run or may have run.
     pub may_have_run: u16,
     pub tried: Vec<ServerId>,
+    /// Where the last of its connections was lost.
+    pub lost_at: Option<ServerId>,
     /// Number of the wait that it is in; a wake-up for an older one finds it changed.
     pub wait: u32,
 }
@@ -136,6 +138,17 @@
     pub busy: Ratio,
 }
 
+impl Kind {
+    /// Moves the weight by a step for how much less busy than the rest its reports say that it is; the step, the
+    /// least weight, and what is kept of the reports.
+    pub fn weigh(&mut self, rest: f64, (step, least, keep): (f64, f64, f64)) {
+        if self.busy.all >= 1.0 {
+            self.weight = (self.weight * (1.0 + step * (rest - self.busy.value()))).clamp(least, 1.0 / least);
+            self.busy.fade(keep);
+        }
+    }
+}
+
 impl Default for Kind {
     fn default() -> Self {
         Kind { weight: 1.0, busy: Ratio::default() }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -174,6 +174,20 @@
     assert!(refused(&last, 1), "no attempts are left");
 }
 
+#[test]
+fn a_read_whose_connection_is_lost_asks_its_server_once_more_before_the_next() {
+    let mut node = Node::new(settings(), 3);
+    let first = sent_to(&node.request(read(1, 9))).unwrap();
+    assert_eq!(sent_to(&node.outcome(1, 0, first, Status::Reset)), Some(first), "it holds the key");
+    let next = sent_to(&node.outcome(1, 1, first, Status::Reset));
+    assert!(next.is_some_and(|next| next != first), "lost twice: {next:?}");
+    // Where the server is down, the second attempt is refused and moves on at once.
+    let first = sent_to(&node.request(read(2, 9))).unwrap();
+    assert_eq!(sent_to(&node.outcome(2, 0, first, Status::Reset)), Some(first));
+    let next = sent_to(&node.outcome(2, 1, first, Status::ConnectFailed));
+    assert!(next.is_some_and(|next| next != first), "down: {next:?}");
+}
+
 #[test]
 fn every_request_is_ended_before_its_time_is_up_when_nothing_answers() {
     let mut node = Node::new(settings(), 3);
