Do not lower the gate for connections that the network lost

Symptom (first recording): the log is one long run of 'gate lowered: origin in trouble' and 'gate restored', the limit stands at 4 to 8 calls of 20, and reads end unserved behind a shut gate, while the origin answers 90% of its calls in 40 to 60 ms and none is refused or late.

Evidence: the counters show one kind of failed call only, resets, 8% of the calls and the same part as at the caches. learn_origin() cut the cap for every end but a good answer. The design lets errors, time-outs and 'full' lower it; a lost connection is none of these, and an origin that is down refuses the next ones.

The new test fails without the change (2 of 20 calls against 10).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -438,7 +438,8 @@
         s.signs.add(cases, all);
     }
 
-    /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it.
+    /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it. A lost
+    /// connection tells nothing of its load: where it is down, the next ones are refused.
     fn learn_origin(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
         let slow = self.now - flight.sent > (self.origin_aim as f64 * GATE_CUT.2) as Micros;
         let g = &mut self.gate;
@@ -446,7 +447,7 @@
         let was = g.limit;
         if o.status == Status::Served && !slow {
             g.limit = (g.limit + 1.0 / g.limit).min(g.most_out);
-        } else if o.status != Status::NotSent && flight.sent >= g.cut_at {
+        } else if !matches!(o.status, Status::NotSent | Status::Reset) && flight.sent >= g.cut_at {
             g.cut_at = self.now; // One cut for all calls that were out together.
             g.limit = (g.limit * GATE_CUT.0).max(g.most_out * GATE_CUT.1);
         }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -142,6 +142,23 @@
     assert!(node.actions.iter().any(|a| matches!(a, Action::Log(l) if l.contains("gate restored"))));
 }
 
+#[test]
+fn connections_lost_on_the_way_to_the_origin_leave_the_gate_as_it_was() {
+    let tenants = vec![Tenant { quota_per_s: 1e3 }];
+    let burst = |lost: bool| {
+        let mut node = Node::new(Settings { max_attempts: 1, tenants: tenants.clone(), ..settings() }, 3);
+        for id in (1..=12).filter(|_| lost) {
+            node.request(write(id, 1));
+            node.outcome(id, 0, ORIGIN, Status::Reset);
+            node.pass(MS);
+        }
+        node.pass(SECOND);
+        (100..120).map(|id| sends(&node.request(write(id, 1)))).sum::<usize>()
+    };
+    assert_eq!(burst(true), burst(false));
+    assert!(burst(true) >= 10, "{} of 20 calls", burst(true));
+}
+
 #[test]
 fn requests_for_a_key_that_is_being_fetched_wait_for_that_fetch() {
     let mut node = Node::new(settings(), 3);
