--- a/src/policy.rs
+++ b/src/policy.rs
@@ -267,24 +267,18 @@
         -unit_hash(key, s.line.id, 0).ln() / self.weight(s)
     }
 
-    /// Part of its capacity that a server has at the least, some time after its start.
-    fn warmth(&self, s: &Server) -> f64 {
-        let age = self.now.saturating_sub(s.line.started) as f64 / self.settings.warm_up.max(1) as f64;
-        let share = self.settings.cold_share;
-        if s.line.started == 0 { 1.0 } else { (share + (1.0 - share) * age).min(1.0) }
-    }
-
     /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, the same keys
     /// from every balancer, no more than a part of a warm server's requests, and nothing turned away
     /// elsewhere.
     fn warm_enough(&self, key: Key, first: bool, s: &Server, total: f64) -> bool {
-        let (warmth, (level, depth)) = (self.warmth(s), self.cold_bucket(s, total));
+        let (warmth, (level, depth)) = (s.warmth(self.now, &self.settings), self.cold_bucket(s, total));
         warmth >= 1.0 || (first && unit_hash(key, s.line.id, 1) < warmth && level + 1.0 <= depth)
     }
 
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
     fn cold_bucket(&self, s: &Server, total: f64) -> (f64, f64) {
-        let rate = COLD_RATE * self.warmth(s) * self.admitted.per_s * self.weight(s) / total.max(0.01) / 1e6;
+        let part = s.warmth(self.now, &self.settings) * self.weight(s) / total.max(0.01);
+        let rate = COLD_RATE * part * self.admitted.per_s / 1e6;
         let level = s.cold_level - rate * (self.now - s.used) as f64;
         (level.max(0.0), (rate * self.settings.fall_after as f64 / 2.0).max(1.0))
     }
@@ -309,10 +303,7 @@
         let window = self.aim as f64 * GATE_RATE.2;
         let tally = (share * GATE_RATE.0).max(GATE_RATE.1) * window / 1e6;
         self.gate.roll(self.now, window as Micros);
-        let g = &self.gate;
-        let room = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
-        let open = |i: usize, part: f64| room(g.out[i], g.limit * part) && room(g.tally[i], tally * part);
-        open(0, 1.0) && (call == Call::Write || open(1, GATE_FETCHES))
+        self.gate.open(0, 1.0, tally) && (call == Call::Write || self.gate.open(1, GATE_FETCHES, tally))
     }
 
     /// Parks a request that a shut gate stops, for a random delay, while its answer can still earn.
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,7 +6,7 @@
 use oorandom::Rand64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::interface::{Action, Key, Micros, RequestId, ServerId, ServerLine};
+use crate::interface::{Action, Key, Micros, RequestId, ServerId, ServerLine, Settings};
 
 /// Why an attempt is out.
 #[derive(Clone, Copy, PartialEq)]
@@ -56,6 +56,13 @@
         self.answered * (-((now - self.heard) as f64) / span as f64).exp()
     }
 
+    /// Part of its capacity that it has at the least, some time after its start.
+    pub fn warmth(&self, now: Micros, settings: &Settings) -> f64 {
+        let age = now.saturating_sub(self.line.started) as f64 / settings.warm_up.max(1) as f64;
+        let share = settings.cold_share;
+        if self.line.started == 0 { 1.0 } else { (share + (1.0 - share) * age).min(1.0) }
+    }
+
     /// Time until it has answered what this balancer has in flight there, at the pace of its latest answers
     /// (Little's law), with a credit for a server that has had little to answer.
     pub fn backlog(&self, now: Micros, span: Micros, credit: f64) -> f64 {
@@ -117,6 +124,12 @@
         }
     }
 
+    /// Whether both limits let one more call through: of all kinds, or of fetches, which have a part of both.
+    pub fn open(&self, kind: usize, part: f64, tally: f64) -> bool {
+        let room = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
+        room(self.out[kind], self.limit * part) && room(self.tally[kind], tally * part)
+    }
+
     /// Begins a new tally when the window of the present one is over.
     pub fn roll(&mut self, now: Micros, window: Micros) {
         if now >= self.window + window {
