Do not take an overtaken attempt for a queue: hedge it under strain too

Slow attempts raise the strain; under strain the module hedges nothing, so what was lost stays lost; and each lost one stands in the server's backlog for the 400 ms that its client waits, until the server counts as full and whole reads are refused.

An attempt that later ones at the same server have overtaken is lost or long, but it is not in a queue: patience() now marks it, backlog() leaves it out, and try_elsewhere() hedges it at any level, still within the retry budget.

Ruled out: slow servers (no late answer ever came), a zone or a kind (the six are of both).

Both new tests fail without the change. Peers::whole() took over a sum of admit(), unchanged.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -182,11 +182,7 @@
         let worth = (self.settings.classes[class].worth / self.least_worth).max(1.0);
         let mut share = 1.0;
         if let Some(quota) = self.settings.tenants.get(tenant) {
-            // Peers that tell of their traffic show the whole of it; without them all are taken as alike.
-            let alike = sender.rate.per_s * f64::from(self.settings.balancers.max(1));
-            let others = self.settings.balancers.max(2) - 1;
-            let unheard = f64::from(others) / f64::from(others.min(TELL.1 * TELL.2));
-            let whole = self.peers.sum(tenant).map_or(alike, |told| sender.rate.per_s + told * unheard);
+            let whole = self.peers.whole(tenant, sender.rate.per_s, self.settings.balancers, TELL.1 * TELL.2);
             share = quota.quota_per_s / whole.max(1.0);
         }
         // Below 1 the level bites at once, also on tenants that are far below their quotas.
@@ -346,7 +342,7 @@
         } else {
             self.gate.enter(call);
         }
-        self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after });
+        self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after, overtaken: false });
         out.push(Action::Send { request: id, server, give_up_after: 0 });
         true
     }
@@ -399,6 +395,7 @@
     fn learn(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
         let Some(s) = self.servers.get_mut(&flight.server) else { return };
         s.in_flight = s.in_flight.saturating_sub(1);
+        s.overtaken -= u32::from(flight.overtaken);
         s.active = self.now;
         s.connected |= !matches!(o.status, Status::Reset | Status::ConnectFailed);
         let not_made = o.status == Status::ConnectFailed && o.took >= self.settings.connect_timeout;
@@ -412,7 +409,7 @@
         }
         if matches!(o.status, Status::Served | Status::Miss | Status::Full) {
             s.answered = 1.0 + s.answered_lately(self.now, flight.aim);
-            s.heard = self.now;
+            (s.heard, s.newest) = (self.now, s.newest.max(flight.sent));
         }
         // A late answer has been counted when it became late: waiting for its end would lag the overload.
         if self.now - flight.sent < flight.slow_after {
@@ -481,7 +478,9 @@
 
     /// An attempt has had no answer for long: a sign of overload, and time to try elsewhere.
     fn patience(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
-        let Some(&f) = self.flights.get(&(id, attempt)) else { return };
+        let Some(f) = self.flights.get_mut(&(id, attempt)) else { return };
+        self.servers.entry(f.server).and_modify(|s| s.overtakes(f));
+        let f = *f;
         let (age, patience) = (self.now - f.sent, f.slow_after + 1);
         if age >= f.aim {
             return;
@@ -491,24 +490,25 @@
         self.count_signs(f.server, 0.5, f64::from(u8::from(first)));
         self.wake(patience, Wake::Patience(id, attempt));
         if first {
-            self.try_elsewhere(id, attempt, f.server, out);
+            self.try_elsewhere(id, attempt, f, out);
         }
     }
 
     /// Where a balancer meets a server too seldom to know it a request helps itself: an attempt long without
     /// an answer is hedged at the next server, or called off and sent there. Holds against lost answers, dead
-    /// connections, hung, ageing and full servers. Harm: double work, within the retry budget.
-    fn try_elsewhere(&mut self, id: RequestId, attempt: u16, server: ServerId, out: &mut Vec<Action>) {
+    /// connections, hung, ageing and full servers. Harm: double work, within the retry budget; under strain only
+    /// for what was overtaken, since the rest may be slow for the strain.
+    fn try_elsewhere(&mut self, id: RequestId, attempt: u16, f: Flight, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id).filter(|h| h.out == 1) else { return };
         let copy = self.settings.may_duplicate;
-        let possible = if copy { self.level >= LEVEL.2 } else { self.settings.may_cancel };
+        let possible = if copy { f.overtaken || self.level >= LEVEL.2 } else { self.settings.may_cancel };
         if !possible || self.now >= self.useful_until(h) || !self.may_retry(h.class, false) {
             return;
         }
         if !copy {
             return out.push(Action::Cancel { request: id, attempt });
         }
-        self.held.entry(id).and_modify(|h| h.tried.push(server));
+        self.held.entry(id).and_modify(|h| h.tried.push(f.server));
         if let Some(next) = self.pick(id) {
             self.send(id, next, Call::Cache, out);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,8 @@
     pub aim: Micros,
     /// It is slow when it has been out for this long.
     pub slow_after: Micros,
+    /// Its server has answered what was sent there later.
+    pub overtaken: bool,
 }
 
 /// A server of the list, and what this balancer has seen of it.
@@ -33,7 +35,11 @@
     pub line: ServerLine,
     pub origin: bool,
     pub in_flight: u32,
+    /// How many of them were found overtaken: lost or long, and not in a queue.
+    pub overtaken: u32,
     pub heard: Micros,
+    /// When the newest attempt that it has answered was sent.
+    pub newest: Micros,
     /// Its answers within about one aim, as a fading count.
     pub answered: f64,
     /// Signs of trouble in its attempts of late.
@@ -56,6 +62,14 @@
         self.answered * (-((now - self.heard) as f64) / span as f64).exp()
     }
 
+    /// Counts an attempt as overtaken once what was sent here later has been answered.
+    pub fn overtakes(&mut self, flight: &mut Flight) {
+        if self.newest > flight.sent && !flight.overtaken {
+            flight.overtaken = true;
+            self.overtaken += 1;
+        }
+    }
+
     /// Part of its capacity that it has at the least, some time after its start.
     pub fn warmth(&self, now: Micros, settings: &Settings) -> f64 {
         let age = now.saturating_sub(self.line.started) as f64 / settings.warm_up.max(1) as f64;
@@ -66,7 +80,8 @@
     /// Time until it has answered what this balancer has in flight there, at the pace of its latest answers
     /// (Little's law), with a credit for a server that has had little to answer.
     pub fn backlog(&self, now: Micros, span: Micros, credit: f64) -> f64 {
-        f64::from(self.in_flight) * span as f64 / (self.answered_lately(now, span) + credit)
+        f64::from(self.in_flight.saturating_sub(self.overtaken)) * span as f64
+            / (self.answered_lately(now, span) + credit)
     }
 }
 
@@ -299,8 +314,16 @@
         sums
     }
 
+    /// What a tenant sends to all balancers: peers that tell of their traffic show the whole of it, those of them
+    /// heard standing for the rest; without them all are taken as alike.
+    pub fn whole(&self, tenant: usize, here: f64, balancers: u32, heard_at_most: u32) -> f64 {
+        let others = balancers.max(2) - 1;
+        let unheard = f64::from(others) / f64::from(others.min(heard_at_most));
+        self.sum(tenant).map_or(here * f64::from(balancers.max(1)), |told| here + told * unheard)
+    }
+
     /// What a tenant sends to the peers heard lately; `None` where none was.
-    pub fn sum(&self, tenant: usize) -> Option<f64> {
+    fn sum(&self, tenant: usize) -> Option<f64> {
         (!self.0.is_empty()).then(|| self.0.values().filter_map(|(_, f)| f.rates.get(tenant)).sum())
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -852,6 +852,44 @@
     assert!(sends(&late) == 0 && !late.contains(&Action::Cancel { request: 1, attempt: 0 }), "never a write");
 }
 
+#[test]
+fn under_strain_an_attempt_is_hedged_only_when_later_ones_have_overtaken_it() {
+    let copies = |overtaken: bool| {
+        let settings = Settings { may_duplicate: true, may_cancel: true, ..settings() };
+        let mut node = Node::just_started(settings, 4);
+        let first = sent_to(&node.request(read(1, 9))).unwrap();
+        node.pass(10 * MS);
+        if overtaken {
+            assert_eq!(sent_to(&node.request(read(2, 9))), Some(first));
+            node.pass(10 * MS);
+            node.outcome(2, 0, first, Status::Served);
+        }
+        sends(&node.pass(400 * MS))
+    };
+    assert_eq!(copies(false), 0, "slow for the strain, it may be");
+    assert_eq!(copies(true), 1, "its answer is lost");
+}
+
+#[test]
+fn answers_that_are_lost_do_not_make_a_server_look_full() {
+    let mut node = Node::just_started(settings(), 1);
+    // One request in 30 ms; every third answer is lost, the others come after 25 ms.
+    for id in 1..=200 {
+        node.request(read(id, id));
+        node.pass(25 * MS);
+        if id % 3 > 0 {
+            node.outcome(id, 0, 1, Status::Served);
+        }
+        node.pass(5 * MS);
+    }
+    // Those lost are refused when their time is up, and nobody for want of a server.
+    let untried = (1..=200).filter(|id| {
+        refused(&node.actions, *id)
+            && !node.actions.iter().any(|a| matches!(a, Action::Send { request, .. } if request == id))
+    });
+    assert_eq!(untried.count(), 0);
+}
+
 #[test]
 fn retries_of_what_was_turned_away_come_from_a_budget() {
     // Incident i17c018: every attempt turned away went to all servers in turn, seven attempts a request.
