Use the node's whole part of the connections before queueing behind an answer

Evidence: log lines at each time-out told the place on the connection: a third of those that timed out stood behind another command, and a node has up to five attempts at a server. Answers come in order, and the node kept to four connections a server although its part of the tier's is sixteen and its descriptors allow more, so a command written behind a slow, stalled or lost answer shared its fate.

servers.rs: the fixed cap of four is gone. The part of the tier's connections and the bound by descriptors decide as they did; those held up by something given up may come on top, up to as many again.

The new test fails without the change (4 connections for 8).

--- a/src/bin/mothpier/servers.rs
+++ b/src/bin/mothpier/servers.rs
@@ -21,10 +21,9 @@
 use crate::resp;
 
 /// Connections of the whole tier to one server that are aimed at: servers hold few, each takes some of its
-/// capacity, and the nodes share them.
+/// capacity, and the nodes share them. A node uses its whole part before it puts a command behind another: answers
+/// come in order, and a quick one behind a slow or lost one is late.
 const TIER_CONNECTIONS: usize = 32;
-/// Most of one node to one server.
-const MOST_CONNECTIONS: usize = 4;
 /// A connection idle for this part of the time after which servers close it is not used again.
 const FRESH: f64 = 0.7;
 /// After a refused connection none beside those that work is opened for this long.
@@ -248,13 +247,13 @@
             idle.push(command);
             return true;
         }
-        let part = (TIER_CONNECTIONS / self.limits.balancers.max(1)).clamp(1, MOST_CONNECTIONS);
+        let part = (TIER_CONNECTIONS / self.limits.balancers.max(1)).max(1);
         let part = part.min((self.limits.descriptors / self.ready.max(1)).max(1));
         let open = pool.connections.iter().filter(|c| !c.retired).count();
         // A connection that is held up by what was given up does not count: it may never move again.
         let moving =
             pool.connections.iter().filter(|c| !c.shared.line.borrow().stalled() && !c.retired).count();
-        let may_open = (moving == 0 || Instant::now() >= pool.alone_until) && open < MOST_CONNECTIONS;
+        let may_open = (moving == 0 || Instant::now() >= pool.alone_until) && open < 2 * part;
         if let Some(address) =
             pool.address.filter(|_| moving < part && may_open && self.all.get() < self.limits.descriptors)
         {
@@ -495,6 +494,33 @@
 
     use super::*;
 
+    /// Answers come in the order of the commands: one that is slow or lost must not hold up seven others.
+    #[test]
+    fn a_node_uses_its_part_of_the_connections_before_it_queues_behind_an_answer() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            for (balancers, descriptors, connections) in [(4, 64, 8), (2, 64, 16), (2, 6, 6), (64, 64, 1)] {
+                let (events, _inputs) = mpsc::channel(8);
+                let limits = Limits {
+                    balancers,
+                    multiplex: 32,
+                    idle_close: Duration::from_secs(60),
+                    connect_timeout: Duration::from_secs(30),
+                    descriptors,
+                };
+                let mut servers = Servers::new(limits, events);
+                assert!(servers.listed(7, Some(address), true).is_empty());
+                for attempt in 1..=20 {
+                    let bytes = resp::command(["PING".into()]);
+                    assert!(servers.send(7, Command { attempt, bytes, probe: true }));
+                }
+                assert_eq!(servers.pools[&7].connections.len(), connections);
+            }
+        });
+    }
+
     /// A rule of drains: what still waits for its connection when the notice comes is never written.
     #[test]
     fn what_waits_for_a_connection_is_not_sent_after_the_notice_of_a_drain() {
