Count lost connections apart from strain: they are no overload

Evidence: strain begins at 0.06 signs an attempt, and the counters show 8% resets at every server from 2 s on and hardly an error, refusal or failed connect: the network's losses alone were taken for overload.

Resets are now counted beside strain. They still tell against their server, and close_rested() still closes resting connections for them as it did for strain, since what is sent on one may be lost.

The new test fails without the change.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -76,6 +76,8 @@
     peers: Peers,
     level: f64,
     strain: Ratio,
+    /// Attempts whose connection was lost.
+    lost: Ratio,
     /// Attempts whose connection was not made in time.
     slow_connects: Ratio,
     retry_budget: f64,
@@ -416,14 +418,17 @@
         if self.now - flight.sent < flight.slow_after {
             let trouble =
                 !matches!(o.status, Status::Served | Status::Miss | Status::NotSent | Status::TimedOut);
-            self.count_signs(flight.server, f64::from(u8::from(trouble)), 1.0);
+            // A connection that is lost while the server answers others tells of the network, not of overload.
+            let lost = o.status == Status::Reset;
+            self.lost.add(f64::from(u8::from(lost)), 1.0);
+            self.count_signs(flight.server, f64::from(u8::from(trouble)), 1.0, !lost);
         }
     }
 
     /// Counts signs of a server, and as strain by the part of its keys kept: known trouble is no overload.
-    fn count_signs(&mut self, server: ServerId, cases: f64, all: f64) {
+    fn count_signs(&mut self, server: ServerId, cases: f64, all: f64, overload: bool) {
         let Some(s) = self.servers.get_mut(&server) else { return };
-        self.strain.add(cases * s.part, all * s.part);
+        self.strain.add(if overload { cases * s.part } else { 0.0 }, all * s.part);
         s.signs.add(cases, all);
     }
 
@@ -488,7 +493,7 @@
         }
         // Half a sign when it becomes slow, and is counted, and half when nearly late: slow is not yet lost.
         let first = age < patience * 3 / 2;
-        self.count_signs(f.server, 0.5, f64::from(u8::from(first)));
+        self.count_signs(f.server, 0.5, f64::from(u8::from(first)), true);
         self.wake(patience, Wake::Patience(id, attempt));
         if first {
             self.try_elsewhere(id, attempt, f, out);
@@ -620,7 +625,7 @@
     /// while new ones are not made in time. Harm: under strain of another cause many requests pay for a
     /// connection.
     fn close_rested(&mut self, strain: f64, out: &mut Vec<Action>) {
-        if strain > STRAIN.0 && self.slow_connects.value() < REST.1 {
+        if strain.max(self.lost.value()) > STRAIN.0 && self.slow_connects.value() < REST.1 {
             let since = self.now.saturating_sub((self.aim as f64 * REST.0) as Micros);
             let rests = |s: &&mut Server| s.connected && s.in_flight == 0 && s.active.max(s.used) <= since;
             for s in self.servers.values_mut().filter(rests) {
@@ -629,6 +634,7 @@
             }
         }
         self.slow_connects.fade(REST.2);
+        self.lost.fade(FADE);
     }
 
     /// Tells the next few peers of the traffic and the strain here.
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -586,6 +586,32 @@
     assert!(refusals < 8, "{refusals} of 400 refused at 50 a second within a quota of 100");
 }
 
+/// Whether tenants are held to their quotas where every eighth attempt ends in a way, and the others are served.
+fn sheds_when_one_in_eight(ends: Option<Status>) -> bool {
+    let mut node = Node::new(settings(), 4);
+    for id in 1..=800 {
+        let server = sent_to(&node.request(read(id, id)));
+        node.pass(5 * MS);
+        match (id % 8, server, ends) {
+            (0, Some(server), Some(status)) => {
+                if let Some(again) = sent_to(&node.outcome(id, 0, server, status)) {
+                    node.outcome(id, 1, again, Status::Served);
+                }
+            }
+            (1.., Some(server), _) => drop(node.outcome(id, 0, server, Status::Served)),
+            _ => {}
+        }
+        node.pass(5 * MS);
+    }
+    node.actions.iter().any(|a| matches!(a, Action::Log(l) if l.contains("shedding over quota has begun")))
+}
+
+#[test]
+fn lost_connections_are_no_overload_and_errors_are() {
+    assert!(!sheds_when_one_in_eight(Some(Status::Reset)));
+    assert!(sheds_when_one_in_eight(Some(Status::Error)));
+}
+
 #[test]
 fn a_tenant_is_judged_by_what_all_balancers_see_of_it() {
     // Found on incident iad1b83: an equal part of the quota for each balancer refused uneven tenants.
