--- a/src/policy.rs
+++ b/src/policy.rs
@@ -218,8 +218,8 @@
         if self.settings.classes[h.class].late_worth > 0.0 { h.ends } else { h.aim_at.min(h.ends) }
     }
 
-    /// The first server in order within the load bound, or else the first; none if that is full under strain. An
-    /// overtaken attempt is no load: its answer is lost or long, and skipping its server would scatter its keys.
+    /// The first server in order within the load bound, or else the first; none if that is full under strain.
+    /// An overtaken attempt is no load, but lost or long: skipping its server would scatter its keys.
     fn pick(&self, id: RequestId) -> Option<ServerId> {
         let h = &self.held[&id];
         let total = self.weights[h.class];
@@ -358,8 +358,8 @@
         h.out -= 1;
         h.may_have_run -= u16::from(o.status.proves_not_run());
         h.missed |= o.status == Status::Miss;
-        // A connection may be lost while its server is well and holds the key: it is asked once more, which costs
-        // little where it is down, for then it refuses the new connection.
+        // A connection may be lost while its server is well and holds the key: it is asked once more, which
+        // costs little where it is down, for then it refuses the new connection.
         let again = o.status == Status::Reset && h.lost_at.replace(flight.server) != Some(flight.server);
         if flight.call == Call::Cache && o.status != Status::Miss && !again {
             h.tried.push(flight.server);
@@ -418,7 +418,7 @@
         if self.now - flight.sent < flight.slow_after {
             let trouble =
                 !matches!(o.status, Status::Served | Status::Miss | Status::NotSent | Status::TimedOut);
-            // A connection that is lost while the server answers others tells of the network, not of overload.
+            // A connection that is lost tells of the network or of a crash, not of overload.
             let lost = o.status == Status::Reset;
             self.lost.add(f64::from(u8::from(lost)), 1.0);
             self.count_signs(flight.server, f64::from(u8::from(trouble)), 1.0, !lost);
@@ -432,8 +432,8 @@
         s.signs.add(cases, all);
     }
 
-    /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it. A lost
-    /// connection tells nothing of its load: where it is down, the next ones are refused.
+    /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it.
+    /// A lost connection tells nothing of its load: where it is down, the next ones are refused.
     fn learn_origin(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
         let slow = self.now - flight.sent > (self.origin_aim as f64 * GATE_CUT.2) as Micros;
         let g = &mut self.gate;
@@ -503,8 +503,8 @@
 
     /// Where a balancer meets a server too seldom to know it a request helps itself: an attempt long without
     /// an answer is hedged at the next server, or called off and sent there. Holds against lost answers, dead
-    /// connections, hung, ageing and full servers. Harm: double work, within the retry budget; under strain only
-    /// for what was overtaken, since the rest may be slow for the strain.
+    /// connections, hung, ageing and full servers. Harm: double work, within the retry budget; under strain
+    /// only for what was overtaken, since the rest may be slow for the strain.
     fn try_elsewhere(&mut self, id: RequestId, attempt: u16, f: Flight, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id).filter(|h| h.out == 1) else { return };
         let copy = self.settings.may_duplicate;
