--- a/crates/simnet/src/lib.rs
+++ b/crates/simnet/src/lib.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 
 pub use net::{Links, Net, ProcessId};
-pub use socket::{SimDatagrams, SimHost, SimListener, SimReading, SimStream, SimWriting};
+pub use socket::{SimDatagrams, SimHost, SimListener, SimReading, SimStream};
 
 /// Runs a world to its end on a virtual clock: time passes only when everything waits.
 ///
--- a/crates/simnet/src/socket.rs
+++ b/crates/simnet/src/socket.rs
@@ -62,7 +62,7 @@
             }
         })
         .await?;
-        Ok(SimStream(socket))
+        Ok(SimStream::whole(socket))
     }
 
     async fn listen(&self, mut at: SocketAddr) -> io::Result<SimListener> {
@@ -221,22 +221,38 @@
     }
 }
 
-/// A TCP connection.
-pub struct SimStream(Socket);
+/// A TCP connection, or the half of one that is written to.
+pub struct SimStream {
+    socket: Socket,
+    /// The other half is held elsewhere: dropping this one ends the sending.
+    half: bool,
+}
 
 /// The half of a connection that is read from.
 pub struct SimReading(Socket);
 
-/// The half of a connection that is written to.
-pub struct SimWriting(Socket);
+impl SimStream {
+    fn whole(socket: Socket) -> SimStream {
+        SimStream { socket, half: false }
+    }
+}
 
 impl Stream for SimStream {
     type Reading = SimReading;
-    type Writing = SimWriting;
+    type Writing = SimStream;
+
+    fn into_halves(mut self) -> (SimReading, SimStream) {
+        let reading = Socket::hold(&self.socket.net, self.socket.id, self.socket.side);
+        self.half = true;
+        (SimReading(reading), self)
+    }
+}
 
-    fn into_halves(self) -> (SimReading, SimWriting) {
-        let reading = Socket::hold(&self.0.net, self.0.id, self.0.side);
-        (SimReading(reading), SimWriting(self.0))
+impl Drop for SimStream {
+    fn drop(&mut self) {
+        if self.half {
+            self.socket.finish();
+        }
     }
 }
 
@@ -246,9 +262,9 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.0.poll_ready(Some(cx)).map_ok(|ready| {
+        self.socket.poll_ready(Some(cx)).map_ok(|ready| {
             if ready.is_some() {
-                buffer.put_slice(&self.0.take(buffer.remaining()));
+                buffer.put_slice(&self.socket.take(buffer.remaining()));
             }
         })
     }
@@ -256,22 +272,7 @@
 
 impl AsyncWrite for SimStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.0.poll_write(cx, bytes)
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.finish();
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for SimWriting {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.0.poll_write(cx, bytes)
+        self.socket.poll_write(cx, bytes)
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -279,17 +280,11 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.finish();
+        self.socket.finish();
         Poll::Ready(Ok(()))
     }
 }
 
-impl Drop for SimWriting {
-    fn drop(&mut self) {
-        self.0.finish();
-    }
-}
-
 impl Reading for SimReading {
     async fn readable(&self) -> io::Result<()> {
         // An error is readable too: the read that follows gives it.
@@ -345,7 +340,7 @@
                 None => return Poll::Ready(Err(ErrorKind::ConnectionAborted.into())),
             }
         };
-        Poll::Ready(Ok((SimStream(Socket::hold(&self.host.net, id, 1)), from)))
+        Poll::Ready(Ok((SimStream::whole(Socket::hold(&self.host.net, id, 1)), from)))
     }
 
     fn local_addr(&self) -> io::Result<SocketAddr> {
--- a/crates/world/src/mutant.rs
+++ b/crates/world/src/mutant.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use chalksill_simnet::{SimDatagrams, SimHost, SimListener, SimReading, SimStream, SimWriting};
+use chalksill_simnet::{SimDatagrams, SimHost, SimListener, SimReading, SimStream};
 use mothpier_host::{Host, Listener, Reading, Stream};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
@@ -168,7 +168,7 @@
 }
 
 enum Writing {
-    Plain(SimWriting),
+    Plain(SimStream),
     /// Through a task that can wait.
     Late(mpsc::UnboundedSender<Vec<u8>>),
 }
