Tell storms from growth and bursts, and bound what connects: mothpier-storm, the operator's file

Need: nothing in the node noticed that a site comes back and everybody repeats at once.

Change: a package without I/O with a detector (repeats, reconnects, wasted work, capacity, what ends unserved, peers; two signs of which one feeds the storm, with marks for entry and exit) and a door for connections (rate, half-known ones, each turned away told when to come back). The node feeds it, logs each change, and passes its verdict to the module. Peers are told in one byte that older nodes pass over. An operator's file, named by ROUTER_OPERATOR, switches it on and is checked at the start, with line, key, value and range.

--- a/crates/mothpier/src/main.rs
+++ b/crates/mothpier/src/main.rs
@@ -4,7 +4,7 @@
 
 use mothpier_host::{Host, Machine};
 use mothpier_node::config::{self, Config, Environment, Precedence};
-use mothpier_node::{Control, run};
+use mothpier_node::{Control, operator, run};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -30,7 +30,7 @@
     }
 }
 
-/// Reads the environment and the file that it names; the error is one plain line.
+/// Reads the environment and the files that it names; the error is one plain line.
 fn read(precedence: Precedence) -> Result<Config, String> {
     let env = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
     let path = env("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
@@ -40,7 +40,12 @@
         listen: env("ROUTER_LISTEN"),
         discovery: env("ROUTER_DISCOVERY"),
     };
-    config::read(&text, told, precedence).map_err(|e| format!("unreadable {path}: {e}"))
+    let mut config = config::read(&text, told, precedence).map_err(|e| format!("unreadable {path}: {e}"))?;
+    if let Some(path) = env("ROUTER_OPERATOR") {
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        config.operator = operator::read(&text).map_err(|e| format!("{path}: {e}"))?;
+    }
+    Ok(config)
 }
 
 /// Runs the node and passes signals on to it.
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -15,6 +15,7 @@
 use bytes::{Bytes, BytesMut};
 use mothpier_host::{Host, Listener, Reading, Stream};
 use mothpier_resp::{self as resp, MAX_VALUE, Malformed};
+use mothpier_storm::{Door, Verdict};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
@@ -51,6 +52,22 @@
 /// answer, for few are large.
 const REQUEST_KB: usize = MAX_VALUE / 2 / 1024;
 
+/// Connections that are being told to come back at once, as a part of all that there may be; while there are so many no
+/// other is accepted.
+const TURNED_AWAY: usize = 8;
+/// One of them gets this long to read it and close.
+const FAREWELL: Duration = Duration::from_millis(200);
+
+/// What clients may take of the node.
+pub struct Bounds {
+    /// Connections open.
+    pub most: usize,
+    /// Bytes of open requests.
+    pub memory: usize,
+    /// How connections are let in.
+    pub door: Door,
+}
+
 /// Whether the node is closing: the listener is closed then, and each connection with its last answer. Those that wait
 /// for it are woken in the order in which they began to wait: a watch channel would wake them in a random one.
 #[derive(Default)]
@@ -89,7 +106,14 @@
     /// Permits of a KB.
     memory: Arc<Semaphore>,
     most: usize,
+    door: RefCell<Door>,
+    /// Open connections that have not sent a whole command yet.
+    half_known: Cell<usize>,
+    farewells: Arc<Semaphore>,
+    began: Instant,
     closing: Rc<Closing>,
+    /// Connections since the start.
+    connections: Rc<Cell<u64>>,
     events: mpsc::Sender<Input>,
     open: RefCell<BTreeMap<u64, Entry>>,
     closed: Notify,
@@ -109,7 +133,7 @@
         site: Site,
         now: Box<dyn Fn() -> Micros>,
         ready: Rc<Cell<bool>>,
-        (most, memory): (usize, usize),
+        bounds: Bounds,
         closing: Rc<Closing>,
         events: mpsc::Sender<Input>,
     ) -> Rc<Self> {
@@ -120,15 +144,25 @@
             ready,
             next_request: Cell::new(1),
             ids: Ids::default(),
-            memory: Arc::new(Semaphore::new(memory / 1024)),
-            most,
+            memory: Arc::new(Semaphore::new(bounds.memory / 1024)),
+            most: bounds.most,
+            door: RefCell::new(bounds.door),
+            half_known: Cell::new(0),
+            farewells: Arc::new(Semaphore::new((bounds.most / TURNED_AWAY).max(1))),
+            began: Instant::now(),
             closing,
+            connections: Rc::default(),
             events,
             open: RefCell::default(),
             closed: Notify::new(),
         })
     }
 
+    /// How many connections there have been since the start, as it goes on counting.
+    pub fn connections(&self) -> Rc<Cell<u64>> {
+        self.connections.clone()
+    }
+
     /// How many connections are open.
     pub fn count(&self) -> usize {
         self.open.borrow().len()
@@ -167,6 +201,13 @@
             number += 1;
             match accepted {
                 Ok((stream, _)) => {
+                    let verdict = self.door.borrow_mut().came(self.began.elapsed(), self.half_known.get());
+                    if let Verdict::TurnAway(after) = verdict {
+                        // Each place is free again after a farewell at the latest.
+                        let place = self.farewells.clone().acquire_owned().await.ok();
+                        self.clone().turn_away(stream, after, place);
+                        continue;
+                    }
                     self.clone().start(stream, number);
                     // For each that comes while many are open one that rested longest goes, and another until they
                     // are fewer: clients may hold fewer than the node could, and those who find all theirs kept by
@@ -208,7 +249,30 @@
         }
     }
 
+    /// Tells a connection to come back later and closes it, in that order: what it has sent already must not make the
+    /// close a reset, which could overtake the answer.
+    fn turn_away(self: Rc<Self>, stream: H::Stream, after: Duration, place: Option<OwnedSemaphorePermit>) {
+        self.connections.set(self.connections.get() + 1);
+        tokio::task::spawn_local(async move {
+            let (reading, mut writing) = stream.into_halves();
+            let line = resp::error(&format!("BUSY {}", after.as_millis().max(1)));
+            let said = async {
+                writing.write_all(&line).await.ok()?;
+                writing.shutdown().await.ok()?;
+                let mut buffer = BytesMut::new();
+                while read(&reading, &mut buffer).await {
+                    buffer.clear();
+                }
+                Some(())
+            };
+            let _ = timeout(FAREWELL, said).await;
+            drop(place);
+        });
+    }
+
     fn start(self: Rc<Self>, stream: H::Stream, number: u64) {
+        self.connections.set(self.connections.get() + 1);
+        self.half_known.set(self.half_known.get() + 1);
         let evict = Rc::new(Notify::new());
         let entry = Entry { idle: Some(Instant::now()), known: false, evict: evict.clone() };
         self.open.borrow_mut().insert(number, entry);
@@ -222,6 +286,9 @@
                     let _ = self.events.send(Input::Client(Asked::Gone(id))).await;
                 }
             }
+            if !session.known {
+                self.half_known.set(self.half_known.get() - 1);
+            }
             self.open.borrow_mut().remove(&number);
             self.closed.notify_waiters();
             self.closed.notify_one();
@@ -434,6 +501,12 @@
         self.answer(resp::error(&format!("ERR protocol: {error}")));
     }
 
+    fn is_known(&mut self) {
+        if !std::mem::replace(&mut self.known, true) {
+            self.clients.half_known.set(self.clients.half_known.get() - 1);
+        }
+    }
+
     fn answer(&mut self, bytes: Bytes) {
         self.pending.push_back(Slot { wait: Wait::Ready(bytes), memory: None });
     }
@@ -453,13 +526,13 @@
         match words[0].as_ref() {
             b"CACHE.GET" | b"CACHE.SET" => match self.clients.parse(&words, came) {
                 Ok((request, command)) => {
-                    self.known = true;
+                    self.is_known();
                     self.ask(request, Box::new(command)).await;
                 }
                 Err(e) => self.answer(resp::error(&format!("ERR {e}"))),
             },
             name if name.eq_ignore_ascii_case(b"PING") => {
-                self.known = true;
+                self.is_known();
                 self.answer(match self.clients.ready.get() {
                     true => Bytes::from_static(b"+PONG\r\n"),
                     false => resp::error("ERR not ready: no list of servers yet"),
@@ -488,8 +561,8 @@
         };
         let (answer, receiver) = oneshot::channel();
         let id = request.id;
-        if self.clients.events.send(Input::Client(Asked::Request { request, command, answer })).await.is_err()
-        {
+        let asked = Asked::Request { request, connection: self.number, command, answer };
+        if self.clients.events.send(Input::Client(asked)).await.is_err() {
             return self.answer(resp::error("ERR stopping"));
         }
         self.asked += 1;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::discovery::List;
+use crate::operator::Operator;
 
 /// Everything that the node is told.
 #[derive(Clone, Debug)]
@@ -33,6 +34,8 @@
     pub known: Option<List>,
     /// The settings.
     pub site: Site,
+    /// What the operator's file switches on; nothing without one.
+    pub operator: Operator,
 }
 
 #[derive(Deserialize)]
@@ -123,5 +126,6 @@
         peers_all: optional("peers_all", file.peers_all)?,
         known: file.known,
         site,
+        operator: Operator::default(),
     })
 }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -18,7 +18,13 @@
 
 /// What clients tell the node.
 pub enum Asked {
-    Request { request: Request, command: Box<Command>, answer: oneshot::Sender<Answer> },
+    Request {
+        request: Request,
+        /// The connection that it came on.
+        connection: u64,
+        command: Box<Command>,
+        answer: oneshot::Sender<Answer>,
+    },
     Gone(RequestId),
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`run`] is a whole node on any [`Host`](mothpier_host::Host): the daemon gives it the machine that it runs on, the
 //! simulated world a simulated one. Dependencies run one way: `service` puts the parts together; `node` owns the
 //! module and drives `servers`, `origin` and `peers`; these and `clients` and `discovery` tell it what happened
-//! through `input`.
+//! through `input`. `weather` feeds the detector of storms, which the operator's file switches on.
 
 mod clients;
 mod command;
@@ -14,10 +14,12 @@
 mod http;
 mod input;
 mod node;
+pub mod operator;
 mod origin;
 mod peers;
 mod servers;
 mod service;
+mod weather;
 
 pub use discovery::{List, Member};
 pub use service::{Control, run};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -25,6 +25,7 @@
 use crate::origin::Origins;
 use crate::peers::Peers;
 use crate::servers::{Ended, Servers};
+use crate::weather::{LOOK, Weather};
 use crate::{origin, servers};
 
 /// A probe without answer after this time has failed.
@@ -59,6 +60,8 @@
     answer: oneshot::Sender<Answer>,
     ends: Instant,
     attempts: u16,
+    /// What the detector knows it by; 0 without one.
+    fingerprint: u64,
 }
 
 /// An attempt or a probe without outcome; it may outlive its request.
@@ -76,6 +79,7 @@
     Timer(u32),
     GiveUp(AttemptId),
     Report,
+    Look,
 }
 
 /// The parts that the node drives.
@@ -85,6 +89,7 @@
     pub peers: Option<Peers<H>>,
     pub wanted: watch::Sender<Wanted>,
     pub ready: Rc<Cell<bool>>,
+    pub weather: Option<Weather>,
 }
 
 /// The node.
@@ -132,6 +137,9 @@
         self.list(known, ListKind::Cached);
         self.settle();
         self.wake(REPORT, Due::Report);
+        if self.parts.weather.is_some() {
+            self.wake(LOOK, Due::Look);
+        }
         loop {
             let next = self.due.peek().map(|Reverse((time, _))| *time);
             let idle = Instant::now() + Duration::from_secs(3600);
@@ -160,12 +168,23 @@
                     }
                     self.wake(REPORT, Due::Report);
                 }
+                Some(Reverse((_, Due::Look))) => self.look(),
                 None => {}
             }
             self.settle();
         }
     }
 
+    /// Reads the signs of a storm.
+    fn look(&mut self) {
+        self.wake(LOOK, Due::Look);
+        let Some(weather) = &mut self.parts.weather else { return };
+        if let Some(change) = weather.look(self.clock.now(), self.policy.capacity()) {
+            self.host.log(format_args!("{change}"));
+            self.events.push_back(Event::Storm(change.to.is_storm()));
+        }
+    }
+
     /// Hands all events to the module and carries out what it wants.
     fn settle(&mut self) {
         while let Some(event) = self.events.pop_front() {
@@ -178,9 +197,12 @@
 
     fn input(&mut self, input: Input) {
         match input {
-            Input::Client(Asked::Request { request, command, answer }) => {
+            Input::Client(Asked::Request { mut request, connection, command, answer }) => {
                 let ends = Instant::now() + Duration::from_micros(request.time_left);
-                let open = Open { command: command.into(), answer, ends, attempts: 0 };
+                let now = self.clock.now();
+                let weather = self.parts.weather.as_mut();
+                let fingerprint = weather.map_or(0, |w| w.arrived(now, connection, &mut request));
+                let open = Open { command: command.into(), answer, ends, attempts: 0, fingerprint };
                 self.open.insert(request.id, open);
                 self.counters.asked += 1;
                 self.events.push_back(Event::Request(request));
@@ -211,7 +233,12 @@
                     self.events.push_back(Event::ServerList { kind: ListKind::Failed, servers: Vec::new() });
                 }
             }
-            Input::Peer { from, bytes } => self.events.push_back(Event::PeerMessage { from, bytes }),
+            Input::Peer { from, mut bytes } => {
+                if let Some(weather) = &mut self.parts.weather {
+                    bytes = weather.told(self.clock.now(), from, bytes);
+                }
+                self.events.push_back(Event::PeerMessage { from, bytes });
+            }
         }
     }
 
@@ -276,7 +303,10 @@
                 self.parts.origins.close_idle(server)
             }
             Action::CloseIdle(server) => self.parts.servers.close_idle(server),
-            Action::Tell { to, bytes } => {
+            Action::Tell { to, mut bytes } => {
+                if let Some(weather) = &self.parts.weather {
+                    bytes = weather.tell(bytes);
+                }
                 if let Some(peers) = &self.parts.peers {
                     peers.tell(to, &bytes);
                 }
@@ -288,6 +318,10 @@
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
         if let Some(open) = self.open.remove(&request) {
+            if let Some(weather) = self.parts.weather.as_mut().filter(|_| !matches!(answer, Answer::Value(_)))
+            {
+                weather.unserved(self.clock.now(), open.fingerprint);
+            }
             match answer {
                 Answer::Value(_) => self.counters.served += 1,
                 Answer::Busy(_) => {
@@ -416,6 +450,9 @@
             return self.events.push_back(Event::Probed { server, ok: status == Status::Served, took, load });
         };
         self.counters.ended(flight.call.is_some() || self.origin_ids.contains(&server), status, took);
+        if let Some(weather) = self.parts.weather.as_mut().filter(|_| status != Status::NotSent) {
+            weather.worked(took, self.open.contains_key(&request));
+        }
         if status == Status::Served {
             self.answer(request, value.map_or(Answer::Failed, Answer::Value));
         }
@@ -500,6 +537,7 @@
                 peers: None,
                 wanted: watch::channel(Wanted::default()).0,
                 ready: Rc::default(),
+                weather: None,
             };
             let site = brassrouter::settings::read(SITE.as_bytes()).unwrap();
             let mut node = Node::new(HOST, site, 1, Clock::start(&HOST), parts);
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -7,13 +7,15 @@
 
 use brassrouter::Micros;
 use mothpier_host::{Host, Listener};
+use mothpier_storm::Door;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::clients::{Clients, Closing};
+use crate::clients::{Bounds, Clients, Closing};
 use crate::config::Config;
 use crate::node::{Clock, Node, Parts};
+use crate::weather::Weather;
 use crate::{discovery, origin, peers, servers};
 
 /// Inputs that wait for the node; who brings more waits in turn.
@@ -46,7 +48,9 @@
 ) -> Result<(), String> {
     let clock = Clock::start(&host);
     let (events, inputs) = mpsc::channel(QUEUE);
-    let site = config.site;
+    let mut site = config.site;
+    let storm = config.operator.storm;
+    site.decisions.damping = storm.damping();
     let idle_close = Duration::from_micros(site.idle_close);
     let connect_timeout = Duration::from_micros(site.decisions.connect_timeout);
     // Half for clients, half for servers: neither can leave the other without.
@@ -75,7 +79,7 @@
     let watched = discovery::Wanted { watch: !site.decisions.ask_discovery, calls: 0 };
     let (wanted, wishes) = watch::channel(watched);
     let ready = Rc::new(Cell::new(false));
-    let parts = Parts {
+    let mut parts = Parts {
         servers: servers::Servers::new(host.clone(), limits, events.clone()),
         origins: origin::Origins::new(
             host.clone(),
@@ -87,6 +91,7 @@
         peers,
         wanted,
         ready: ready.clone(),
+        weather: None,
     };
     let revision = config.known.as_ref().map(|l| l.revision);
     let listener = host.listen(config.listen).await;
@@ -94,7 +99,8 @@
     let listener_address = listener.local_addr();
     let closing = Rc::new(Closing::default());
     let longest: Micros = site.decisions.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-    let bounds = (descriptors, config.memory / 2);
+    let bounds =
+        Bounds { most: descriptors, memory: config.memory / 2, door: Door::new(&storm.figures, descriptors) };
     let clients = Clients::new(
         host.clone(),
         site.clone(),
@@ -104,6 +110,7 @@
         closing.clone(),
         events.clone(),
     );
+    parts.weather = Weather::new(&storm, site.tenants.len(), clients.connections());
     let node = Node::new(host.clone(), site, config.seed, clock, parts);
     let mut node = spawn_local(node.run(config.known, inputs));
     let (discovery, addresses) = watch::channel(config.discovery);
--- /dev/null
+++ b/crates/storm/tests/detector.rs
@@ -0,0 +1,162 @@
+//! The detector under loads that a site has seen: what is a storm, what is none, and that it does not flap.
+#![allow(missing_docs)]
+
+use std::time::Duration;
+
+use mothpier_storm::{Change, Detector, Settings, Weather};
+
+const LOOK: Duration = Duration::from_millis(100);
+
+struct Site {
+    detector: Detector,
+    now: Duration,
+    number: u64,
+    changes: Vec<Change>,
+}
+
+/// What comes in a second: first tries of each of four tenants, the part of them that is repeated, new connections, the
+/// fleet's capacity.
+#[derive(Clone, Copy)]
+struct Load {
+    first: [f64; 4],
+    repeats: [f64; 4],
+    connections: f64,
+    wasted: f64,
+    capacity: f64,
+}
+
+const USUAL: Load = Load {
+    first: [80.0, 80.0, 70.0, 60.0],
+    repeats: [2.0; 4],
+    connections: 20.0,
+    wasted: 0.01,
+    capacity: 1.0,
+};
+
+impl Site {
+    fn new() -> Site {
+        let detector = Detector::new(Settings::default(), 4);
+        Site { detector, now: Duration::ZERO, number: 0, changes: Vec::new() }
+    }
+
+    fn play(&mut self, seconds: f64, load: Load) -> Weather {
+        let mut owed = [0.0; 9];
+        let end = self.now + Duration::from_secs_f64(seconds);
+        while self.now < end {
+            self.now += LOOK;
+            let rates = load.first.into_iter().chain(load.repeats).chain([load.connections]);
+            for (i, rate) in rates.enumerate() {
+                owed[i] += rate * LOOK.as_secs_f64();
+                while owed[i] >= 1.0 {
+                    owed[i] -= 1.0;
+                    self.number += 1;
+                    match i {
+                        8 => self.detector.connected(),
+                        _ => drop(self.detector.arrived(self.now, i % 4, self.number, i >= 4)),
+                    }
+                }
+            }
+            self.detector.worked(Duration::from_millis(100), true);
+            self.detector.worked(Duration::from_millis((100.0 * load.wasted) as u64), false);
+            self.changes.extend(self.detector.look(self.now, load.capacity));
+        }
+        self.detector.weather()
+    }
+}
+
+#[test]
+fn an_outage_and_its_retries_are_a_storm_that_is_entered_soon_and_left_once() {
+    let mut site = Site::new();
+    assert_eq!(site.play(60.0, USUAL), Weather::Calm);
+    let after = Load { repeats: [100.0; 4], connections: 400.0, wasted: 0.3, capacity: 0.3, ..USUAL };
+    let begin = site.now;
+    assert_eq!(site.play(1.5, after), Weather::Storm { of: None });
+    assert_eq!(site.changes.len(), 1, "{:?}", site.changes);
+    let line = site.changes[0].to_string();
+    assert!(line.starts_with("weather: storm, was calm (") && line.contains("repeats"), "{line}");
+    assert!(line.contains("the fleet can do 30%"), "{line}");
+    // It falls off slowly and unevenly, as storms do: the weather changes once.
+    for i in 0..40 {
+        let part = if i % 3 == 0 { 0.15 } else { 1.0 } * (1.0 - f64::from(i) / 40.0);
+        let load = Load { repeats: [100.0 * part; 4], capacity: 0.3 + f64::from(i) / 60.0, ..USUAL };
+        site.play(0.4, load);
+    }
+    assert_eq!(site.play(10.0, USUAL), Weather::Calm);
+    assert_eq!(site.changes.len(), 2, "{:?}", site.changes);
+    assert!(site.now - begin > Duration::from_secs(10));
+}
+
+#[test]
+fn growth_is_no_storm_however_steep_and_becomes_the_usual() {
+    let mut site = Site::new();
+    site.play(60.0, USUAL);
+    let more = Load { first: USUAL.first.map(|f| f * 3.0), connections: 80.0, ..USUAL };
+    assert_eq!(site.play(3.0, more), Weather::Growth);
+    assert_eq!(site.play(150.0, more), Weather::Calm, "after minutes it is the usual");
+    assert_eq!(site.changes.len(), 2, "{:?}", site.changes);
+}
+
+#[test]
+fn more_from_one_tenant_is_its_burst_and_its_retries_are_its_storm() {
+    let mut site = Site::new();
+    site.play(60.0, USUAL);
+    let mut more = USUAL;
+    more.first[2] = 400.0;
+    assert_eq!(site.play(3.0, more), Weather::Burst { tenant: 2 });
+    (more.repeats[2], more.wasted) = (600.0, 0.2);
+    assert_eq!(site.play(3.0, more), Weather::Storm { of: Some(2) });
+}
+
+#[test]
+fn cold_boxes_alone_or_a_deploy_of_clients_alone_are_no_storm() {
+    let mut site = Site::new();
+    site.play(60.0, USUAL);
+    assert_eq!(site.play(10.0, Load { capacity: 0.3, ..USUAL }), Weather::Calm, "a rolling deploy of boxes");
+    assert_eq!(site.play(10.0, Load { connections: 500.0, ..USUAL }), Weather::Calm, "a deploy of clients");
+    let both = Load { connections: 500.0, capacity: 0.3, ..USUAL };
+    assert!(site.play(3.0, both).is_storm(), "all come back to a fleet that is not there yet");
+}
+
+#[test]
+fn a_node_that_starts_in_a_storm_knows_it_without_knowing_what_is_usual() {
+    let mut site = Site::new();
+    let weather = site.play(1.5, Load { repeats: [100.0; 4], wasted: 0.3, capacity: 0.3, ..USUAL });
+    assert!(weather.is_storm());
+}
+
+#[test]
+fn repeats_that_do_not_say_so_are_known_by_what_ended_unserved() {
+    let mut detector = Detector::new(Settings::default(), 1);
+    let at = Duration::from_secs(9);
+    assert!(!detector.arrived(at, 0, 77, false));
+    detector.unserved(at, 77);
+    assert!(!detector.arrived(at, 0, 78, false), "another request");
+    assert!(detector.arrived(at + Duration::from_secs(1), 0, 77, false));
+    assert!(
+        !detector.arrived(at + Duration::from_secs(1), 0, 77, false),
+        "one repeat for each try that ended"
+    );
+    detector.unserved(at, 77);
+    assert!(!detector.arrived(at + Duration::from_secs(6), 0, 77, false), "long ago");
+}
+
+#[test]
+fn peers_in_a_storm_count_only_while_they_are_heard_and_only_with_a_feeder_here() {
+    let mut site = Site::new();
+    site.play(60.0, USUAL);
+    for peer in 0..3 {
+        site.detector.peer(site.now, peer, true);
+    }
+    assert_eq!(site.play(2.0, USUAL), Weather::Calm, "hearsay alone changes nothing");
+    for peer in 0..3 {
+        site.detector.peer(site.now, peer, true);
+    }
+    assert!(site.play(1.5, Load { repeats: [40.0; 4], ..USUAL }).is_storm(), "with repeats here");
+    let mut alone = Site::new();
+    alone.play(60.0, USUAL);
+    assert_eq!(
+        alone.play(1.5, Load { repeats: [40.0; 4], ..USUAL }),
+        Weather::Calm,
+        "repeats alone are not enough"
+    );
+}
