chalksill load storm: an outage, thousands of clients that come back, and how the site fares

Need: whether damping helps could not be seen: clients shared connections and all repeated in one way.

Change: scenarios have callers with a connection each, eager ones that connect again when it is lost, and the habits of client libraries (at once, fixed, exponential, full jitter).

--- a/crates/chalksill/src/explore.rs
+++ b/crates/chalksill/src/explore.rs
@@ -10,7 +10,6 @@
 use chalksill_world::mutant::Mutant;
 use chalksill_world::report::Report;
 use chalksill_world::rules::Rule;
-use chalksill_world::scenario::Scenario;
 use chalksill_world::sim::{Plan, run};
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
@@ -63,33 +62,37 @@
 }
 
 /// Reads a range of seeds.
-fn seeds(text: &str) -> Result<(u64, u64), String> {
+pub fn seeds(text: &str) -> Result<(u64, u64), String> {
     let (from, to) = text.split_once("..").ok_or("two numbers, as 0..1000")?;
     let number = |t: &str| t.trim().parse::<u64>().map_err(|e| format!("{t:?}: {e}"));
     let range = (number(from)?, number(to)?);
     if range.0 >= range.1 { Err("the range is empty".into()) } else { Ok(range) }
 }
 
-/// Plays the seeds of a range on several threads and gives each report as it comes.
-fn play(
-    scenario: &Scenario,
+/// Threads that this machine runs at once.
+pub fn cores() -> usize {
+    std::thread::available_parallelism().map_or(1, usize::from)
+}
+
+/// Plays the seeds of a range on several threads and gives each report as it comes; ends early when told `false`.
+pub fn play(
+    plan_of: impl Fn(u64) -> Plan + Sync,
     (from, to): (u64, u64),
     jobs: usize,
-    mutant: Option<Mutant>,
     mut each: impl FnMut(u64, Plan, Report) -> bool,
 ) {
     let next = AtomicU64::new(from);
     std::thread::scope(|scope| {
         let (done, reports) = mpsc::sync_channel(jobs);
-        for _ in 0..jobs {
-            let (done, next, scenario) = (done.clone(), &next, scenario.clone());
+        for _ in 0..jobs.clamp(1, 256) {
+            let (done, next, plan_of) = (done.clone(), &next, &plan_of);
             scope.spawn(move || {
                 loop {
                     let seed = next.fetch_add(1, Ordering::Relaxed);
                     if seed >= to {
                         return;
                     }
-                    let plan = Plan { scenario: scenario.clone(), seed, script: None, mutant };
+                    let plan = plan_of(seed);
                     let report = run(&plan, None);
                     if done.send((seed, plan, report)).is_err() {
                         return;
@@ -110,8 +113,8 @@
 /// Carries the subcommand out.
 pub fn execute(args: &Explore) -> Result<Verdict, String> {
     let scenario = files::scenario(&args.scenario)?;
-    let cores = std::thread::available_parallelism().map_or(1, usize::from);
-    let jobs = args.jobs.unwrap_or(cores).clamp(1, 256);
+    let jobs = args.jobs.unwrap_or(cores()).clamp(1, 256);
+    let plan = |seed| Plan { scenario: scenario.clone(), seed, script: None, mutant: args.mutant };
     let count = args.seeds.1 - args.seeds.0;
     let bar = if std::io::stderr().is_terminal() { ProgressBar::new(count) } else { ProgressBar::hidden() };
     let style = ProgressStyle::with_template("{bar:40} {pos}/{len} seeds, {msg} broken, {eta} left");
@@ -122,7 +125,7 @@
     let mut failed = None;
     let mut digests = BTreeMap::new();
     let (mut virtual_s, mut offered, mut tries, mut packets, mut in_time) = (0.0, 0, 0.0, 0, 0);
-    play(&scenario, args.seeds, jobs, args.mutant, |seed, plan, report| {
+    play(plan, args.seeds, jobs, |seed, plan, report| {
         bar.inc(1);
         virtual_s += report.virtual_s;
         offered += report.all.offered;
--- a/crates/chalksill/src/main.rs
+++ b/crates/chalksill/src/main.rs
@@ -2,6 +2,7 @@
 
 mod explore;
 mod files;
+mod load;
 mod plot;
 mod sim;
 mod world;
@@ -29,6 +30,9 @@
     /// The same stand-ins on loopback sockets in real time, round real mothpier processes
     #[command(subcommand)]
     World(world::World),
+    /// Loads of a special kind: storms after an outage
+    #[command(subcommand)]
+    Load(load::Load),
 }
 
 /// How a command ended that did not fail.
@@ -43,6 +47,7 @@
     let done = match Cli::parse().command {
         Command::Sim(sim) => sim::execute(sim),
         Command::World(world) => world::execute(world),
+        Command::Load(load) => load::execute(load),
     };
     match done {
         Ok(Verdict::Good) => ExitCode::SUCCESS,
--- a/crates/chalksill/src/sim.rs
+++ b/crates/chalksill/src/sim.rs
@@ -113,7 +113,8 @@
     }
 }
 
-fn traced(plan: &Plan, trace: Option<&PathBuf>) -> Result<Report, String> {
+/// Plays a plan, with all that is seen written to a file where one is named.
+pub fn traced(plan: &Plan, trace: Option<&PathBuf>) -> Result<Report, String> {
     let Some(path) = trace else { return Ok(run(plan, None)) };
     let failed = |e: std::io::Error| format!("cannot write {}: {e}", path.display());
     let file = Rc::new(RefCell::new(BufWriter::new(std::fs::File::create(path).map_err(failed)?)));
--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -22,8 +22,8 @@
 
 use crate::cache::{read, read_value};
 use crate::fleet::Fleet;
-use crate::observe::{NodeNo, Reply, RequestNo, Seen};
-use crate::scenario::Effect;
+use crate::observe::{NodeNo, Reply, RequestNo, Seen, Witness};
+use crate::scenario::{Effect, Habit};
 
 /// How long after its patience a client looks whether the answer came late: the grace of the rule and the way back.
 const LATE: Duration = Duration::from_millis(150);
@@ -33,6 +33,10 @@
 const CROSSING: Duration = Duration::from_millis(25);
 /// Connections kept to one node.
 const KEPT: usize = 256;
+/// How often each eager caller looks whether its connection is still there.
+const WATCH: Duration = Duration::from_millis(50);
+/// Over this time the eager ones connect at the beginning.
+const GATHER: Duration = Duration::from_secs(1);
 
 /// How one first try ended, all its tries together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,6 +72,25 @@
     reading: S::Reading,
     writing: S::Writing,
     buffer: BytesMut,
+    /// A request was sent on it.
+    used: bool,
+}
+
+impl<S: Stream> Kept<S> {
+    /// Whether it is still open and nothing has come on it; what has come is told of, for nothing was owed. Only a
+    /// connection that was never used may be told why it is closed.
+    fn good(&mut self, node: NodeNo, witness: &Witness) -> bool {
+        self.buffer.reserve(64);
+        match self.reading.try_read_buf(&mut self.buffer) {
+            Err(e) => e.kind() == std::io::ErrorKind::WouldBlock,
+            Ok(read) => {
+                if read > 0 && (self.used || self.buffer.first() != Some(&b'-')) {
+                    witness.saw(Seen::Unasked { node });
+                }
+                false
+            }
+        }
+    }
 }
 
 /// All clients.
@@ -82,11 +105,35 @@
     kept: RefCell<BTreeMap<NodeNo, Vec<Kept<H::Stream>>>>,
     /// What may be open to each node: clients use a third of a node's descriptors at most.
     places: Vec<Rc<Semaphore>>,
+    callers: RefCell<Vec<Caller<H::Stream>>>,
     next: Cell<RequestNo>,
     under_way: Cell<usize>,
     played: Box<dyn Fn(Played)>,
 }
 
+/// One of many clients that have a connection of their own each.
+struct Caller<S: Stream> {
+    own: Option<(NodeNo, Kept<S>)>,
+    /// Tries of it that are under way, one of which may have its connection.
+    busy: usize,
+    zone: usize,
+    tenant: usize,
+    /// Its place among the habits, where there are any.
+    habit: usize,
+    eager: bool,
+}
+
+/// A first try: when it is due, and what it asks.
+struct First {
+    due: Instant,
+    class: usize,
+    tenant: usize,
+    key: u64,
+    zone: usize,
+    seed: u64,
+    caller: Option<usize>,
+}
+
 enum Outcome {
     Served,
     Refused(u64),
@@ -102,10 +149,24 @@
         nodes: Vec<SocketAddr>,
         played: impl Fn(Played) + 'static,
     ) -> Rc<Self> {
+        let zones = fleet.scenario.zones.len().min(nodes.len());
+        let load = &fleet.scenario.load;
+        let caller = |number: usize| {
+            let mut rng = fleet.random("caller", number as u64);
+            Caller {
+                own: None,
+                busy: 0,
+                zone: number % zones,
+                tenant: pick(&mut rng, fleet.scenario.tenant.iter().map(|t| t.share)),
+                habit: pick(&mut rng, load.habits.iter().map(|h| h.share)),
+                eager: rng.random::<f64>() < load.eager,
+            }
+        };
         Rc::new(Clients {
             host,
             fleet: fleet.clone(),
-            zones: fleet.scenario.zones.len().min(nodes.len()),
+            zones,
+            callers: RefCell::new((0..load.callers).map(caller).collect()),
             believed: RefCell::new(vec![true; nodes.len()]),
             kept: RefCell::default(),
             places: (0..nodes.len())
@@ -123,6 +184,9 @@
         self.believed.borrow_mut()[node] = there;
         if !there {
             self.kept.borrow_mut().remove(&node);
+            for caller in self.callers.borrow_mut().iter_mut() {
+                caller.own.take_if(|(at, _)| *at == node);
+            }
         }
     }
 
@@ -143,6 +207,11 @@
         let begin = Instant::now();
         let mut due = begin;
         let popular = Zipf::new(scenario.load.keys as f64, scenario.load.zipf).ok();
+        let callers = scenario.load.callers;
+        for number in (0..callers).filter(|n| self.callers.borrow()[*n].eager) {
+            let after = GATHER.mul_f64(number as f64 / callers as f64);
+            spawn_local(self.clone().stay_connected(number, after, begin + span));
+        }
         loop {
             let rate = scenario.load.rate * self.fleet.knobs.burst.get();
             let pause: f64 = Exp::new(rate).map_or(1.0, |e| e.sample(&mut rng));
@@ -156,26 +225,68 @@
             let rank = popular.as_ref().map_or(1.0, |z| z.sample(&mut rng)) as u64;
             let key = key_of(rank);
             let (clients, zone) = (self.clone(), rng.random_range(0..self.zones));
-            let seed = rng.random();
+            let mut first = First { due, class, tenant, key, zone, seed: rng.random(), caller: None };
+            if callers > 0 {
+                let number = rng.random_range(0..callers);
+                let caller = &self.callers.borrow()[number];
+                (first.caller, first.tenant, first.zone) = (Some(number), caller.tenant, caller.zone);
+            }
             self.under_way.set(self.under_way.get() + 1);
             spawn_local(async move {
-                let played = clients.one(due, class, tenant, key, zone, seed).await;
+                let played = clients.one(first).await;
                 clients.under_way.set(clients.under_way.get() - 1);
                 (clients.played)(played);
             });
         }
     }
 
+    /// A caller that connects again when its connection is lost, as libraries do that keep one open.
+    async fn stay_connected(self: Rc<Self>, number: usize, after: Duration, until: Instant) {
+        let mut rng = self.fleet.random("eager", number as u64);
+        sleep(after).await;
+        let mut tries = 0;
+        while Instant::now() < until {
+            let zone = {
+                let caller = &mut self.callers.borrow_mut()[number];
+                let witness = &self.fleet.witness;
+                caller.own.take_if(|(node, kept)| !kept.good(*node, witness));
+                (caller.own.is_none() && caller.busy == 0).then_some(caller.zone)
+            };
+            if let Some(node) = zone.and_then(|zone| self.choose(zone, &mut rng)) {
+                tries += 1;
+                match self.connect(node, CONNECT).await {
+                    Some(kept) => {
+                        self.keep(node, Some(number), kept);
+                        tries = 0;
+                    }
+                    None => {
+                        let wait = self.habit(Some(number)).map_or(0, |h| h.wait(tries, rng.random()));
+                        sleep(Duration::from_millis(wait)).await;
+                    }
+                }
+            }
+            sleep(WATCH).await;
+        }
+    }
+
+    /// How a caller repeats what failed.
+    fn habit(&self, caller: Option<usize>) -> Option<&Habit> {
+        let place = caller.map_or(0, |number| self.callers.borrow()[number].habit);
+        self.fleet.scenario.load.habits.get(place)
+    }
+
+    async fn connect(&self, node: NodeNo, within: Duration) -> Option<Kept<H::Stream>> {
+        let stream = timeout(within, self.host.connect(self.nodes[node])).await.ok()?.ok()?;
+        if self.fleet.scenario.load.callers > 0 {
+            self.fleet.witness.saw(Seen::Connected { node });
+        }
+        let (reading, writing) = stream.into_halves();
+        Some(Kept { reading, writing, buffer: BytesMut::new(), used: false })
+    }
+
     /// One first try with its retries.
-    async fn one(
-        &self,
-        due: Instant,
-        class: usize,
-        tenant: usize,
-        key: u64,
-        zone: usize,
-        seed: u64,
-    ) -> Played {
+    async fn one(&self, first: First) -> Played {
+        let First { due, class, tenant, key, zone, seed, caller } = first;
         let scenario = &self.fleet.scenario;
         let mut rng = <Pcg64Mcg as rand::SeedableRng>::seed_from_u64(seed);
         let c = &scenario.class[class];
@@ -192,14 +303,18 @@
             if patience < Duration::from_millis(5) {
                 break;
             }
-            let node = self.choose(zone, &mut rng);
-            let Some(node) = node else {
+            let own = caller.and_then(|n| self.callers.borrow()[n].own.as_ref().map(|(node, _)| *node));
+            let own = own.filter(|node| self.believed.borrow()[*node]);
+            let Some(node) = own.or_else(|| self.choose(zone, &mut rng)) else {
                 end = End::Unanswered;
                 break;
             };
             tries += 1;
-            let ask = Ask { first, class, tenant, key, node, patience, token, repeat: tries > 1 };
-            let mut wait = scenario.load.retry_ms;
+            let ask = Ask { first, class, tenant, key, node, patience, token, repeat: tries > 1, caller };
+            let mut wait = match self.habit(caller) {
+                Some(habit) => habit.wait(tries, rng.random()),
+                None => scenario.load.retry_ms,
+            };
             match self.ask(&ask, &mut rng).await {
                 Outcome::Served => {
                     end = End::Served;
@@ -252,24 +367,28 @@
         let request = self.next.replace(self.next.get() + 1);
         let begin = Instant::now();
         // Its place is free again at its end, whether or not the connection is kept: those kept are used first.
-        let Ok(Ok(_place)) = timeout(ask.patience, self.places[ask.node].acquire()).await else {
+        // Callers have each their own, and may be more than the node has places for.
+        let place = async {
+            match ask.caller {
+                None => self.places[ask.node].acquire().await.map(Some),
+                Some(_) => Ok(None),
+            }
+        };
+        let Ok(Ok(_place)) = timeout(ask.patience, place).await else {
             return Outcome::None;
         };
+        let _busy = ask.caller.map(|number| Busy::begin(&self.callers, number));
         for again in [false, true] {
-            let kept = if again { None } else { self.take(ask.node) };
+            let kept = if again { None } else { self.take(ask.node, ask.caller) };
             let fresh = kept.is_none();
             let mut kept = match kept {
                 Some(kept) => kept,
-                None => {
-                    match timeout(CONNECT.min(ask.patience), self.host.connect(self.nodes[ask.node])).await {
-                        Ok(Ok(stream)) => {
-                            let (reading, writing) = stream.into_halves();
-                            Kept { reading, writing, buffer: BytesMut::new() }
-                        }
-                        _ => return Outcome::None,
-                    }
-                }
+                None => match self.connect(ask.node, CONNECT.min(ask.patience)).await {
+                    Some(kept) => kept,
+                    None => return Outcome::None,
+                },
             };
+            kept.used = true;
             let patience = ask.patience.saturating_sub(begin.elapsed());
             if kept.writing.write_all(&self.command(ask, request, patience)).await.is_err() {
                 if fresh {
@@ -325,7 +444,7 @@
             if !kept.buffer.is_empty() {
                 saw(Seen::Unasked { node });
             } else {
-                self.keep(node, kept);
+                self.keep(node, ask.caller, kept);
             }
             return match reply {
                 Reply::Value { .. } => Outcome::Served,
@@ -358,21 +477,26 @@
     }
 
     /// A kept connection that is still good; the one used last first.
-    fn take(&self, node: NodeNo) -> Option<Kept<H::Stream>> {
+    fn take(&self, node: NodeNo, caller: Option<usize>) -> Option<Kept<H::Stream>> {
+        if let Some(number) = caller {
+            let (at, mut kept) = self.callers.borrow_mut()[number].own.take()?;
+            return (at == node && kept.good(node, &self.fleet.witness)).then_some(kept);
+        }
         let mut all = self.kept.borrow_mut();
         let kept = all.get_mut(&node)?;
         while let Some(mut connection) = kept.pop() {
-            connection.buffer.reserve(64);
-            match connection.reading.try_read_buf(&mut connection.buffer) {
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return Some(connection),
-                Ok(read) if read > 0 => self.fleet.witness.saw(Seen::Unasked { node }),
-                _ => {}
+            if connection.good(node, &self.fleet.witness) {
+                return Some(connection);
             }
         }
         None
     }
 
-    fn keep(&self, node: NodeNo, connection: Kept<H::Stream>) {
+    fn keep(&self, node: NodeNo, caller: Option<usize>, connection: Kept<H::Stream>) {
+        if let Some(number) = caller {
+            self.callers.borrow_mut()[number].own.get_or_insert((node, connection));
+            return;
+        }
         let mut all = self.kept.borrow_mut();
         let kept = all.entry(node).or_default();
         if kept.len() < KEPT && self.believed.borrow()[node] {
@@ -381,6 +505,24 @@
     }
 }
 
+type Callers<S> = RefCell<Vec<Caller<S>>>;
+
+/// A try of a caller, for as long as it is under way.
+struct Busy<'a, S: Stream>(&'a Callers<S>, usize);
+
+impl<'a, S: Stream> Busy<'a, S> {
+    fn begin(callers: &'a Callers<S>, number: usize) -> Self {
+        callers.borrow_mut()[number].busy += 1;
+        Busy(callers, number)
+    }
+}
+
+impl<S: Stream> Drop for Busy<'_, S> {
+    fn drop(&mut self) {
+        self.0.borrow_mut()[self.1].busy -= 1;
+    }
+}
+
 struct Ask {
     first: RequestNo,
     class: usize,
@@ -390,6 +532,7 @@
     patience: Duration,
     token: u64,
     repeat: bool,
+    caller: Option<usize>,
 }
 
 /// The key that is the so manyth in popularity, from 1: popular ones lie anywhere.
--- a/crates/world/src/live.rs
+++ b/crates/world/src/live.rs
@@ -159,11 +159,15 @@
         let path = self.folder.join(format!("{name}.json"));
         let text = serde_json::to_string_pretty(&config).map_err(|e| e.to_string())?;
         std::fs::write(&path, text).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
+        let operator = self.folder.join(format!("{name}.toml"));
+        std::fs::write(&operator, &scenario.nodes.operator)
+            .map_err(|e| format!("cannot write {}: {e}", operator.display()))?;
         let log = self.folder.join(format!("{name}.log"));
         let log = std::fs::File::create(&log).map_err(|e| format!("cannot write {}: {e}", log.display()))?;
         let child = Command::new(program)
             .env_clear()
             .env("ROUTER_CONFIG", &path)
+            .env("ROUTER_OPERATOR", &operator)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
--- a/crates/world/src/observe.rs
+++ b/crates/world/src/observe.rs
@@ -86,6 +86,11 @@
         /// Whether the client took its time before it read.
         slow: bool,
     },
+    /// A caller has made a connection of its own.
+    Connected {
+        /// To which node.
+        node: NodeNo,
+    },
     /// Something came on a connection on which nothing was owed.
     Unasked {
         /// The node.
--- a/crates/world/src/report.rs
+++ b/crates/world/src/report.rs
@@ -68,6 +68,9 @@
     pub counts: Counts,
     /// Tries that clients made in it.
     pub tries: u64,
+    /// Connections that callers made in it.
+    #[serde(default)]
+    pub connects: u64,
     /// Calls that the origin got in it.
     pub origin: u64,
     /// Attempts that each box got in it.
@@ -103,6 +106,9 @@
     pub executed: u64,
     /// Repeats of keyed writes that it dropped.
     pub repeats_dropped: u64,
+    /// Connections that callers made.
+    #[serde(default)]
+    pub connects: u64,
     /// Refusals that clients read, and the mean of the milliseconds told with them.
     pub refusals: u64,
     /// See `refusals`.
@@ -170,6 +176,10 @@
     pub fn saw(&mut self, o: &Observation) {
         match &o.seen {
             Seen::Asked { .. } => self.second(o.at).tries += 1,
+            Seen::Connected { .. } => {
+                self.report.connects += 1;
+                self.second(o.at).connects += 1;
+            }
             Seen::Executed { .. } => self.report.executed += 1,
             Seen::Repeated { .. } => self.report.repeats_dropped += 1,
             Seen::Arrived { at, .. } if *at == self.origin => {
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -277,7 +277,7 @@
                     self.broken(now, Rule::NoEffectTwice, format!("request {request:x} ran twice"));
                 }
             }
-            Seen::Fault(_) | Seen::Repeated { .. } => {}
+            Seen::Fault(_) | Seen::Repeated { .. } | Seen::Connected { .. } => {}
             Seen::Told { node, whole, boxes, .. } => self.told(now, *node, *whole, boxes),
             Seen::BoxUp { at, start, cold, .. } => {
                 self.cold.remove(at);
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -71,6 +71,58 @@
     /// The part of the clients that heeds the time told with a refusal.
     #[serde(default = "half")]
     pub heeds_advice: f64,
+    /// So many clients with a connection of their own each; 0 for clients that share what is kept.
+    #[serde(default)]
+    pub callers: usize,
+    /// The part of these clients that connects again at once when a connection is lost, without a request to send.
+    #[serde(default)]
+    pub eager: f64,
+    /// How clients repeat, each by its share; `retry_ms` holds where there are none.
+    #[serde(default, rename = "habit")]
+    pub habits: Vec<Habit>,
+}
+
+/// How a client repeats what failed, as client libraries do.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Habit {
+    /// Its share of the clients.
+    pub share: f64,
+    /// How it waits.
+    pub retry: Retry,
+    /// The (first) wait in milliseconds.
+    #[serde(default)]
+    pub wait_ms: u64,
+    /// The longest wait in milliseconds.
+    #[serde(default = "longest_wait")]
+    pub most_ms: u64,
+}
+
+/// How long a client waits before it repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Retry {
+    /// Not at all.
+    AtOnce,
+    /// The same each time.
+    Fixed,
+    /// Twice as long each time, up to the longest.
+    Exponential,
+    /// A random part of what the exponential wait would be ("full jitter").
+    Jittered,
+}
+
+impl Habit {
+    /// The wait before the next try in milliseconds, after so many tries; `draw` is a number from 0 to 1.
+    pub fn wait(&self, tries: u32, draw: f64) -> u64 {
+        let grown = self.wait_ms.saturating_mul(1 << tries.saturating_sub(1).min(20)).min(self.most_ms);
+        match self.retry {
+            Retry::AtOnce => 0,
+            Retry::Fixed => self.wait_ms,
+            Retry::Exponential => grown,
+            Retry::Jittered => (grown as f64 * draw) as u64,
+        }
+    }
 }
 
 /// A class of requests.
@@ -133,6 +185,9 @@
     /// Megabytes of one.
     #[serde(default = "memory")]
     pub memory_mb: f64,
+    /// The operator's file, as TOML text.
+    #[serde(default)]
+    pub operator: String,
     /// For how long the front goes on sending to a dead one, from and to.
     #[serde(default = "notice")]
     pub front_notices_ms: [u64; 2],
@@ -308,6 +363,10 @@
 fn handshake() -> f64 {
     1.0
 }
+fn longest_wait() -> u64 {
+    10_000
+}
+
 fn miss_work() -> f64 {
     0.15
 }
@@ -412,6 +471,16 @@
         range("load.patience", self.load.patience, 0.01, 1.0)?;
         figure("load.retries", f64::from(self.load.retries), 0.0, 100.0)?;
         figure("load.heeds_advice", self.load.heeds_advice, 0.0, 1.0)?;
+        figure("load.callers", self.load.callers as f64, 0.0, 100_000.0)?;
+        figure("load.eager", self.load.eager, 0.0, 1.0)?;
+        for (i, h) in self.load.habits.iter().enumerate() {
+            figure(&format!("load.habit.{i}.share"), h.share, 0.0, 1e6)?;
+            figure(&format!("load.habit.{i}.wait_ms"), h.wait_ms as f64, 0.0, 600_000.0)?;
+            figure(&format!("load.habit.{i}.most_ms"), h.most_ms as f64, 0.0, 600_000.0)?;
+        }
+        if !self.load.habits.is_empty() && self.load.habits.iter().map(|h| h.share).sum::<f64>() <= 0.0 {
+            return bad("load.habit", "all shares are 0");
+        }
         if self.class.is_empty() {
             return bad("class", "at least one is needed");
         }
@@ -440,6 +509,9 @@
         figure("nodes.count", self.nodes.count as f64, 1.0, 200.0)?;
         figure("nodes.sockets", self.nodes.sockets as f64, 32.0, 1e6)?;
         figure("nodes.memory_mb", self.nodes.memory_mb, 16.0, 1e6)?;
+        if let Err(e) = mothpier_node::operator::read(&self.nodes.operator) {
+            return bad("nodes.operator", &e);
+        }
         range("nodes.front_notices_ms", wide(self.nodes.front_notices_ms), 0.0, 60_000.0)?;
         figure("boxes.count", self.boxes.count as f64, 1.0, 1000.0)?;
         figure("boxes.cores", self.boxes.cores as f64, 1.0, 1024.0)?;
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -8,7 +8,8 @@
 
 use chalksill_simnet::{Links, Net, SimHost};
 use mothpier_host::Host;
-use mothpier_node::{Control, config};
+use mothpier_node::config::{self, Config};
+use mothpier_node::{Control, operator};
 use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinHandle, LocalSet, spawn_local};
@@ -28,8 +29,9 @@
 
 /// The time of day at which every simulated world begins.
 const EPOCH: Duration = Duration::from_secs(1_700_000_000);
-/// Before the first request, so that nodes are ready.
-const WARM_UP: Duration = Duration::from_millis(1200);
+/// Before the first request, so that nodes are ready. Times of faults count from its end, those of reports from the
+/// beginning.
+pub const WARM_UP: Duration = Duration::from_millis(1200);
 /// After the last deadline, before what is open counts as never answered.
 const AFTER: Duration = Duration::from_millis(1500);
 /// How often sockets are counted.
@@ -292,7 +294,8 @@
         });
         let environment = config::Environment::default();
         let read = config::read(text.to_string().as_bytes(), environment, config::Precedence::Environment);
-        let config = match read {
+        let operator = operator::read(&scenario.nodes.operator);
+        let config = match read.and_then(|c| operator.map(|operator| Config { operator, ..c })) {
             Ok(config) => config,
             Err(e) => return host.log(format_args!("unreadable configuration: {e}")),
         };
