--- a/crates/chalksill/src/load.rs
+++ b/crates/chalksill/src/load.rs
@@ -2,8 +2,9 @@
 
 use std::io::IsTerminal;
 use std::path::PathBuf;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use chalksill_world::live::Live;
 use chalksill_world::report::Report;
 use chalksill_world::scenario::Scenario;
 use chalksill_world::sim::Plan;
@@ -13,7 +14,7 @@
 use serde::Serialize;
 
 use crate::explore::{cores, play, seeds};
-use crate::{Verdict, files, plot, sim};
+use crate::{Verdict, files, plot, sim, world};
 
 /// The subcommands.
 #[derive(Subcommand)]
@@ -67,6 +68,15 @@
     /// For how long, in milliseconds
     #[arg(long, default_value_t = 2000)]
     outage_ms: u64,
+    /// On real loopback sockets and real mothpier processes, in real time; the first seed alone
+    #[arg(long)]
+    real: bool,
+    /// With --real, the daemon; the one beside this program by default
+    #[arg(long, requires = "real")]
+    mothpier: Option<PathBuf>,
+    /// With --real, where configurations and logs of the nodes go
+    #[arg(long, requires = "real")]
+    folder: Option<PathBuf>,
     /// The seeds, from and to (not included), as 0..200
     #[arg(long, value_parser = seeds, default_value = "0..4")]
     seeds: (u64, u64),
@@ -179,6 +189,9 @@
         What::Site => Hit::Site,
     };
     let outage = Outage { hit, at_ms: args.at_ms, for_ms: args.outage_ms };
+    if args.real {
+        return real(args, &scenario, &outage);
+    }
     let script = outage.script(&scenario);
     let plan = |seed| Plan { scenario: scenario.clone(), seed, script: Some(script.clone()), mutant: None };
     let count = args.seeds.1 - args.seeds.0;
@@ -240,6 +253,107 @@
     Ok(if broken.is_empty() { Verdict::Good } else { Verdict::Broken })
 }
 
+/// What a storm cost real nodes.
+#[derive(Serialize)]
+struct Cost {
+    recovery: Recovery,
+    /// CPU of all nodes, in microseconds: for a first try before the outage, for a try in the five seconds after its
+    /// beginning, and for a try from then to the end. 0 where it is not known, as when the nodes themselves were hit.
+    cpu_us: [f64; 3],
+    /// Most memory of one node, in KiB.
+    memory_kib: u64,
+    /// Most descriptors of one node.
+    descriptors: usize,
+    report: Report,
+}
+
+/// The same on loopback sockets round real nodes.
+fn real(args: &Storm, scenario: &Scenario, outage: &Outage) -> Result<Verdict, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    let program = world::program(args.mothpier.as_ref())?;
+    let folder = world::folder(args.folder.as_ref());
+    let cost = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let seen = world::Judged::begin(scenario, args.seeds.0);
+        let mut live = Live::start(scenario, args.seeds.0, &program, &folder, seen.witness.clone()).await?;
+        let nodes = live.nodes.iter().map(|n| n.address).collect();
+        let mut marks = vec![(live.cpu(), 0)];
+        let mut descriptors = 0;
+        let (fleet, collector) = (live.fleet.clone(), seen.collector.clone());
+        let tries = || seen.collector.borrow().report().seconds.iter().map(|s| s.tries).sum::<u64>();
+        let playing = world::play(scenario, &fleet, nodes, &collector);
+        let mut playing = std::pin::pin!(playing);
+        let begin = tokio::time::Instant::now();
+        let strike = begin + Duration::from_millis(outage.at_ms);
+        let settled = strike + Duration::from_secs(5);
+        tokio::select! {
+            done = &mut playing => return done.and(Err("the load ended before the outage".into())),
+            () = tokio::time::sleep_until(strike) => {}
+        }
+        marks.push((live.cpu(), tries()));
+        let mut end = None;
+        {
+            let striking = live.outage(outage.hit, Duration::from_millis(outage.for_ms));
+            let mut striking = std::pin::pin!(striking);
+            tokio::select! {
+                done = &mut playing => end = Some(done),
+                done = &mut striking => done?,
+            }
+        }
+        while end.is_none() {
+            tokio::select! {
+                done = &mut playing => end = Some(done),
+                () = tokio::time::sleep(Duration::from_millis(250)) => {
+                    descriptors = descriptors.max(live.descriptors().unwrap_or(0));
+                    if marks.len() == 2 && tokio::time::Instant::now() >= settled {
+                        marks.push((live.cpu(), tries()));
+                    }
+                }
+            }
+        }
+        end.unwrap_or(Ok(()))?;
+        marks.push((live.cpu(), tries()));
+        let memory_kib = live.memory_kib().unwrap_or(0);
+        live.stop().await;
+        let report = seen.end();
+        let spent = |pair: &[(Option<Duration>, u64)]| {
+            let cpu = pair[1].0.zip(pair[0].0).map_or(0.0, |(b, a)| b.saturating_sub(a).as_secs_f64());
+            cpu * 1e6 / (pair[1].1 - pair[0].1).max(1) as f64
+        };
+        let mut cpu_us = [0.0; 3];
+        if outage.hit == Hit::Boxes {
+            cpu_us.iter_mut().zip(marks.windows(2)).for_each(|(of, pair)| *of = spent(pair));
+        }
+        let recovery = outage.judge(&report);
+        Ok::<Cost, String>(Cost { recovery, cpu_us, memory_kib, descriptors, report })
+    })?;
+    if let Some(path) = &args.svg {
+        plot::draw(&cost.report, path)?;
+    }
+    if let Some(path) = &args.report {
+        files::write(path, &files::json(&cost.report)?)?;
+    }
+    if args.json {
+        println!("{}", files::json(&cost)?);
+    } else {
+        sim::print(&cost.report, cost.report.virtual_s);
+        let r = &cost.recovery;
+        println!(
+            "in time {:.2} before, {:.2} after; back after {} s; {:.2} tries a first try; {} connections in the busiest second",
+            r.before,
+            r.after,
+            r.recovered_s.map_or("never".into(), |s| format!("{s:.1}")),
+            r.amplification,
+            r.connects_a_second
+        );
+        println!(
+            "CPU a try: {:.0} us before, {:.0} us in the storm, {:.0} us after; most of one node: {} KiB, {} descriptors",
+            cost.cpu_us[0], cost.cpu_us[1], cost.cpu_us[2], cost.memory_kib, cost.descriptors
+        );
+    }
+    Ok(if cost.report.violations.is_empty() { Verdict::Good } else { Verdict::Broken })
+}
+
 fn print(s: &Summary) {
     println!(
         "{}: {} clients, {} requests a second, {:?} away for {} ms; {} seeds in {:.1} s",
--- a/crates/chalksill/src/world.rs
+++ b/crates/chalksill/src/world.rs
@@ -110,24 +110,66 @@
 
 impl Common {
     fn program(&self) -> Result<PathBuf, String> {
-        let program = match &self.mothpier {
-            Some(program) => program.clone(),
-            None => {
-                let here = std::env::current_exe().map_err(|e| format!("where is this program? {e}"))?;
-                here.with_file_name("mothpier")
-            }
-        };
-        if program.is_file() {
-            return Ok(program);
-        }
-        let how = "cargo build --release builds it; --mothpier names another place";
-        Err(format!("{}: there is no daemon ({how})", program.display()))
+        program(self.mothpier.as_ref())
     }
 
     fn folder(&self) -> PathBuf {
-        self.folder
-            .clone()
-            .unwrap_or_else(|| std::env::temp_dir().join(format!("chalksill-{}", std::process::id())))
+        folder(self.folder.as_ref())
+    }
+}
+
+/// The daemon: the one named, or the one beside this program.
+pub fn program(named: Option<&PathBuf>) -> Result<PathBuf, String> {
+    let program = match named {
+        Some(program) => program.clone(),
+        None => {
+            let here = std::env::current_exe().map_err(|e| format!("where is this program? {e}"))?;
+            here.with_file_name("mothpier")
+        }
+    };
+    if program.is_file() {
+        return Ok(program);
+    }
+    let how = "cargo build --release builds it; --mothpier names another place";
+    Err(format!("{}: there is no daemon ({how})", program.display()))
+}
+
+/// Where configurations and logs go: the folder named, or one of its own among the temporary ones.
+pub fn folder(named: Option<&PathBuf>) -> PathBuf {
+    named.cloned().unwrap_or_else(|| std::env::temp_dir().join(format!("chalksill-{}", std::process::id())))
+}
+
+/// What is counted and judged of a world on real sockets.
+pub struct Judged {
+    /// Where its stand-ins report.
+    pub witness: Witness,
+    /// What counts.
+    pub collector: Rc<RefCell<Collector>>,
+    checker: Rc<RefCell<Checker>>,
+}
+
+impl Judged {
+    /// Begins to count and to judge.
+    pub fn begin(scenario: &Scenario, seed: u64) -> Judged {
+        let witness = Witness::begin();
+        let origin = scenario.boxes.count;
+        let collector = Rc::new(RefCell::new(Collector::new(scenario, seed, origin)));
+        let checker = Rc::new(RefCell::new(Checker::new(scenario, origin)));
+        let (counts, judges) = (collector.clone(), checker.clone());
+        witness.give_to(move |o| {
+            counts.borrow_mut().saw(o);
+            judges.borrow_mut().saw(o);
+        });
+        Judged { witness, collector, checker }
+    }
+
+    /// The figures at the end.
+    pub fn end(&self) -> Report {
+        self.checker.borrow_mut().finish(self.witness.elapsed());
+        let mut report = self.collector.borrow().report();
+        report.violations = self.checker.borrow().violations().to_vec();
+        report.virtual_s = self.witness.elapsed().as_secs_f64();
+        report
     }
 }
 
@@ -247,29 +289,16 @@
 
 async fn one(scenario: &Scenario, args: &Load, program: &Path, round: u64) -> Result<Round, String> {
     let seed = args.common.seed + round;
-    let witness = Witness::begin();
-    let origin = scenario.boxes.count;
-    let collector = Rc::new(RefCell::new(Collector::new(scenario, seed, origin)));
-    let checker = Rc::new(RefCell::new(Checker::new(scenario, origin)));
-    {
-        let (collector, checker) = (collector.clone(), checker.clone());
-        witness.give_to(move |o| {
-            collector.borrow_mut().saw(o);
-            checker.borrow_mut().saw(o);
-        });
-    }
+    let seen = Judged::begin(scenario, seed);
     let folder = args.common.folder();
-    let live = Live::start(scenario, seed, program, &folder, witness.clone()).await?;
+    let live = Live::start(scenario, seed, program, &folder, seen.witness.clone()).await?;
     let nodes = live.nodes.iter().map(|n| n.address).collect();
     let before = live.cpu();
-    play(scenario, &live.fleet, nodes, &collector).await?;
+    play(scenario, &live.fleet, nodes, &seen.collector).await?;
     let after = live.cpu();
     let memory_kib = live.memory_kib().unwrap_or(0);
     live.stop().await;
-    checker.borrow_mut().finish(witness.elapsed());
-    let mut report = collector.borrow().report();
-    report.violations = checker.borrow().violations().to_vec();
-    report.virtual_s = witness.elapsed().as_secs_f64();
+    let report = seen.end();
     let cpu = after.zip(before).map_or(Duration::ZERO, |(a, b)| a.saturating_sub(b));
     let cpu_us = cpu.as_secs_f64() * 1e6 / report.all.offered.max(1) as f64;
     Ok(Round { program: program.display().to_string(), cpu_us, memory_kib, report })
@@ -291,7 +320,8 @@
     Ok(Round { program: "nodes that ran already".into(), cpu_us: 0.0, memory_kib: 0, report })
 }
 
-async fn play(
+/// Plays a scenario's clients against nodes.
+pub async fn play(
     scenario: &Scenario,
     fleet: &Rc<Fleet>,
     nodes: Vec<SocketAddr>,
--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -35,6 +35,8 @@
 const KEPT: usize = 256;
 /// How often each eager caller looks whether its connection is still there.
 const WATCH: Duration = Duration::from_millis(50);
+/// One that is lost sooner counts as a failed try of those that stay connected: they wait as their habit says.
+const BRIEF: Duration = Duration::from_secs(1);
 /// Over this time the eager ones connect at the beginning.
 const GATHER: Duration = Duration::from_secs(1);
 
@@ -74,6 +76,7 @@
     buffer: BytesMut,
     /// A request was sent on it.
     used: bool,
+    made: Instant,
 }
 
 impl<S: Stream> Kept<S> {
@@ -244,25 +247,26 @@
     async fn stay_connected(self: Rc<Self>, number: usize, after: Duration, until: Instant) {
         let mut rng = self.fleet.random("eager", number as u64);
         sleep(after).await;
-        let mut tries = 0;
+        let (mut tries, mut failed) = (0, false);
         while Instant::now() < until {
+            let brief;
             let zone = {
                 let caller = &mut self.callers.borrow_mut()[number];
                 let witness = &self.fleet.witness;
-                caller.own.take_if(|(node, kept)| !kept.good(*node, witness));
+                let lost = caller.own.take_if(|(node, kept)| !kept.good(*node, witness));
+                brief = lost.is_some_and(|(_, kept)| kept.made.elapsed() < BRIEF);
                 (caller.own.is_none() && caller.busy == 0).then_some(caller.zone)
             };
             if let Some(node) = zone.and_then(|zone| self.choose(zone, &mut rng)) {
-                tries += 1;
-                match self.connect(node, CONNECT).await {
-                    Some(kept) => {
-                        self.keep(node, Some(number), kept);
-                        tries = 0;
-                    }
-                    None => {
-                        let wait = self.habit(Some(number)).map_or(0, |h| h.wait(tries, rng.random()));
-                        sleep(Duration::from_millis(wait)).await;
-                    }
+                tries = if brief || failed { tries + 1 } else { 0 };
+                if tries > 0 {
+                    let wait = self.habit(Some(number)).map_or(0, |h| h.wait(tries, rng.random()));
+                    sleep(Duration::from_millis(wait)).await;
+                }
+                let made = self.connect(node, CONNECT).await;
+                failed = made.is_none();
+                if let Some(kept) = made {
+                    self.keep(node, Some(number), kept);
                 }
             }
             sleep(WATCH).await;
@@ -281,7 +285,7 @@
             self.fleet.witness.saw(Seen::Connected { node });
         }
         let (reading, writing) = stream.into_halves();
-        Some(Kept { reading, writing, buffer: BytesMut::new(), used: false })
+        Some(Kept { reading, writing, buffer: BytesMut::new(), used: false, made: Instant::now() })
     }
 
     /// One first try with its retries.
--- a/crates/world/src/live.rs
+++ b/crates/world/src/live.rs
@@ -3,6 +3,7 @@
 //! Each node gets addresses of its own for discovery and for every box, as on the platform: that is how a stand-in
 //! knows which node asks, for all of them share one machine here.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -15,7 +16,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
-use tokio::task::spawn_local;
+use tokio::task::{AbortHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::cache::Cache;
@@ -24,6 +25,7 @@
 use crate::observe::{BoxNo, NodeNo, Phase, Seen, Witness};
 use crate::origin::Origin;
 use crate::scenario::Scenario;
+use crate::storm::Hit;
 
 /// The machine that stand-ins run on.
 pub const HOST: Machine = Machine { program: "chalksill" };
@@ -37,6 +39,35 @@
     /// Where clients reach it.
     pub address: SocketAddr,
     child: Child,
+    program: PathBuf,
+    /// What its configuration, operator's file and log are called, but for their endings.
+    files: PathBuf,
+}
+
+impl Process {
+    /// Starts a node by files that are there.
+    fn start(program: &Path, files: PathBuf, address: SocketAddr) -> Result<Process, String> {
+        let log = files.with_extension("log");
+        let log = std::fs::File::options().create(true).append(true).open(&log);
+        let log = log.map_err(|e| format!("cannot write {}.log: {e}", files.display()))?;
+        let child = Command::new(program)
+            .env_clear()
+            .env("ROUTER_CONFIG", files.with_extension("json"))
+            .env("ROUTER_OPERATOR", files.with_extension("toml"))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| format!("cannot start {}: {e}", program.display()))?;
+        Ok(Process { address, child, program: program.into(), files })
+    }
+}
+
+/// A box that serves: dropping its tasks closes all that it has open.
+struct BoxRun {
+    addresses: Vec<SocketAddr>,
+    task: AbortHandle,
 }
 
 /// A world on loopback sockets.
@@ -47,11 +78,36 @@
     pub discovery: Rc<Discovery>,
     /// Its nodes.
     pub nodes: Vec<Process>,
+    boxes: RefCell<BTreeMap<BoxNo, BoxRun>>,
     /// Where the configurations of the nodes are.
     pub folder: PathBuf,
     longest: Duration,
 }
 
+/// Lets a box serve each node at a listener of its own; it started cold at a time, or long ago.
+fn serve<L>(
+    fleet: &Rc<Fleet>,
+    number: BoxNo,
+    life: u64,
+    started: Option<u64>,
+    listeners: Vec<L>,
+) -> AbortHandle
+where
+    Machine: Host<Listener = L>,
+    L: 'static,
+{
+    let cold = started.is_some();
+    let cache = Cache::new(fleet, number, life, cold);
+    let start = started.unwrap_or(0);
+    fleet.witness.saw(Seen::BoxUp { at: number, start, power: cache.power(), cold });
+    fleet.add(number, cache.clone());
+    let local = LocalSet::new();
+    for (node, listener) in listeners.into_iter().enumerate() {
+        local.spawn_local(cache.clone().serve::<Machine>(listener, move |_| node));
+    }
+    spawn_local(local).abort_handle()
+}
+
 /// A port that was free a moment ago; whoever takes it meanwhile makes the start of a node fail, with a message.
 async fn free_port(datagrams: bool) -> Result<SocketAddr, String> {
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -80,6 +136,7 @@
         let origin = scenario.boxes.count;
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let mut members = BTreeMap::new();
+        let mut boxes = BTreeMap::new();
         for number in 0..=origin {
             let cold = scenario.boxes.start_cold && number != origin;
             let started = if cold { HOST.unix_time().as_millis() as u64 } else { 0 };
@@ -97,12 +154,8 @@
                     spawn_local(all.clone().serve::<Machine>(listener, move |_| node));
                 }
             } else {
-                let cache = Cache::new(&fleet, number, 0, cold);
-                witness.saw(Seen::BoxUp { at: number, start: started, power: cache.power(), cold });
-                fleet.add(number, cache.clone());
-                for (node, listener) in listeners.into_iter().enumerate() {
-                    spawn_local(cache.clone().serve::<Machine>(listener, move |_| node));
-                }
+                let task = serve(&fleet, number, 0, cold.then_some(started), listeners);
+                boxes.insert(number, BoxRun { addresses: addresses.clone(), task });
             }
             let member = Member {
                 id: format!("s-{number:04}"),
@@ -116,8 +169,14 @@
         }
         fleet.fill((0..origin).collect::<Vec<BoxNo>>().as_slice());
         let discovery = Discovery::new(&fleet, members);
-        let mut live =
-            Live { fleet, discovery, nodes: Vec::new(), folder: folder.into(), longest: scenario.longest() };
+        let mut live = Live {
+            fleet,
+            discovery,
+            nodes: Vec::new(),
+            boxes: RefCell::new(boxes),
+            folder: folder.into(),
+            longest: scenario.longest(),
+        };
         std::fs::create_dir_all(folder).map_err(|e| format!("cannot make {}: {e}", folder.display()))?;
         let mut peers = Vec::new();
         for _ in 0..nodes {
@@ -162,19 +221,66 @@
         let operator = self.folder.join(format!("{name}.toml"));
         std::fs::write(&operator, &scenario.nodes.operator)
             .map_err(|e| format!("cannot write {}: {e}", operator.display()))?;
-        let log = self.folder.join(format!("{name}.log"));
-        let log = std::fs::File::create(&log).map_err(|e| format!("cannot write {}: {e}", log.display()))?;
-        let child = Command::new(program)
-            .env_clear()
-            .env("ROUTER_CONFIG", &path)
-            .env("ROUTER_OPERATOR", &operator)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(|e| format!("cannot start {}: {e}", program.display()))?;
-        Ok(Process { address, child })
+        let files = self.folder.join(name);
+        let _ = std::fs::remove_file(files.with_extension("log"));
+        Process::start(program, files, address)
+    }
+
+    /// What is hit goes down at once, and comes back after a time as after a failure: boxes cold and empty, nodes with
+    /// the list that they last had.
+    ///
+    /// # Errors
+    /// A node or a box that does not come back.
+    pub async fn outage(&mut self, hit: Hit, down: Duration) -> Result<(), String> {
+        let fault = |text: String| self.fleet.witness.saw(Seen::Fault(text));
+        fault(format!("begins: outage of {hit:?}"));
+        let hit_boxes = hit != Hit::Nodes;
+        let hit_nodes = hit != Hit::Boxes;
+        if hit_boxes {
+            for (number, run) in self.boxes.borrow().iter() {
+                run.task.abort();
+                self.fleet.remove(*number);
+            }
+        }
+        if hit_nodes {
+            for (node, process) in self.nodes.iter_mut().enumerate() {
+                // Said first: clients see their connections end before the process is gone.
+                self.fleet.witness.saw(Seen::NodeDown { node, planned: false });
+                process.child.kill().await.map_err(|e| format!("cannot kill node {node}: {e}"))?;
+            }
+        }
+        sleep(down).await;
+        if hit_boxes {
+            let all: Vec<(BoxNo, Vec<SocketAddr>)> =
+                self.boxes.borrow().iter().map(|(n, run)| (*n, run.addresses.clone())).collect();
+            for (number, addresses) in all {
+                self.return_box(number, addresses).await?;
+            }
+        }
+        if hit_nodes {
+            for (node, process) in self.nodes.iter_mut().enumerate() {
+                self.fleet.witness.saw(Seen::NodeUp { node });
+                *process = Process::start(&process.program, process.files.clone(), process.address)?;
+            }
+        }
+        self.fleet.witness.saw(Seen::Fault(format!("is over: outage of {hit:?}")));
+        Ok(())
+    }
+
+    async fn return_box(&self, number: BoxNo, addresses: Vec<SocketAddr>) -> Result<(), String> {
+        let mut listeners = Vec::new();
+        for at in &addresses {
+            listeners
+                .push(HOST.listen(*at).await.map_err(|e| format!("box {number} cannot listen again: {e}"))?);
+        }
+        let started = HOST.unix_time().as_millis() as u64;
+        let task = serve(&self.fleet, number, 1, Some(started), listeners);
+        self.boxes.borrow_mut().insert(number, BoxRun { addresses, task });
+        if let Some(mut member) = self.discovery.member(number) {
+            member.started = started;
+            self.discovery.set(number, member);
+        }
+        Ok(())
     }
 
     /// CPU time of all nodes together since they started, as the kernel has it; `None` where it does not tell.
@@ -196,6 +302,12 @@
         self.nodes.iter().filter_map(one).max()
     }
 
+    /// Descriptors of the node that has most of them open; `None` where the kernel does not tell.
+    pub fn descriptors(&self) -> Option<usize> {
+        let one = |p: &Process| Some(std::fs::read_dir(format!("/proc/{}/fd", p.child.id()?)).ok()?.count());
+        self.nodes.iter().filter_map(one).max()
+    }
+
     /// A node that has ended by itself, and how.
     pub fn ended(&mut self) -> Option<String> {
         self.nodes.iter_mut().enumerate().find_map(|(i, p)| match p.child.try_wait() {
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -31,7 +31,7 @@
 const EPOCH: Duration = Duration::from_secs(1_700_000_000);
 /// Before the first request, so that nodes are ready. Times of faults count from its end, those of reports from the
 /// beginning.
-pub const WARM_UP: Duration = Duration::from_millis(1200);
+const WARM_UP: Duration = Duration::from_millis(1200);
 /// After the last deadline, before what is open counts as never answered.
 const AFTER: Duration = Duration::from_millis(1500);
 /// How often sockets are counted.
--- a/crates/world/src/storm.rs
+++ b/crates/world/src/storm.rs
@@ -5,7 +5,6 @@
 use crate::faults::{Fault, What};
 use crate::report::{Counts, Report, Second};
 use crate::scenario::Scenario;
-use crate::sim::WARM_UP;
 
 /// The part of the goodput before an outage at which a site counts as recovered.
 pub const RECOVERED: f64 = 0.95;
@@ -55,7 +54,8 @@
 
     /// How a site came back, by the seconds of its report.
     pub fn judge(&self, report: &Report) -> Recovery {
-        let began_ms = self.at_ms + WARM_UP.as_millis() as u64;
+        // Its time counts from the beginning of the load, those of the report from that of the world.
+        let began_ms = report.faults.first().map_or(self.at_ms, |(at, _)| *at as u64);
         let over_ms = began_ms + self.for_ms;
         let (at, over) = (began_ms as usize / 1000, over_ms.div_ceil(1000) as usize);
         let seconds = &report.seconds;
