--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -115,6 +115,11 @@
         Pcg64Mcg::seed_from_u64(seed)
     }
 
+    /// The end of the world: boxes and fleet know each other, and would keep each other for good.
+    pub fn end(&self) {
+        self.caches.borrow_mut().clear();
+    }
+
     /// Takes a box in, or its next life.
     pub fn add(&self, number: BoxNo, cache: Rc<Cache>) {
         self.caches.borrow_mut().insert(number, cache);
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -218,6 +218,7 @@
     report.digest = format!("{:016x}", net.digest() ^ seen.get());
     report.virtual_s = net.elapsed().as_secs_f64();
     report.packets = net.packets();
+    fleet.end();
     report
 }
 
