--- a/crates/brassrouter/src/policy.rs
+++ b/crates/brassrouter/src/policy.rs
@@ -204,7 +204,7 @@
         self.step(r.id, out);
     }
 
-    /// In a storm clients' repeats are held to a part of the first tries of their tenant: they are what feeds it.
+    /// In a storm clients' repeats are held to a part of the first tries of their tenant: they feed it.
     /// Before `admit`, so that those turned away here do not count as load of the tenant.
     fn allow_repeat(&mut self, tenant: usize, repeat: bool) -> bool {
         let Some(sender) = self.senders.get_mut(tenant) else { return true };
@@ -317,8 +317,8 @@
         warmth >= 1.0 || (first && unit_hash(key, s.line.id, 1) < warmth && level + 1.0 <= depth)
     }
 
-    /// Level and depth of the bucket of attempts at a server, as cold as it is. Its part is one of the fleet as
-    /// it was lately: of a list that shrinks to a few cold servers each would be due a great part of all.
+    /// Level and depth of the bucket of attempts at a server, as cold as it is. Its part is one of the fleet
+    /// as it was lately: of a list that shrinks to a few cold servers each would be due a great part of all.
     fn cold_bucket(&self, s: &Server, class: usize) -> (f64, f64) {
         let total = self.weights_lately[class].max(0.01);
         let part = s.warmth(self.now, &self.settings) * self.weight(s) / total;
@@ -590,8 +590,8 @@
         self.forget(id);
     }
 
-    /// In a storm those refused come back evenly, at a part of the pace at which requests are served now, of the
-    /// origin for those that it was too busy for; and repeats later. Where the line is longer than clients wait,
+    /// In a storm those refused come back evenly, at a part of the pace at which requests are served now, of
+    /// the origin for those that it was too busy for; repeats later. Where the line is longer than clients wait,
     /// anywhere in the later half of that: all at its end would come in step.
     fn place_in_line(&mut self, why: Why, repeat: bool) -> Micros {
         let origin = matches!(why, Why::GateShut | Why::FetchOut | Why::OriginFull);
