--- a/crates/brassrouter/src/policy.rs
+++ b/crates/brassrouter/src/policy.rs
@@ -591,8 +591,8 @@
     }
 
     /// In a storm those refused come back evenly, at a part of the pace at which requests are served now, of
-    /// the origin for those that it was too busy for; repeats later. Where the line is longer than clients wait,
-    /// anywhere in the later half of that: all at its end would come in step.
+    /// the origin for those that it was too busy for; repeats later. Where the line is longer than clients
+    /// wait, anywhere in the later half of that: all at its end would come in step.
     fn place_in_line(&mut self, why: Why, repeat: bool) -> Micros {
         let origin = matches!(why, Why::GateShut | Why::FetchOut | Why::OriginFull);
         let pace = self.served[usize::from(origin)].per_s * LINE.0;
