Save the module's state, take a legacy, and fail a keyed repeat past its window

Change: serde on the module's types (random numbers as the generator's two words); Event::Legacy carries calls out, window, tally, limit and keyed writes into a next life; a memory of keyed writes that may have run (4,096 at most, two windows long), by which a repeat that would be answered past its window fails at once; read-only views in policy/view.rs, where the fleet's capacity moved.

--- a/crates/brassrouter/src/interface.rs
+++ b/crates/brassrouter/src/interface.rs
@@ -2,6 +2,8 @@
 //!
 //! Times are microseconds of the node's own clock, which may start anywhere and only advances.
 
+use serde::{Deserialize, Serialize};
+
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
 /// Names one client request at this balancer; never used twice.
@@ -12,7 +14,7 @@
 pub type Key = u64;
 
 /// What a node is told once, at its start.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// How many balancers share the fleet.
     pub balancers: u32,
@@ -61,7 +63,7 @@
 }
 
 /// What the module does while the node tells of a storm ([`Event::Storm`]); each part can be left out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Damping {
     /// Those refused are given places in a line that moves as capacity returns.
     pub advice: bool,
@@ -105,7 +107,7 @@
 }
 
 /// A class of requests.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Micros,
@@ -123,6 +125,16 @@
     pub only_kinds: Option<Vec<u16>>,
 }
 
+impl Class {
+    /// For how long repeats are dropped, from the sending of the earliest attempt; `None` where none are.
+    pub fn window(&self) -> Option<Micros> {
+        match self.effect {
+            Effect::Keyed { window, .. } => Some(window),
+            _ => None,
+        }
+    }
+}
+
 impl Default for Class {
     fn default() -> Self {
         Class {
@@ -138,7 +150,7 @@
 }
 
 /// What a repeat of a request does.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Effect {
     /// Nothing: it may be sent as often as wanted.
     Safe,
@@ -154,7 +166,7 @@
 }
 
 /// A group of cache servers that knows which keyed requests its members have seen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Group {
     /// Every cache server.
     All,
@@ -165,14 +177,14 @@
 }
 
 /// A tenant and its share.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Requests a second within its share, over all balancers together.
     pub quota_per_s: f64,
 }
 
 /// A figure of a load report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LoadField {
     /// Requests in progress.
     InFlight,
@@ -191,7 +203,7 @@
 }
 
 /// A load report: figures in the order of [`Settings::load_fields`].
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Load {
     /// How many of `values` are there.
     pub count: u8,
@@ -208,7 +220,7 @@
 }
 
 /// One line of the server list.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServerLine {
     /// The server.
     pub id: ServerId,
@@ -233,7 +245,7 @@
 }
 
 /// What the list says of a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Condition {
     /// It runs.
     Ready,
@@ -244,7 +256,7 @@
 }
 
 /// How a server list relates to the one held.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListKind {
     /// The whole list; a server not in it is gone.
     Full,
@@ -257,7 +269,7 @@
 }
 
 /// A client's request.
-#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Request {
     /// Its id.
     pub id: RequestId,
@@ -280,7 +292,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Status {
     /// Served.
     Served,
@@ -310,7 +322,7 @@
 }
 
 /// What a server said of the key in its answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Note {
     /// Nothing.
     #[default]
@@ -324,7 +336,7 @@
 }
 
 /// The end of one attempt.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Outcome {
     /// Its request.
     pub request: RequestId,
@@ -344,8 +356,23 @@
     pub load: Load,
 }
 
+/// What an earlier life of a balancer left behind: a start from nothing would count none of it.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Legacy {
+    /// Calls at the origin that may still run: whether it is a fetch, and when it will have ended.
+    pub calls: Vec<(bool, Micros)>,
+    /// When the window of the tally began.
+    pub window: Micros,
+    /// The calls counted in it: of all kinds, and fetches.
+    pub tally: [u32; 2],
+    /// The gate's limit of calls out.
+    pub limit: f64,
+    /// Keyed writes that may have run, and when the earliest attempt of each was sent.
+    pub writes: Vec<(Key, Micros)>,
+}
+
 /// Something that happened at this balancer.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Event {
     /// The server list, or a change of it.
     ServerList {
@@ -382,6 +409,8 @@
     },
     /// The node judges that what fails comes back and makes more fail, or that this is over.
     Storm(bool),
+    /// What an earlier life of this balancer left behind, told at the start of the next.
+    Legacy(Legacy),
     /// A message of another balancer.
     PeerMessage {
         /// Number of the sender.
@@ -392,7 +421,7 @@
 }
 
 /// Something that the node is to do, in the order given.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Send an attempt of a request to a server.
     Send {
--- a/crates/brassrouter/src/lib.rs
+++ b/crates/brassrouter/src/lib.rs
@@ -30,6 +30,10 @@
 
 pub use interface::*;
 pub use policy::Policy;
+pub use policy::view::{ServerView, View};
+
+/// Changes whenever the layout of the saved state ([`Policy`] through serde) or of the types that it is told in does.
+pub const STATE: u32 = 1;
 
 /// Runs the example of the README as a test.
 #[cfg(doctest)]
--- a/crates/brassrouter/src/policy.rs
+++ b/crates/brassrouter/src/policy.rs
@@ -5,8 +5,12 @@
 //! outstanding cap and a windowed tally; a call that finds the gate shut is postponed by a random delay. All
 //! else here is a departure for a failure that the code names.
 
+pub mod view;
+
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::*;
 use crate::state::*;
 
@@ -62,7 +66,7 @@
 const COLD_RATE: (f64, f64) = (1.5, 0.5);
 
 /// The decisions of one balancer.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Policy {
     settings: Settings,
     rng: Random,
@@ -99,6 +103,7 @@
     storm: bool,
     /// Those refused in a storm: for want of the fleet, and of the origin.
     lines: [Line; 2],
+    writes: Writes,
     reviews: u32,
     last_told: u32,
     wakes: Wakes,
@@ -150,6 +155,7 @@
             Event::Timer(_) => self.wakes.timer_came(),
             Event::PeerMessage { from, bytes } => self.peers.told(now, from, &bytes, self.senders.len()),
             Event::Storm(on) => self.storm = on,
+            Event::Legacy(left) => self.inherit(left),
             Event::Probed { .. } => {}
         }
         while let Some(wake) = self.wakes.due(now, out) {
@@ -161,15 +167,20 @@
                 Wake::Close(server) => self.close_drained(server, false, out),
                 Wake::Go(..) => {}
                 Wake::Review => self.review(out),
+                Wake::Inherited(call) => self.gate.leave(call),
             }
         }
     }
 
-    /// What the cache servers can do now, as a part of what they can when all are warm that were here lately.
-    pub fn capacity(&self) -> f64 {
-        let now: f64 = self.ready(false).map(|s| self.weight(s) * s.warmth(self.now, &self.settings)).sum();
-        let all = self.weights_lately.iter().copied().fold(0.0, f64::max);
-        if all > 0.0 { (now / all).min(1.0) } else { 0.0 }
+    /// Calls of an earlier life count until they have ended at the latest; a keyed write stays known.
+    fn inherit(&mut self, left: Legacy) {
+        self.gate.inherit(&left);
+        for (fetch, until) in left.calls.into_iter().filter(|(_, until)| *until > self.now) {
+            let call = if fetch { Call::Fetch } else { Call::Write };
+            self.gate.carry(call);
+            self.wakes.at(until, Wake::Inherited(call));
+        }
+        self.writes.inherit(left.writes);
     }
 
     fn wake(&mut self, after: Micros, wake: Wake) {
@@ -180,6 +191,9 @@
         let share = self.heat.seen(r.key);
         let parts = (share * self.ready(false).count() as f64 / HEAT.0).max(1.0);
         let part = (parts * self.rng.unit()) as u64;
+        // A repeat at the end of its window may run again, as every later one: it is not sent, and fails.
+        let class = &self.settings.classes[r.class];
+        let again = r.repeat && r.write && self.writes.over(r.key, class.window(), self.now + class.aim);
         // Ends some ticks before its time is up, so that the answer is in time when a call comes late.
         let held = Held {
             class: r.class,
@@ -187,7 +201,8 @@
             order: if r.key == 0 { r.id } else { r.key ^ part.wrapping_mul(0x9e37_79b9_7f4a_7c15) },
             write: r.write,
             repeat: r.repeat,
-            aim_at: self.now + self.settings.classes[r.class].aim,
+            may_have_run: u16::from(again),
+            aim_at: self.now + class.aim,
             ends: self.now + r.time_left.saturating_sub(2 * self.settings.tick),
             ..Held::default()
         };
@@ -357,7 +372,7 @@
         let class = &self.settings.classes[h.class];
         let delay = (class.aim as f64 * self.rng.between(DELAY)) as Micros + 1;
         // A keyed repeat may be near the end of its window, which only its client knows: it goes now or not.
-        let near_window = h.repeat && h.write && matches!(class.effect, Effect::Keyed { .. });
+        let near_window = h.repeat && h.write && class.window().is_some();
         if near_window || self.now + delay >= self.useful_until(h) {
             return self.end(id, why, out);
         }
@@ -392,6 +407,9 @@
             self.wake(slow_after, Wake::Patience(id, attempt));
         } else {
             self.gate.enter(call);
+            if let Some(h) = self.held.get(&id).filter(|h| h.write) {
+                self.writes.sent(h.key, self.settings.classes[h.class].window(), self.now, h.repeat);
+            }
         }
         self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after, overtaken: false });
         out.push(Action::Send { request: id, server, give_up_after: 0 });
@@ -406,6 +424,9 @@
         h.out -= 1;
         h.may_have_run -= u16::from(o.status.proves_not_run());
         h.missed |= o.status == Status::Miss;
+        if h.write && !h.repeat && h.may_have_run == 0 {
+            self.writes.not_run(h.key);
+        }
         // A connection may be lost while its server is well and holds the key: it is asked once more, which
         // costs little where it is down, for then it refuses the new connection.
         let again = o.status == Status::Reset && h.lost_at.replace(flight.server) != Some(flight.server);
@@ -591,22 +612,12 @@
     }
 
     /// In a storm those refused come back evenly, at a part of the pace at which requests are served now, of
-    /// the origin for those that it was too busy for; repeats later. Where the line is longer than clients
-    /// wait, anywhere in the later half of that: all at its end would come in step.
+    /// the origin for those that it was too busy for; repeats later.
     fn place_in_line(&mut self, why: Why, repeat: bool) -> Micros {
-        let origin = matches!(why, Why::GateShut | Why::FetchOut | Why::OriginFull);
-        let pace = self.served[usize::from(origin)].per_s * LINE.0;
-        let line = &mut self.lines[usize::from(origin)];
-        let wait = line.place(self.now, pace, if repeat { LINE.1 } else { 1.0 }) as f64;
-        let most = match self.settings.longest_advice {
-            0 => self.aim,
-            longest => longest,
-        } as f64;
-        line.cut(self.now + most as Micros);
-        let around = (1.0 - LINE.2, 1.0 + LINE.2);
-        let wait =
-            if wait < most { wait * self.rng.between(around) } else { most * self.rng.between((0.5, 1.0)) };
-        wait as Micros
+        let origin = usize::from(matches!(why, Why::GateShut | Why::FetchOut | Why::OriginFull));
+        let pace = (self.served[origin].per_s * LINE.0, if repeat { LINE.1 } else { 1.0 });
+        let most = if self.settings.longest_advice == 0 { self.aim } else { self.settings.longest_advice };
+        self.lines[origin].advise(self.now, pace, most, LINE.2, &mut self.rng)
     }
 
     fn forget(&mut self, id: RequestId) {
@@ -697,6 +708,8 @@
             self.tell(out);
         }
         self.close_rested(strain, out);
+        let windows = self.settings.classes.iter().filter_map(Class::window).max().unwrap_or(0);
+        self.writes.forget_before(self.now.saturating_sub(2 * windows));
         self.unserved.report(self.now, self.level, self.gate.limit, out);
         self.servers.retain(|_, s| s.line.condition != Condition::Gone || s.in_flight > 0);
         self.wake(period, Wake::Review);
--- /dev/null
+++ b/crates/brassrouter/src/policy/view.rs
@@ -0,0 +1,147 @@
+//! What can be seen of the decisions' state from outside. It is read here, never changed.
+
+use serde::Serialize;
+
+use super::*;
+
+/// What a balancer knows at one moment, for people and for the node round it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct View {
+    /// Requests without their final answer.
+    pub open: usize,
+    /// Multiple of its quota that a tenant may send.
+    pub level: f64,
+    /// Signs of overload an attempt, here and at the peers heard lately.
+    pub strain: f64,
+    /// Whether the node has told of a storm.
+    pub storm: bool,
+    /// Attempts that may still be made again.
+    pub retry_budget: f64,
+    /// Limit of calls at the origin that may be out.
+    pub gate_limit: f64,
+    /// Calls at the origin that are out: of all kinds, and fetches.
+    pub gate_out: [u32; 2],
+    /// Calls at the origin in this window: of all kinds, and fetches.
+    pub gate_tally: [u32; 2],
+    /// The servers of the list, in the order of the key where one was asked for.
+    pub servers: Vec<ServerView>,
+}
+
+/// What a balancer knows of a server.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct ServerView {
+    /// The server.
+    pub id: ServerId,
+    /// Whether it is the origin.
+    pub origin: bool,
+    /// What the list says.
+    pub condition: Condition,
+    /// Attempts in flight from here.
+    pub in_flight: u32,
+    /// How many of them were overtaken by later ones.
+    pub overtaken: u32,
+    /// Attempts in flight from which it is passed over.
+    pub bound: f64,
+    /// The part of its keys that it keeps while in trouble.
+    pub part: f64,
+    /// The part of its capacity that it has at the least.
+    pub warmth: f64,
+    /// Level of the bucket that holds bursts while it is cold, and its depth.
+    pub cold: (f64, f64),
+    /// Time until it has answered what is in flight there.
+    pub backlog: Micros,
+    /// Its weight.
+    pub weight: f64,
+    /// Whether the request has been there, or its class may not go there.
+    pub ruled_out: bool,
+}
+
+impl Policy {
+    /// What it acts on.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// The latest clock value that it was told.
+    pub fn now(&self) -> Micros {
+        self.now
+    }
+
+    /// How many requests ended unserved since its last line about them, by the reason.
+    pub fn unserved(&self) -> impl Iterator<Item = (&'static str, u32)> {
+        Unserved::NAMES.into_iter().zip(self.unserved.0)
+    }
+
+    /// The server list that it holds.
+    pub fn list(&self) -> Vec<ServerLine> {
+        self.servers.values().map(|s| s.line.clone()).filter(|l| l.condition != Condition::Gone).collect()
+    }
+
+    /// What the cache servers can do now, as a part of what they can when all are warm that were here lately.
+    pub fn capacity(&self) -> f64 {
+        let now: f64 = self.ready(false).map(|s| self.weight(s) * s.warmth(self.now, &self.settings)).sum();
+        let all = self.weights_lately.iter().copied().fold(0.0, f64::max);
+        if all > 0.0 { (now / all).min(1.0) } else { 0.0 }
+    }
+
+    /// What it would leave behind if it ended now: what a next life should count.
+    pub fn legacy(&self) -> Legacy {
+        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let origin = self.flights.iter().filter(|(_, f)| f.call != Call::Cache);
+        let calls = origin.map(|((request, _), f)| {
+            // The origin is told how long a call is waited for, and drops it then.
+            let until = self.held.get(request).map_or(f.sent + longest, |h| h.ends);
+            (f.call == Call::Fetch, until)
+        });
+        let g = &self.gate;
+        Legacy {
+            calls: calls.collect(),
+            window: g.window,
+            tally: g.tally,
+            limit: g.limit,
+            writes: self.writes.all(),
+        }
+    }
+
+    /// What it knows now; with a request that is open, in the order of servers that this one follows.
+    pub fn view(&self, request: Option<RequestId>) -> View {
+        let held = request.and_then(|id| self.held.get(&id));
+        let (class, order) = held.map_or((0, 0), |h| (h.class, h.order));
+        let total = self.weights.get(class).copied().unwrap_or(0.0).max(0.01);
+        let floor = (BOUND.1 / f64::from(self.settings.balancers.max(2))).max(2.0);
+        let span = self.settings.classes.get(class).map_or(self.aim, |c| c.aim);
+        let mut servers: Vec<(f64, ServerView)> = Vec::new();
+        for s in self.servers.values().filter(|s| s.line.condition != Condition::Gone) {
+            let bound = BOUND.0 * f64::from(self.cache_out + 1) * self.weight(s) / total;
+            let seen = ServerView {
+                id: s.line.id,
+                origin: s.origin,
+                condition: s.line.condition,
+                in_flight: s.in_flight,
+                overtaken: s.overtaken,
+                bound: bound.max(floor),
+                part: s.part,
+                warmth: s.warmth(self.now, &self.settings),
+                cold: if class < self.weights_lately.len() { self.cold_bucket(s, class) } else { (0.0, 0.0) },
+                backlog: s.backlog(self.now, span, FULL.1) as Micros,
+                weight: self.weight(s),
+                ruled_out: held.is_some_and(|h| h.tried.contains(&s.line.id) || !self.may_use(h.class, s)),
+            };
+            servers.push((self.place(order, s), seen));
+        }
+        if held.is_some() {
+            servers.sort_by(|a, b| a.0.total_cmp(&b.0));
+        }
+        View {
+            open: self.held.len(),
+            level: self.level,
+            strain: self.peers.strain(&self.strain).value(),
+            storm: self.storm,
+            retry_budget: self.retry_budget,
+            gate_limit: self.gate.limit,
+            gate_out: self.gate.out,
+            gate_tally: self.gate.tally,
+            servers: servers.into_iter().map(|(_, s)| s).collect(),
+        }
+    }
+}
--- a/crates/brassrouter/src/state.rs
+++ b/crates/brassrouter/src/state.rs
@@ -4,12 +4,13 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use oorandom::Rand64;
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::interface::{Action, Key, Micros, RequestId, ServerId, ServerLine, Settings};
+use crate::interface::{Action, Key, Legacy, Micros, RequestId, ServerId, ServerLine, Settings};
 
 /// Why an attempt is out.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Call {
     Cache,
     Fetch,
@@ -17,7 +18,7 @@
 }
 
 /// An attempt without outcome yet; it may outlive its request.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Serialize, Deserialize)]
 pub struct Flight {
     pub server: ServerId,
     pub call: Call,
@@ -30,7 +31,7 @@
 }
 
 /// A server of the list, and what this balancer has seen of it.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Server {
     pub line: ServerLine,
     pub origin: bool,
@@ -86,7 +87,7 @@
 }
 
 /// A request that is owed a final answer.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Held {
     pub class: usize,
     pub key: Key,
@@ -109,7 +110,7 @@
     pub wait: u32,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Wake {
     End(RequestId),
     Go(RequestId, u32),
@@ -117,10 +118,11 @@
     Subscribe,
     Close(ServerId),
     Review,
+    Inherited(Call),
 }
 
 /// The gate before the origin: calls out and calls in the present window, of all kinds and fetches alone.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Gate {
     pub limit: f64,
     pub most_out: f64,
@@ -135,10 +137,13 @@
 impl Gate {
     /// Raises the counters just before a call.
     pub fn enter(&mut self, call: Call) {
-        for i in 0..=usize::from(call == Call::Fetch) {
-            self.out[i] += 1;
-            self.tally[i] += 1;
-        }
+        self.carry(call);
+        self.tally[..=usize::from(call == Call::Fetch)].iter_mut().for_each(|tally| *tally += 1);
+    }
+
+    /// Counts a call as out that was not made now.
+    pub fn carry(&mut self, call: Call) {
+        self.out[..=usize::from(call == Call::Fetch)].iter_mut().for_each(|out| *out += 1);
     }
 
     /// Whether both limits let one more call through: of all kinds, or of fetches, which have a part of both.
@@ -154,6 +159,12 @@
         }
     }
 
+    /// Goes on from an earlier life's window and limit, a lower one only: a start is careful anyhow.
+    pub fn inherit(&mut self, left: &Legacy) {
+        (self.window, self.tally) = (left.window, left.tally);
+        self.limit = self.limit.min(left.limit).max(self.most_out * 0.1);
+    }
+
     /// Lowers the counters after any outcome of a call.
     pub fn leave(&mut self, call: Call) {
         for i in 0..=usize::from(call == Call::Fetch) {
@@ -162,7 +173,50 @@
     }
 }
 
+/// Keyed writes that may have run, by key: when the earliest attempt was sent. A repeat later than its window would
+/// run again.
+#[derive(Default, Serialize, Deserialize)]
+pub struct Writes(BTreeMap<Key, Micros>);
+
+impl Writes {
+    /// So many are remembered at most; of more, the repeats are as unknown as those of another balancer.
+    const MOST: usize = 4096;
+
+    /// One is sent, of a class with a window: a first try stands for a new write, a repeat for the one that is known.
+    pub fn sent(&mut self, key: Key, window: Option<Micros>, now: Micros, repeat: bool) {
+        if window.is_some() && !(repeat && self.0.contains_key(&key)) && self.0.len() < Self::MOST {
+            self.0.insert(key, now);
+        }
+    }
+
+    /// Whether the window of a key's write is over by a time.
+    pub fn over(&self, key: Key, window: Option<Micros>, time: Micros) -> bool {
+        self.0.get(&key).zip(window).is_some_and(|(first, window)| time >= first + window)
+    }
+
+    /// Takes over those of an earlier life.
+    pub fn inherit(&mut self, writes: Vec<(Key, Micros)>) {
+        self.0.extend(writes.into_iter().take(Self::MOST));
+    }
+
+    /// None of its attempts has run.
+    pub fn not_run(&mut self, key: Key) {
+        self.0.remove(&key);
+    }
+
+    /// Forgets those that were first sent before a time.
+    pub fn forget_before(&mut self, time: Micros) {
+        self.0.retain(|_, first| *first >= time);
+    }
+
+    /// All of them.
+    pub fn all(&self) -> Vec<(Key, Micros)> {
+        self.0.iter().map(|(key, first)| (*key, *first)).collect()
+    }
+}
+
 /// What is known of a machine kind: the factor on its weight, and how busy its load reports say it is.
+#[derive(Serialize, Deserialize)]
 pub struct Kind {
     pub weight: f64,
     pub busy: Ratio,
@@ -186,7 +240,7 @@
 }
 
 /// How often each key was asked for here of late; fades.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Heat {
     counts: BTreeMap<Key, f64>,
     all: f64,
@@ -213,7 +267,7 @@
 }
 
 /// How many cases among all of late; both fade.
-#[derive(Default, Clone, Copy)]
+#[derive(Default, Clone, Copy, Serialize, Deserialize)]
 pub struct Ratio {
     pub cases: f64,
     pub all: f64,
@@ -239,7 +293,7 @@
 }
 
 /// Events a second, smoothed over about a second.
-#[derive(Default, Clone)]
+#[derive(Default, Clone, Serialize, Deserialize)]
 pub struct Rate {
     counted: f64,
     pub per_s: f64,
@@ -260,7 +314,7 @@
 }
 
 /// What a tenant sends to this balancer, and its unspent part of an admission.
-#[derive(Default, Clone)]
+#[derive(Default, Clone, Serialize, Deserialize)]
 pub struct Sender {
     pub rate: Rate,
     pub credit: f64,
@@ -269,24 +323,36 @@
 }
 
 /// Those that were refused in a storm come back one behind the other, at a pace.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Line(Micros);
 
 impl Line {
     /// Time until the next place, at so many places a second; one takes so many of them.
-    pub fn place(&mut self, now: Micros, per_s: f64, takes: f64) -> Micros {
+    fn place(&mut self, now: Micros, per_s: f64, takes: f64) -> Micros {
         self.0 = self.0.max(now) + (takes * 1e6 / per_s.max(1.0)) as Micros;
         self.0 - now
     }
 
-    /// The line was longer than anybody waits: what was promised beyond that is void.
-    pub fn cut(&mut self, end: Micros) {
-        self.0 = self.0.min(end);
+    /// A time to stay away until round the next place. Where the line is longer than clients wait, anywhere in the
+    /// later half of that, for all at its end would come in step; what was promised beyond that is void.
+    pub fn advise(
+        &mut self,
+        now: Micros,
+        pace: (f64, f64),
+        most: Micros,
+        spread: f64,
+        rng: &mut Random,
+    ) -> Micros {
+        let wait = self.place(now, pace.0, pace.1) as f64;
+        self.0 = self.0.min(now + most);
+        let around =
+            if wait < most as f64 { (wait, (1.0 - spread, 1.0 + spread)) } else { (most as f64, (0.5, 1.0)) };
+        (around.0 * rng.between(around.1)) as Micros
     }
 }
 
 /// What a balancer tells of itself: what each tenant sends there a second, and its signs of overload.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Figures {
     pub rates: Vec<f64>,
     pub strain: Ratio,
@@ -294,7 +360,7 @@
 }
 
 /// When each peer was last heard, and what it told.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Peers(BTreeMap<u32, (Micros, Figures)>);
 
 impl Peers {
@@ -362,7 +428,7 @@
 }
 
 /// Wake-ups in the order of their times; one timer of the node stands for all of them.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Wakes {
     queue: BinaryHeap<Reverse<(Micros, Wake)>>,
     armed: Option<Micros>,
@@ -408,11 +474,11 @@
 }
 
 /// How many requests ended unserved since the last line of the log, by the reason.
-#[derive(Default)]
-pub struct Unserved([u32; 8], Micros);
+#[derive(Default, Serialize, Deserialize)]
+pub struct Unserved(pub [u32; 8], Micros);
 
 impl Unserved {
-    const NAMES: [&str; 8] = [
+    pub const NAMES: [&str; 8] = [
         "over quota",
         "too many repeats",
         "no server left",
@@ -460,17 +526,21 @@
 }
 
 /// Random numbers that depend on the seed alone.
-pub struct Random(Rand64);
+#[derive(Serialize, Deserialize)]
+pub struct Random((u128, u128));
 
 impl Random {
     /// A source with a seed.
     pub fn new(seed: u64) -> Self {
-        Random(Rand64::new(seed.into()))
+        Random(Rand64::new(seed.into()).state())
     }
 
     /// A number from 0 to below 1.
     pub fn unit(&mut self) -> f64 {
-        self.0.rand_float()
+        let mut source = Rand64::from_state(self.0);
+        let unit = source.rand_float();
+        self.0 = source.state();
+        unit
     }
 
     /// A number between two.
--- a/crates/brassrouter/tests/common/mod.rs
+++ b/crates/brassrouter/tests/common/mod.rs
@@ -12,7 +12,7 @@
     pub policy: Policy,
     pub now: Micros,
     pub actions: Vec<Action>,
-    timers: Vec<Micros>,
+    pub timers: Vec<Micros>,
 }
 
 pub fn settings() -> Settings {
--- a/crates/brassrouter/tests/policy.rs
+++ b/crates/brassrouter/tests/policy.rs
@@ -1096,3 +1096,36 @@
         "its window may end meanwhile"
     );
 }
+
+/// Only the client knows when its first try was, but for those that came here: a repeat that would be answered after the
+/// window could run again, and every later one would.
+#[test]
+fn a_keyed_repeat_whose_answer_would_come_after_its_window_fails_at_once() {
+    let window = 12 * SECOND;
+    let classes = settings().classes;
+    let keyed = classes.iter().position(|c| matches!(c.effect, Effect::Keyed { .. })).expect("a keyed class");
+    let aim = classes[keyed].aim;
+    let mut classes = classes;
+    classes[keyed].effect = Effect::Keyed { group: Group::All, window };
+    let node = || Node::new(Settings { classes: classes.clone(), ..settings() }, 3);
+    let keyed = |id, key| Request { key, ..write(id, keyed) };
+    let again = |id, key| Request { repeat: true, ..keyed(id, key) };
+    let fails = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Fail(_)));
+    for (pass, sent) in [(window - aim - SECOND, true), (window - aim + MS, false), (window + SECOND, false)]
+    {
+        let mut node = node();
+        assert_eq!(sends(&node.request(keyed(1, 7))), 1);
+        node.outcome(1, 0, ORIGIN, Status::Reset);
+        node.pass(pass);
+        let actions = node.request(again(2, 7));
+        assert_eq!((sends(&actions) == 1, fails(&actions)), (sent, !sent), "{pass} us after the first try");
+        assert_eq!(sends(&node.request(again(3, 8))), 1, "of a key that is not known, only its client knows");
+    }
+    // One that provably never ran leaves nothing to run twice.
+    let mut node = node();
+    node.request(keyed(1, 7));
+    node.outcome(1, 0, ORIGIN, Status::Full);
+    node.event(Event::ClientGone(1));
+    node.pass(window + SECOND);
+    assert_eq!(sends(&node.request(again(2, 7))), 1);
+}
