World: the origin carries out what it has begun, and counts calls over caps across lives

Need: the stand-in dropped a call's work with its connection, so that a node that was killed left nothing behind at the origin; real origins go on.

--- a/crates/world/src/cache.rs
+++ b/crates/world/src/cache.rs
@@ -298,7 +298,7 @@
         let held = self.memory.borrow_mut().touch(asked.key);
         let work = extra + if held { whole } else { whole * boxes.miss_work };
         let Asked { request, write, .. } = asked;
-        self.fleet.witness.saw(Seen::Arrived { at: self.number, node, request, write, work });
+        self.fleet.witness.saw(Seen::Arrived { at: self.number, node, request, write, work, running: 0 });
         self.press(work);
         let busy = || (resp::error("BUSY"), How::Busy);
         let full = self.waiting.get() >= boxes.room && self.cores.available_permits() == 0;
--- a/crates/world/src/observe.rs
+++ b/crates/world/src/observe.rs
@@ -130,6 +130,9 @@
         write: bool,
         /// Its work, in core-milliseconds of speed 1.
         work: f64,
+        /// At the origin: calls of this node that are carried out or wait there, those included that it has given up
+        /// or that an earlier life of it has left behind; 0 at boxes.
+        running: u32,
     },
     /// The connection on which an attempt was out ended before its answer.
     Abandoned {
--- a/crates/world/src/origin.rs
+++ b/crates/world/src/origin.rs
@@ -5,6 +5,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +17,7 @@
 use mothpier_host::{Host, Listener};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
@@ -28,8 +29,10 @@
 pub struct Origin {
     number: BoxNo,
     fleet: Rc<Fleet>,
-    slots: Semaphore,
+    slots: Arc<Semaphore>,
     waiting: RefCell<usize>,
+    /// Calls that wait or are carried out, by node.
+    running: RefCell<BTreeMap<NodeNo, u32>>,
     /// Keyed writes that were carried out, and when.
     done: RefCell<BTreeMap<u64, Instant>>,
     rng: RefCell<Pcg64Mcg>,
@@ -58,8 +61,9 @@
         Rc::new(Origin {
             number,
             fleet: fleet.clone(),
-            slots: Semaphore::new(fleet.scenario.origin.slots),
+            slots: Arc::new(Semaphore::new(fleet.scenario.origin.slots)),
             waiting: RefCell::new(0),
+            running: RefCell::default(),
             done: RefCell::default(),
             rng: RefCell::new(fleet.random("origin", 0)),
         })
@@ -124,7 +128,8 @@
             (least + (most - least) * rng.random::<f64>(), rng.random(), rng.random())
         };
         let saw = |seen| self.fleet.witness.saw(seen);
-        saw(Seen::Arrived { at: self.number, node, request: id, write, work });
+        let running = Running::begin(&self, node);
+        saw(Seen::Arrived { at: self.number, node, request: id, write, work, running: running.1 });
         let mut out = Out { origin: self.clone(), node, request: id, ended: false };
         let ended = |out: &mut Out, how| {
             out.ended = true;
@@ -136,9 +141,46 @@
         }
         *self.waiting.borrow_mut() += 1;
         let waiting = Waiting(self.clone());
-        let Ok(_slot) = self.slots.acquire().await else { return answer(503, Bytes::new()) };
+        let Ok(slot) = self.slots.clone().acquire_owned().await else { return answer(503, Bytes::new()) };
         drop(waiting);
         // What has begun is carried out, whether or not anybody still waits for it.
+        let carried_out = spawn_local(self.clone().carry_out(
+            slot,
+            running,
+            Work { id, key, token, window, write, ms: work },
+        ));
+        let _ = carried_out.await;
+        if fate < self.fleet.knobs.origin_resets.get() {
+            ended(&mut out, How::Silent { begun: true });
+            cut.notify_one();
+            std::future::pending::<()>().await;
+        }
+        if luck < figures.fails {
+            ended(&mut out, How::Failed);
+            return answer(500, Bytes::new());
+        }
+        if !write {
+            self.fleet.fetched(id, key);
+        }
+        ended(&mut out, How::Value);
+        answer(200, value(id, self.number, self.fleet.scenario.load.value_bytes))
+    }
+}
+
+/// A call that is carried out.
+struct Work {
+    id: RequestNo,
+    key: u64,
+    token: Option<u64>,
+    window: Duration,
+    write: bool,
+    ms: f64,
+}
+
+impl Origin {
+    async fn carry_out(self: Rc<Self>, _slot: OwnedSemaphorePermit, _running: Running, work: Work) {
+        let Work { id, key, token, window, write, ms } = work;
+        let saw = |seen| self.fleet.witness.saw(seen);
         if write {
             let again = token.is_some_and(|k| {
                 let mut done = self.done.borrow_mut();
@@ -154,21 +196,25 @@
                 saw(Seen::Repeated { request: id });
             }
         }
-        sleep(Duration::from_secs_f64(work / 1e3)).await;
-        if fate < self.fleet.knobs.origin_resets.get() {
-            ended(&mut out, How::Silent { begun: true });
-            cut.notify_one();
-            std::future::pending::<()>().await;
-        }
-        if luck < figures.fails {
-            ended(&mut out, How::Failed);
-            return answer(500, Bytes::new());
-        }
-        if !write {
-            self.fleet.fetched(id, key);
-        }
-        ended(&mut out, How::Value);
-        answer(200, value(id, self.number, self.fleet.scenario.load.value_bytes))
+        sleep(Duration::from_secs_f64(ms / 1e3)).await;
+    }
+}
+
+/// Counts a call of a node for as long as it waits or is carried out; with how many there were before it.
+struct Running(Rc<Origin>, u32, NodeNo);
+
+impl Running {
+    fn begin(origin: &Rc<Origin>, node: NodeNo) -> Running {
+        let mut running = origin.running.borrow_mut();
+        let count = running.entry(node).or_default();
+        *count += 1;
+        Running(origin.clone(), *count - 1, node)
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.borrow_mut().entry(self.2).and_modify(|count| *count -= 1);
     }
 }
 
--- a/crates/world/src/report.rs
+++ b/crates/world/src/report.rs
@@ -9,6 +9,7 @@
 use crate::clients::{End, Played};
 use crate::observe::{How, Observation, Reply, Seen};
 use crate::rules::Violation;
+use crate::rules::cap;
 use crate::scenario::Scenario;
 
 /// How many first tries ended in which way.
@@ -102,6 +103,9 @@
     pub turned_away: u64,
     /// Calls at the origin.
     pub origin_calls: u64,
+    /// Those that came while the calls of their node, of all its lives together, were at its cap or over.
+    #[serde(default)]
+    pub origin_over: u64,
     /// Writes that the origin carried out.
     pub executed: u64,
     /// Repeats of keyed writes that it dropped.
@@ -136,6 +140,7 @@
     tries: u64,
     advice: u64,
     origin: usize,
+    cap: f64,
 }
 
 impl Collector {
@@ -146,7 +151,7 @@
         let tenants = scenario.tenant.iter().map(|t| t.name.clone()).collect();
         // Microseconds up to a quarter of an hour with three digits: bounded, and made for these values.
         let latency = Histogram::new_with_bounds(1, 900_000_000, 3).expect("bounds that fit");
-        Collector { report, aims, tenants, latency, tries: 0, advice: 0, origin }
+        Collector { report, aims, tenants, latency, tries: 0, advice: 0, origin, cap: cap(scenario) }
     }
 
     fn second(&mut self, at: Duration) -> &mut Second {
@@ -182,8 +187,9 @@
             }
             Seen::Executed { .. } => self.report.executed += 1,
             Seen::Repeated { .. } => self.report.repeats_dropped += 1,
-            Seen::Arrived { at, .. } if *at == self.origin => {
+            Seen::Arrived { at, running, .. } if *at == self.origin => {
                 self.report.origin_calls += 1;
+                self.report.origin_over += u64::from(f64::from(*running) >= self.cap);
                 self.second(o.at).origin += 1;
             }
             Seen::Arrived { at, .. } => {
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -149,6 +149,12 @@
     seen: u64,
 }
 
+/// Calls that a node may have out at the origin.
+pub fn cap(scenario: &Scenario) -> f64 {
+    let quotas: f64 = scenario.tenant.iter().map(|t| t.quota).sum();
+    (CAP.0.max(quotas * CAP.1) / scenario.nodes.count as f64).clamp(CAP_PART.0, CAP_PART.1)
+}
+
 impl Checker {
     /// A checker of a scenario in which the origin has this number.
     pub fn new(scenario: &Scenario, origin: BoxNo) -> Checker {
@@ -163,7 +169,7 @@
             rules: scenario.rules.clone(),
             origin,
             sockets: scenario.nodes.sockets,
-            cap: (CAP.0.max(quotas * CAP.1) / nodes).clamp(CAP_PART.0, CAP_PART.1),
+            cap: cap(scenario),
             tally: rate.max(WINDOW.1) * window.as_secs_f64(),
             window,
             requests: BTreeMap::new(),
