Set no timer of the decision module twice

Need: the first record of a simulated node showed two or more timers for one moment: a timer that was overtaken by an earlier one was forgotten while it was still out, so another was set for its time, and both set the next. Change: the times for which timers are out are kept, and one is set only for an earlier time than all of them. The test that no two timers are set for one time failed before, at the tenth request.

--- a/crates/brassrouter/src/policy.rs
+++ b/crates/brassrouter/src/policy.rs
@@ -152,7 +152,7 @@
             Event::Outcome(outcome) => self.outcome(outcome, out),
             // A streamed answer belongs to the client: nothing is owed from here on.
             Event::AnswerBegan { request, .. } | Event::ClientGone(request) => self.forget(request),
-            Event::Timer(_) => self.wakes.timer_came(),
+            Event::Timer(_) => self.wakes.timer_came(now),
             Event::PeerMessage { from, bytes } => self.peers.told(now, from, &bytes, self.senders.len()),
             Event::Storm(on) => self.storm = on,
             Event::Legacy(left) => self.inherit(left),
--- a/crates/brassrouter/src/state.rs
+++ b/crates/brassrouter/src/state.rs
@@ -1,7 +1,7 @@
 //! What a balancer keeps in memory: plain types, the queue of wake-ups and the hash. No decisions.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use oorandom::Rand64;
 use serde::{Deserialize, Serialize};
@@ -431,7 +431,8 @@
 #[derive(Default, Serialize, Deserialize)]
 pub struct Wakes {
     queue: BinaryHeap<Reverse<(Micros, Wake)>>,
-    armed: Option<Micros>,
+    /// When timers come that are set; more than one where a later was overtaken.
+    armed: BTreeSet<Micros>,
 }
 
 impl Wakes {
@@ -440,9 +441,9 @@
         self.queue.push(Reverse((time, wake)));
     }
 
-    /// The timer that was set has come.
-    pub fn timer_came(&mut self) {
-        self.armed = None;
+    /// The timers up to now have come.
+    pub fn timer_came(&mut self, now: Micros) {
+        self.armed = self.armed.split_off(&(now + 1));
     }
 
     /// The next wake-up that is due; when none is, sees that a timer is set for the first to come.
@@ -452,8 +453,8 @@
             self.queue.pop();
             return Some(wake);
         }
-        if self.armed.is_none_or(|armed| time < armed) {
-            self.armed = Some(time);
+        if self.armed.first().is_none_or(|first| time < *first) {
+            self.armed.insert(time);
             out.push(Action::Timer { after: time - now, token: 0 });
         }
         None
--- a/crates/brassrouter/tests/policy.rs
+++ b/crates/brassrouter/tests/policy.rs
@@ -1129,3 +1129,17 @@
     node.pass(window + SECOND);
     assert_eq!(sends(&node.request(again(2, 7))), 1);
 }
+
+/// A timer that has been overtaken by an earlier one still comes: it must not set one for a time that has one already.
+#[test]
+fn no_two_timers_are_set_for_one_time() {
+    let mut node = Node::new(settings(), 4);
+    // Those that the gate stops wait for a random time, often a shorter one than that of the timer that is set.
+    for id in 1..=400 {
+        node.request(write(id, 1));
+        node.pass(3 * MS);
+        let mut timers = node.timers.clone();
+        timers.sort();
+        assert!(timers.windows(2).all(|w| w[0] < w[1]), "after request {id}: {timers:?}");
+    }
+}
