Record what the decision module is told: format, recorder, replay, recovery, chalksill record

Need: after the worst nights nobody could say why the node chose as it did, and a node that restarted counted from zero.

--- a/crates/chalksill/src/explore.rs
+++ b/crates/chalksill/src/explore.rs
@@ -2,17 +2,22 @@
 
 use std::collections::BTreeMap;
 use std::io::IsTerminal;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 use std::time::Instant;
 
+use brassrouter::{Event, Policy};
 use chalksill_world::mutant::Mutant;
-use chalksill_world::report::Report;
 use chalksill_world::rules::Rule;
-use chalksill_world::sim::{Plan, run};
+use chalksill_world::sim::{Plan, run, run_recorded};
+use chalksill_world::tape::{Recording, Tape};
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
+use mothpier_record::Segment;
+use mothpier_record::entry::{Body, Entry};
+use mothpier_record::replay::{self, Start};
+use mothpier_record::store::name;
 use serde::Serialize;
 
 use crate::Verdict;
@@ -41,6 +46,16 @@
     /// Plants a fault in the nodes, to see within how many seeds the checker finds it
     #[arg(long, value_parser = crate::sim::mutant)]
     mutant: Option<Mutant>,
+    /// Has all nodes record, plays each record through the decision module again, with its state saved and restored
+    /// at a random event, and asks that the same actions come of it
+    #[arg(long)]
+    record: bool,
+    /// As --record, and nodes that restart count what their records say
+    #[arg(long)]
+    recover: bool,
+    /// With --record: a folder for the records
+    #[arg(long, requires = "record")]
+    keep: Option<PathBuf>,
 }
 
 /// What came of many runs.
@@ -57,8 +72,112 @@
     tries: f64,
     packets: u64,
     in_time: f64,
+    origin_calls: u64,
+    /// Of these, those that came while all calls of their node, of all its lives, were at its cap or over.
+    origin_over: u64,
     /// The digests of all runs, in the order of the seeds, as one number.
     digest: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    records: Option<Taped>,
+}
+
+/// What was recorded and played again.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+struct Taped {
+    segments: u64,
+    events: u64,
+    actions: u64,
+    requests: u64,
+    bytes: u64,
+    /// States saved and restored at random events.
+    restored: u64,
+    /// Lives of nodes that began with what an earlier life left behind.
+    inherited: u64,
+}
+
+impl Taped {
+    fn add(&mut self, other: &Taped) {
+        self.segments += other.segments;
+        self.events += other.events;
+        self.actions += other.actions;
+        self.requests += other.requests;
+        self.bytes += other.bytes;
+        self.restored += other.restored;
+        self.inherited += other.inherited;
+    }
+}
+
+/// Plays the records of a run again, each with the state saved and restored at one random event. The error says what
+/// came out otherwise.
+fn check(plan: &Plan, tapes: &[Tape], keep: Option<&Path>) -> Result<Taped, String> {
+    let mut taped = Taped::default();
+    for (i, tape) in tapes.iter().enumerate() {
+        let named =
+            |e: String| format!("node {}, segment {} of life {}: {e}", tape.node, tape.number, tape.life);
+        if let Some(folder) = keep {
+            let name = format!(
+                "{}-{}-{}",
+                plan.scenario.name,
+                plan.seed,
+                name(&tape.node.to_string(), tape.life, tape.number)
+            );
+            files::write_bytes(&folder.join(name), &tape.bytes)?;
+        }
+        let open = || Segment::open(&tape.bytes).map_err(|torn| named(torn.to_string()));
+        let mut reading = open()?;
+        let count = reading.by_ref().count() as u64;
+        // Any event but the first, whose state is restored anyhow.
+        let at =
+            1 + plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(i as u64 * 7919) % count.max(2);
+        let (mut number, mut restored, mut unreadable) = (0, 0, None);
+        let swap = |policy: &mut Policy, _: &Entry| {
+            number += 1;
+            if number == at {
+                let again = postcard::to_allocvec(policy).and_then(|bytes| postcard::from_bytes(&bytes));
+                match again {
+                    Ok(again) => (*policy, restored) = (again, 1),
+                    Err(e) => unreadable = Some(e.to_string()),
+                }
+            }
+        };
+        let mut inherited = 0;
+        let (outcome, policy) = replay::play(&mut open()?, Start::Recorded, swap, |step| {
+            inherited += u64::from(matches!(step.entry.body, Body::Told { event: Event::Legacy(_), .. }));
+        })
+        .map_err(named)?;
+        if let Some(e) = unreadable {
+            return Err(named(e));
+        }
+        if let Some(d) = outcome.first {
+            return Err(named(format!(
+                "entry {}: {:?} brought {:?} then and {:?} now",
+                d.entry, d.event, d.then, d.now
+            )));
+        }
+        if let Some(torn) = outcome.torn {
+            return Err(named(torn.to_string()));
+        }
+        // The next segment of the same life begins where this one has come to, bit by bit.
+        if let Some(next) =
+            tapes.iter().find(|t| (t.node, t.life, t.number) == (tape.node, tape.life, tape.number + 1))
+        {
+            let first = Segment::open(&next.bytes).map_err(|t| named(t.to_string()))?.next();
+            let here = postcard::to_allocvec(&policy).map_err(|e| named(e.to_string()))?;
+            if !matches!(first.map(|e| e.body), Some(Body::State(there)) if there == here) {
+                return Err(named("the next segment begins with another state".into()));
+            }
+        }
+        taped.add(&Taped {
+            segments: 1,
+            events: outcome.events,
+            actions: outcome.actions,
+            requests: outcome.requests,
+            bytes: tape.bytes.len() as u64,
+            restored,
+            inherited,
+        });
+    }
+    Ok(taped)
 }
 
 /// Reads a range of seeds.
@@ -74,18 +193,20 @@
     std::thread::available_parallelism().map_or(1, usize::from)
 }
 
-/// Plays the seeds of a range on several threads and gives each report as it comes; ends early when told `false`.
-pub fn play(
+/// Plays the seeds of a range on several threads and gives what came of each as it comes; ends early when told
+/// `false`.
+pub fn play<T: Send>(
     plan_of: impl Fn(u64) -> Plan + Sync,
     (from, to): (u64, u64),
     jobs: usize,
-    mut each: impl FnMut(u64, Plan, Report) -> bool,
+    run: impl Fn(&Plan) -> T + Sync,
+    mut each: impl FnMut(u64, Plan, T) -> bool,
 ) {
     let next = AtomicU64::new(from);
     std::thread::scope(|scope| {
         let (done, reports) = mpsc::sync_channel(jobs);
         for _ in 0..jobs.clamp(1, 256) {
-            let (done, next, plan_of) = (done.clone(), &next, &plan_of);
+            let (done, next, plan_of, run) = (done.clone(), &next, &plan_of, &run);
             scope.spawn(move || {
                 loop {
                     let seed = next.fetch_add(1, Ordering::Relaxed);
@@ -93,16 +214,16 @@
                         return;
                     }
                     let plan = plan_of(seed);
-                    let report = run(&plan, None);
-                    if done.send((seed, plan, report)).is_err() {
+                    let ran = run(&plan);
+                    if done.send((seed, plan, ran)).is_err() {
                         return;
                     }
                 }
             });
         }
         drop(done);
-        for (seed, plan, report) in reports {
-            if !each(seed, plan, report) {
+        for (seed, plan, ran) in reports {
+            if !each(seed, plan, ran) {
                 next.store(to, Ordering::Relaxed);
                 return;
             }
@@ -124,12 +245,31 @@
     let mut broken = BTreeMap::new();
     let mut failed = None;
     let mut digests = BTreeMap::new();
+    let (mut origin_calls, mut origin_over) = (0, 0);
     let (mut virtual_s, mut offered, mut tries, mut packets, mut in_time) = (0.0, 0, 0.0, 0, 0);
-    play(plan, args.seeds, jobs, |seed, plan, report| {
+    let mut taped = Taped::default();
+    let ran = |plan: &Plan| {
+        if !args.record && !args.recover {
+            return (run(plan, None), Ok(Taped::default()));
+        }
+        let recording = Recording { recover: args.recover, ..Recording::default() };
+        let (report, tapes) = run_recorded(plan, None, recording);
+        (report, check(plan, &tapes, args.keep.as_deref()))
+    };
+    play(plan, args.seeds, jobs, ran, |seed, plan, (report, tapes)| {
         bar.inc(1);
+        match tapes {
+            Ok(one) => taped.add(&one),
+            Err(e) => {
+                failed = Some(format!("seed {seed}: {e}"));
+                return false;
+            }
+        }
         virtual_s += report.virtual_s;
         offered += report.all.offered;
         in_time += report.all.in_time;
+        origin_calls += report.origin_calls;
+        origin_over += report.origin_over;
         tries += report.tries * report.all.offered as f64;
         packets += report.packets;
         digests.insert(seed, report.digest.clone());
@@ -167,7 +307,10 @@
         tries,
         packets,
         in_time: in_time as f64 / offered.max(1) as f64,
+        origin_calls,
+        origin_over,
         digest: format!("{digest:016x}"),
+        records: (args.record || args.recover).then_some(taped),
         broken,
     };
     if args.json {
@@ -187,6 +330,24 @@
             100.0 * summary.in_time,
             summary.digest
         );
+        if origin_over > 0 {
+            println!(
+                "{origin_over} of {origin_calls} calls at the origin were over the cap of their node, all its lives together"
+            );
+        }
+        if let Some(t) = summary.records {
+            println!(
+                "records: {} segments, {} events, {} actions, {} requests, played again identically; {} states \
+                 restored in the middle; {:.1} bytes an event; {} lives began with what was left behind",
+                t.segments,
+                t.events,
+                t.actions,
+                t.requests,
+                t.restored,
+                t.bytes as f64 / t.events.max(1) as f64,
+                t.inherited
+            );
+        }
     }
     Ok(if summary.broken.is_empty() { Verdict::Good } else { Verdict::Broken })
 }
--- a/crates/chalksill/src/files.rs
+++ b/crates/chalksill/src/files.rs
@@ -103,12 +103,17 @@
 
 /// Writes a file whole, or not at all.
 pub fn write(path: &Path, text: &str) -> Result<(), String> {
+    write_bytes(path, text.as_bytes())
+}
+
+/// Writes a file whole, or not at all.
+pub fn write_bytes(path: &Path, bytes: &[u8]) -> Result<(), String> {
     let failed = |e: std::io::Error| format!("cannot write {}: {e}", path.display());
     if let Some(folder) = path.parent().filter(|p| !p.as_os_str().is_empty()) {
         std::fs::create_dir_all(folder).map_err(failed)?;
     }
     let part = path.with_extension("part");
-    std::fs::write(&part, text).and_then(|()| std::fs::rename(&part, path)).map_err(failed)
+    std::fs::write(&part, bytes).and_then(|()| std::fs::rename(&part, path)).map_err(failed)
 }
 
 /// Something as JSON for a file or a script.
--- a/crates/chalksill/src/load.rs
+++ b/crates/chalksill/src/load.rs
@@ -7,7 +7,7 @@
 use chalksill_world::live::Live;
 use chalksill_world::report::Report;
 use chalksill_world::scenario::Scenario;
-use chalksill_world::sim::Plan;
+use chalksill_world::sim::{Plan, run};
 use chalksill_world::storm::{Hit, Outage, Recovery};
 use clap::{Args, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
@@ -202,15 +202,21 @@
     let mut all: Vec<Recovery> = Vec::new();
     let mut shown: Option<Report> = None;
     let mut broken = Vec::new();
-    play(plan, args.seeds, args.jobs.unwrap_or(cores()), |seed, _, report| {
-        bar.inc(1);
-        all.push(outage.judge(&report));
-        broken.extend(report.violations.first().map(|v| format!("seed {seed}: BROKEN {v}")));
-        if seed == args.seeds.0 {
-            shown = Some(report);
-        }
-        true
-    });
+    play(
+        plan,
+        args.seeds,
+        args.jobs.unwrap_or(cores()),
+        |plan| run(plan, None),
+        |seed, _, report| {
+            bar.inc(1);
+            all.push(outage.judge(&report));
+            broken.extend(report.violations.first().map(|v| format!("seed {seed}: BROKEN {v}")));
+            if seed == args.seeds.0 {
+                shown = Some(report);
+            }
+            true
+        },
+    );
     bar.finish_and_clear();
     if let (Some(path), Some(report)) = (&args.svg, &shown) {
         plot::draw(report, path)?;
--- a/crates/chalksill/src/main.rs
+++ b/crates/chalksill/src/main.rs
@@ -4,6 +4,7 @@
 mod files;
 mod load;
 mod plot;
+mod record;
 mod sim;
 mod world;
 
@@ -33,6 +34,9 @@
     /// Loads of a special kind: storms after an outage
     #[command(subcommand)]
     Load(load::Load),
+    /// Records of what nodes decided: check, replay, ask why, cut, compare, put together
+    #[command(subcommand)]
+    Record(record::Record),
 }
 
 /// How a command ended that did not fail.
@@ -48,6 +52,7 @@
         Command::Sim(sim) => sim::execute(sim),
         Command::World(world) => world::execute(world),
         Command::Load(load) => load::execute(load),
+        Command::Record(record) => record::execute(record),
     };
     match done {
         Ok(Verdict::Good) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/inquest/src/why.rs
@@ -0,0 +1,164 @@
+//! The story of one request: what was known of each server when it was decided, and why it came out so.
+
+use brassrouter::{Condition, Event, Micros, RequestId, ServerView, View};
+use mothpier_record::Segment;
+use mothpier_record::entry::{Body, Entry, Noted, reference};
+use mothpier_record::replay::{Start, concerns, play};
+use serde::Serialize;
+
+use crate::tell;
+
+/// Which request is meant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Which {
+    /// By the module's number of it.
+    Number(RequestId),
+    /// By the id that its client gave it.
+    Client(String),
+}
+
+impl Which {
+    /// Whether an entry is the arrival of that request; its number.
+    pub fn arrival(&self, entry: &Entry) -> Option<RequestId> {
+        let Body::Told { event: Event::Request(r), reference: known, .. } = &entry.body else { return None };
+        let meant = match self {
+            Which::Number(number) => r.id == *number,
+            Which::Client(id) => *known == Some(reference(id.as_bytes())),
+        };
+        meant.then_some(r.id)
+    }
+}
+
+/// One moment of a request's story.
+#[derive(Debug, Clone, Serialize)]
+pub struct Moment {
+    /// The clock.
+    pub at: Micros,
+    /// Since the request arrived.
+    pub since: Micros,
+    /// What happened.
+    pub event: String,
+    /// What was decided.
+    pub decided: Vec<String>,
+    /// Why, as far as the module's state tells.
+    pub because: Vec<String>,
+    /// What the module knew after the event, with servers in the request's order.
+    pub known: View,
+}
+
+/// Tells the story of a request.
+///
+/// # Errors
+/// A segment that can't be replayed, or no such request in it.
+pub fn why(segment: &mut Segment<'_>, which: &Which) -> Result<Vec<Moment>, String> {
+    let header = segment.header.clone();
+    let mut moments = Vec::new();
+    let mut request: Option<(RequestId, Micros)> = None;
+    let counts = std::cell::RefCell::new(Vec::new());
+    play(
+        segment,
+        Start::Recorded,
+        |policy, _| *counts.borrow_mut() = policy.unserved().collect(),
+        |step| {
+            if request.is_none() {
+                request = which.arrival(step.entry).map(|id| (id, step.entry.at));
+            }
+            let Some((id, came)) = request.filter(|(id, _)| concerns(step.entry, step.now, *id)) else {
+                return;
+            };
+            let Body::Told { event, reference, .. } = &step.entry.body else { return };
+            let about = step.now.iter().filter(|a| a.request() == Some(id));
+            let known = step.policy.view(Some(id));
+            let mut because = Vec::new();
+            for action in about.clone() {
+                match action {
+                    Noted::Send { server, .. } => because.extend(chosen(&known, *server)),
+                    Noted::Refuse { .. } | Noted::Fail(_) => {
+                        let before = counts.borrow();
+                        // Its line about them resets the counts: then the reason can't be told apart.
+                        let reasons = before.iter().zip(step.policy.unserved());
+                        let reason =
+                            reasons.filter(|((_, was), (_, is))| is > was).map(|(_, (name, _))| name);
+                        because.push(format!("because: {}", reason.collect::<Vec<_>>().join(", ")));
+                        because.push(state(&known));
+                    }
+                    _ => {}
+                }
+            }
+            moments.push(Moment {
+                at: step.entry.at,
+                since: step.entry.at - came,
+                event: tell::event(&header, event, *reference),
+                decided: about.map(tell::action).collect(),
+                because,
+                known,
+            });
+        },
+    )?;
+    if moments.is_empty() { Err("no such request arrives in this record".into()) } else { Ok(moments) }
+}
+
+/// What is known of the whole, in a line.
+pub fn state(known: &View) -> String {
+    format!(
+        "level {:.2}, strain {:.3}{}, retries {:.1}, gate {} of {:.1} out ({} in this window), {} open",
+        known.level,
+        known.strain,
+        if known.storm { ", in a storm" } else { "" },
+        known.retry_budget,
+        known.gate_out[0],
+        known.gate_limit,
+        known.gate_tally[0],
+        known.open
+    )
+}
+
+/// Why a server was chosen: those before it in the request's order, and what spoke against each.
+fn chosen(known: &View, server: u32) -> Vec<String> {
+    let mut lines = Vec::new();
+    for (place, s) in known.servers.iter().filter(|s| !s.origin).enumerate() {
+        if s.id == server {
+            lines.push(format!("server {server} is number {} of its order: {}", place + 1, server_line(s)));
+            return lines;
+        }
+        lines.push(format!("passed over server {}: {}", s.id, against(s)));
+    }
+    // At the origin, or at one that the list has dropped since: the order does not tell.
+    vec![state(known)]
+}
+
+fn server_line(s: &ServerView) -> String {
+    format!(
+        "{} in flight with this one (bound {:.1}), keeps {:.0}% of its keys, {:.0}% warm, backlog {}",
+        s.in_flight,
+        s.bound,
+        s.part * 100.0,
+        s.warmth * 100.0,
+        tell::ms(s.backlog)
+    )
+}
+
+fn against(s: &ServerView) -> String {
+    let mut all = Vec::new();
+    match s.condition {
+        Condition::Ready => {}
+        Condition::Draining => all.push("it drains".to_owned()),
+        Condition::Gone => all.push("it is gone".to_owned()),
+    }
+    if s.ruled_out {
+        all.push("the request has been there or may not go there".into());
+    }
+    if f64::from(s.in_flight.saturating_sub(s.overtaken)) >= s.bound {
+        all.push(format!("{} in flight, over its bound of {:.1}", s.in_flight, s.bound));
+    }
+    if s.warmth < 1.0 {
+        all.push(format!("{:.0}% warm, bucket {:.1} of {:.1}", s.warmth * 100.0, s.cold.0, s.cold.1));
+    }
+    if s.part < 1.0 {
+        all.push(format!("in trouble, keeps {:.0}% of its keys", s.part * 100.0));
+    }
+    if all.is_empty() {
+        all.push(format!("no ground can be seen now ({})", server_line(s)));
+    }
+    all.join("; ")
+}
--- a/crates/mothpier/src/main.rs
+++ b/crates/mothpier/src/main.rs
@@ -2,9 +2,14 @@
 
 use std::process::ExitCode;
 
+use brassrouter::Settings;
 use mothpier_host::{Host, Machine};
 use mothpier_node::config::{self, Config, Environment, Precedence};
+use mothpier_node::keys::Keys;
 use mothpier_node::{Control, operator, run};
+use mothpier_record::Recorder;
+use mothpier_record::recover::{Found, Unseen, recover};
+use mothpier_record::store::{self, Folder, Store};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -45,9 +50,50 @@
         let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
         config.operator = operator::read(&text).map_err(|e| format!("{path}: {e}"))?;
     }
+    if let Some(path) = &config.operator.record.key_file {
+        let named = |e: String| format!("{}: {e}", path.display());
+        let text = std::fs::read_to_string(path).map_err(|e| named(e.to_string()))?;
+        config.keys = Keys::secret(&text).map_err(named)?;
+    }
     Ok(config)
 }
 
+/// The recorder that the operator's file asks for, with what an earlier life left behind. What fails here costs the
+/// record, never the node.
+fn recorder(config: &Config) -> Option<Recorder> {
+    let record = &config.operator.record;
+    let folder = record.folder.as_ref()?;
+    let unseen = Unseen { span: (record.figures.hand_over_ms * 1000.0) as u64 };
+    let mut left = None;
+    if record.on && record.recover {
+        // As the node will act on them.
+        let settings = Settings { damping: config.operator.storm.damping(), ..config.site.decisions.clone() };
+        let now = HOST.unix_time().as_micros() as u64;
+        match store::newest(folder, &config.name) {
+            Ok(Some(bytes)) => match recover(&bytes, &config.name, &settings, now, unseen) {
+                Found::Legacy(legacy, line) => {
+                    HOST.log(format_args!("{line}"));
+                    left = Some(legacy);
+                }
+                Found::Nothing(why) => HOST.log(format_args!("{why}")),
+            },
+            Ok(None) => {}
+            Err(e) => HOST.log(format_args!("the record is not used: {e}")),
+        }
+    }
+    match Store::start(Folder(folder.clone()), &record.figures) {
+        Ok(store) => {
+            let recorder = Recorder::new(record.figures.clone(), record.on, Box::new(store), left);
+            let secret = matches!(config.keys, Keys::Secret(_));
+            Some(recorder.about(concat!("mothpier ", env!("CARGO_PKG_VERSION")), secret))
+        }
+        Err(e) => {
+            HOST.log(format_args!("nothing is recorded: {e}"));
+            None
+        }
+    }
+}
+
 /// Runs the node and passes signals on to it.
 async fn serve(config: Config) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
@@ -55,16 +101,20 @@
     // Taken from the start on: unhandled, this signal would end the node.
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let (control, told) = mpsc::channel(8);
-    let mut node = std::pin::pin!(run(HOST, config, told));
+    let recorder = recorder(&config);
+    let mut node = std::pin::pin!(run(HOST, config, told, recorder));
     loop {
         let tell = tokio::select! {
             ended = &mut node => return ended,
             _ = terminate.recv() => Control::Stop,
             _ = interrupt.recv() => Control::Stop,
-            // All but discovery's address is fixed at the start. A file that can't be read must not cost the node
+            // All but discovery's address and whether to record is fixed at the start. A file that can't be read must not cost the node
             // what it has.
             Some(()) = hangup.recv() => match read(Precedence::File) {
-                Ok(config) => Control::Discovery(config.discovery),
+                Ok(config) => {
+                    let _ = control.try_send(Control::Record(config.operator.record.on));
+                    Control::Discovery(config.discovery)
+                }
                 Err(e) => {
                     HOST.log(format_args!("the configuration stays as it was: {e}"));
                     continue;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -20,10 +20,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::command::{Answer, Claim, Command, Ids};
 use crate::input::{Asked, Input};
+use crate::keys::Keys;
 
 /// Requests of one connection that may be open; those beyond are refused.
 const MAX_PIPELINE: usize = 128;
@@ -95,6 +95,12 @@
     }
 }
 
+/// By what commands are read.
+pub struct Grammar {
+    pub site: Site,
+    pub keys: Keys,
+}
+
 /// What all client connections share.
 pub struct Clients<H> {
     host: H,
@@ -106,6 +112,7 @@
     /// Permits of a KB.
     memory: Arc<Semaphore>,
     most: usize,
+    keys: Keys,
     door: RefCell<Door>,
     /// Open connections that have not sent a whole command yet.
     half_known: Cell<usize>,
@@ -130,7 +137,7 @@
 impl<H: Host> Clients<H> {
     pub fn new(
         host: H,
-        site: Site,
+        grammar: Grammar,
         now: Box<dyn Fn() -> Micros>,
         ready: Rc<Cell<bool>>,
         bounds: Bounds,
@@ -139,7 +146,8 @@
     ) -> Rc<Self> {
         Rc::new(Clients {
             host,
-            site,
+            site: grammar.site,
+            keys: grammar.keys,
             now,
             ready,
             next_request: Cell::new(1),
@@ -343,7 +351,7 @@
             id: self.next_request.replace(self.next_request.get() + 1),
             class,
             tenant: tenant.ok_or("unknown tenant")?,
-            key: xxh3_64(key).max(1), // 0 would mean none.
+            key: self.keys.number(key),
             write,
             repeat: extra("r") == Some("1"),
             // The client's wait began before its command was read whole.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::discovery::List;
+use crate::keys::Keys;
 use crate::operator::Operator;
 
 /// Everything that the node is told.
@@ -36,6 +37,8 @@
     pub site: Site,
     /// What the operator's file switches on; nothing without one.
     pub operator: Operator,
+    /// How keys become numbers.
+    pub keys: Keys,
 }
 
 #[derive(Deserialize)]
@@ -127,5 +130,6 @@
         known: file.known,
         site,
         operator: Operator::default(),
+        keys: Keys::default(),
     })
 }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -10,10 +10,24 @@
 /// What comes to the node from its other parts.
 pub enum Input {
     Client(Asked),
-    Server { server: ServerId, number: u64, event: servers::Event },
-    Origin { attempt: AttemptId, ended: origin::Ended },
+    Server {
+        server: ServerId,
+        number: u64,
+        event: servers::Event,
+    },
+    Origin {
+        attempt: AttemptId,
+        ended: origin::Ended,
+    },
     Discovery(Heard),
-    Peer { from: u32, bytes: Vec<u8> },
+    Peer {
+        from: u32,
+        bytes: Vec<u8>,
+    },
+    /// Recording goes on or off.
+    Record(bool),
+    /// The node ends in order: all that was taken is answered.
+    End,
 }
 
 /// What clients tell the node.
--- /dev/null
+++ b/crates/node/src/keys.rs
@@ -0,0 +1,82 @@
+//! The numbers by which the decision module knows keys.
+
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How keys become numbers. All nodes of a tier must do it alike, else each has an order of servers of its own.
+#[derive(Clone, Copy, Default, PartialEq)]
+pub enum Keys {
+    /// By a hash that everybody can compute.
+    #[default]
+    Plain,
+    /// By SipHash-1-3 under a secret: whoever sees the numbers, in a record say, can't try out which keys they are.
+    Secret([u8; 16]),
+}
+
+// The secret must not reach a log by way of a debug print.
+impl std::fmt::Debug for Keys {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Keys::Plain => "Plain",
+            Keys::Secret(_) => "Secret",
+        })
+    }
+}
+
+impl Keys {
+    /// Reads a secret: 32 hexadecimal digits, with white space round them.
+    ///
+    /// # Errors
+    /// One plain line.
+    pub fn secret(text: &str) -> Result<Keys, String> {
+        let digits = text.trim();
+        if digits.len() != 32 || !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(format!(
+                "a secret is 32 hexadecimal digits, not {} characters",
+                digits.chars().count()
+            ));
+        }
+        let mut secret = [0; 16];
+        for (i, byte) in secret.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&digits[2 * i..2 * i + 2], 16).map_err(|e| e.to_string())?;
+        }
+        Ok(Keys::Secret(secret))
+    }
+
+    /// The number of a key; never 0, which would mean none.
+    pub fn number(&self, key: &[u8]) -> u64 {
+        let number = match self {
+            Keys::Plain => xxh3_64(key),
+            Keys::Secret(secret) => {
+                let mut hasher = SipHasher13::new_with_key(secret);
+                hasher.write(key);
+                hasher.finish()
+            }
+        };
+        number.max(1)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_secret_changes_all_numbers_and_is_read_strictly() {
+        let one = Keys::secret(" 000102030405060708090a0b0c0d0e0f\n").unwrap();
+        let other = Keys::secret("100102030405060708090a0b0c0d0e0f").unwrap();
+        let numbers = [Keys::Plain, one, other].map(|k| k.number(b"station/17"));
+        assert!(numbers[0] != numbers[1] && numbers[1] != numbers[2] && numbers[0] != numbers[2]);
+        assert_eq!(format!("{one:?}"), "Secret");
+        for bad in [
+            "",
+            "00",
+            "0001020304050607 08090a0b0c0d0e0f",
+            "+0+1+2+3+4+5+6+7+8+9+a+b+c+d+e+f",
+            "é00102030405060708090a0b0c0d0e0",
+        ] {
+            assert!(Keys::secret(bad).is_err(), "{bad}");
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`run`] is a whole node on any [`Host`](mothpier_host::Host): the daemon gives it the machine that it runs on, the
 //! simulated world a simulated one. Dependencies run one way: `service` puts the parts together; `node` owns the
 //! module and drives `servers`, `origin` and `peers`; these and `clients` and `discovery` tell it what happened
-//! through `input`. `weather` feeds the detector of storms, which the operator's file switches on.
+//! through `input`. `weather` feeds the detector of storms, which the operator's file switches on; `node` hands what the
+//! module is told to a recorder (`mothpier-record`), where there is one.
 
 mod clients;
 mod command;
@@ -13,6 +14,7 @@
 mod discovery;
 mod http;
 mod input;
+pub mod keys;
 mod node;
 pub mod operator;
 mod origin;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,6 +13,7 @@
 };
 use bytes::Bytes;
 use mothpier_host::Host;
+use mothpier_record::{Recorder, entry};
 use mothpier_resp as resp;
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -90,6 +91,7 @@
     pub wanted: watch::Sender<Wanted>,
     pub ready: Rc<Cell<bool>>,
     pub weather: Option<Weather>,
+    pub recorder: Option<Recorder>,
 }
 
 /// The node.
@@ -133,6 +135,10 @@
 
     /// Runs until every sender of inputs is gone.
     pub async fn run(mut self, known: Option<List>, mut inputs: mpsc::Receiver<Input>) {
+        // What an earlier life left behind counts before anything is decided.
+        if let Some(left) = self.parts.recorder.as_mut().and_then(Recorder::legacy) {
+            self.events.push_back(Event::Legacy(left));
+        }
         let known = known.unwrap_or(List { revision: 0, complete: true, members: Vec::new() });
         self.list(known, ListKind::Cached);
         self.settle();
@@ -146,6 +152,7 @@
             tokio::select! {
                 biased;
                 input = inputs.recv() => match input {
+                    Some(Input::End) => return self.recorder_ends(),
                     Some(input) => self.input(input),
                     None => return,
                 },
@@ -189,14 +196,46 @@
     fn settle(&mut self) {
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.policy.handle(self.clock.now(), event, &mut actions);
+            let now = self.clock.now();
+            self.record(now, &event);
+            self.policy.handle(now, event, &mut actions);
+            let notice = self.parts.recorder.as_mut().and_then(|r| r.after(now, &actions));
+            self.notice(notice);
             actions.drain(..).for_each(|action| self.act(action));
             self.actions = actions;
         }
     }
 
+    fn record(&mut self, now: Micros, event: &Event) {
+        let Some(recorder) = self.parts.recorder.as_mut().filter(|r| r.is_on()) else { return };
+        let reference = match event {
+            Event::Request(r) => self.open.get(&r.id).map(|open| entry::reference(&open.command.id)),
+            _ => None,
+        };
+        let notice = recorder.before(now, &self.policy, event, reference);
+        self.notice(notice);
+    }
+
+    fn recorder_ends(&mut self) {
+        let now = self.clock.now();
+        let notice = self.parts.recorder.as_mut().and_then(|r| r.end(now));
+        self.notice(notice);
+    }
+
+    fn notice(&self, notice: Option<String>) {
+        if let Some(line) = notice {
+            self.host.log(format_args!("{line}"));
+        }
+    }
+
     fn input(&mut self, input: Input) {
         match input {
+            Input::Record(on) => {
+                let now = self.clock.now();
+                let notice = self.parts.recorder.as_mut().and_then(|r| r.switch(on, now));
+                self.notice(notice);
+            }
+            Input::End => {}
             Input::Client(Asked::Request { mut request, connection, command, answer }) => {
                 let ends = Instant::now() + Duration::from_micros(request.time_left);
                 let now = self.clock.now();
@@ -538,6 +577,7 @@
                 wanted: watch::channel(Wanted::default()).0,
                 ready: Rc::default(),
                 weather: None,
+                recorder: None,
             };
             let site = brassrouter::settings::read(SITE.as_bytes()).unwrap();
             let mut node = Node::new(HOST, site, 1, Clock::start(&HOST), parts);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -2,8 +2,10 @@
 //! for what it does not name, the node is as it was before there was one.
 
 use brassrouter::Damping;
+use mothpier_record::Figures;
 use mothpier_storm::Settings;
 use serde::Deserialize;
+use std::path::PathBuf;
 
 /// What the operator has switched on.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
@@ -11,6 +13,30 @@
 pub struct Operator {
     /// Storms after an outage.
     pub storm: Storm,
+    /// A record of what the decision module was told.
+    pub record: Record,
+}
+
+/// What is recorded.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Record {
+    /// Whether the node records. May be changed while it runs.
+    pub on: bool,
+    /// Where segments go; without it there can be no record.
+    pub folder: Option<PathBuf>,
+    /// Whether a node that starts counts what the record says that its earlier life left behind.
+    pub recover: bool,
+    /// A file with the secret under which keys are hashed; the same on all nodes of the tier.
+    pub key_file: Option<PathBuf>,
+    /// Figures of the recorder.
+    pub figures: Figures,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        Record { on: false, folder: None, recover: true, key_file: None, figures: Figures::default() }
+    }
 }
 
 /// What is done about storms.
@@ -50,11 +76,13 @@
         let at = line.map_or(String::new(), |line| format!("line {line}: "));
         format!("{at}{}", e.message().replace('\n', " "))
     })?;
-    operator.storm.figures.check().map_err(|e| {
-        let key = e.key;
-        let line = text.lines().position(|l| l.trim_start().starts_with(key)).map(|l| l + 1);
-        line.map_or(format!("storm.figures.{e}"), |line| format!("line {line}: storm.figures.{e}"))
-    })?;
+    let line = |key: &str| text.lines().position(|l| l.trim_start().starts_with(key)).map(|l| l + 1);
+    let at = |key, told: String| line(key).map_or(told.clone(), |line| format!("line {line}: {told}"));
+    operator.storm.figures.check().map_err(|e| at(e.key, format!("storm.figures.{e}")))?;
+    operator.record.figures.check().map_err(|e| at(e.key, format!("record.figures.{e}")))?;
+    if operator.record.on && operator.record.folder.is_none() {
+        return Err(at("on", "record.on: there is no record.folder to record to".into()));
+    }
     Ok(operator)
 }
 
@@ -74,6 +102,11 @@
         assert!(bad("[storm]\ndetectt = true").starts_with("line 2: unknown field `detectt`"));
         assert!(bad("[storm\n").starts_with("line 1: "));
         assert!(bad("[storm.figures]\nenter_ms = -5").starts_with("line 2: "));
+        assert_eq!(
+            bad("[record]\non = true\nfolder = \"r\"\n[record.figures]\nmost_mib = 4\nsegment_mib = 3"),
+            "line 6: record.figures.segment_mib: 3 is not between 0.05 and 2"
+        );
+        assert_eq!(bad("[record]\non = true"), "line 2: record.on: there is no record.folder to record to");
         assert_eq!(read("").unwrap(), Operator::default());
         assert!(!read("").unwrap().storm.detect, "nothing is on that the operator did not switch on");
     }
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -7,13 +7,15 @@
 
 use brassrouter::Micros;
 use mothpier_host::{Host, Listener};
+use mothpier_record::Recorder;
 use mothpier_storm::Door;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::clients::{Bounds, Clients, Closing};
+use crate::clients::{Bounds, Clients, Closing, Grammar};
 use crate::config::Config;
+use crate::input::Input;
 use crate::node::{Clock, Node, Parts};
 use crate::weather::Weather;
 use crate::{discovery, origin, peers, servers};
@@ -34,9 +36,12 @@
     Stop,
     /// Discovery is at this address from now on.
     Discovery(SocketAddr),
+    /// Recording goes on or off, where the node has a recorder.
+    Record(bool),
 }
 
-/// Runs a node until it is told to stop and has answered what it took. Must run inside a
+/// Runs a node until it is told to stop and has answered what it took. What the decision module is told goes to the
+/// recorder, where one is given. Must run inside a
 /// [`LocalSet`](tokio::task::LocalSet): dropping that ends the node at once, as a kill would.
 ///
 /// # Errors
@@ -45,6 +50,7 @@
     host: H,
     config: Config,
     mut control: mpsc::Receiver<Control>,
+    mut recorder: Option<Recorder>,
 ) -> Result<(), String> {
     let clock = Clock::start(&host);
     let (events, inputs) = mpsc::channel(QUEUE);
@@ -92,6 +98,7 @@
         wanted,
         ready: ready.clone(),
         weather: None,
+        recorder: None,
     };
     let revision = config.known.as_ref().map(|l| l.revision);
     let listener = host.listen(config.listen).await;
@@ -103,7 +110,7 @@
         Bounds { most: descriptors, memory: config.memory / 2, door: Door::new(&storm.figures, descriptors) };
     let clients = Clients::new(
         host.clone(),
-        site.clone(),
+        Grammar { site: site.clone(), keys: config.keys },
         Box::new(move || clock.now()),
         ready.clone(),
         bounds,
@@ -111,6 +118,12 @@
         events.clone(),
     );
     parts.weather = Weather::new(&storm, site.tenants.len(), clients.connections());
+    if let Some(recorder) = &mut recorder {
+        recorder.born(&config.name, config.seed, &site, clock.now());
+    }
+    parts.recorder = recorder;
+    let ends = events.clone();
+    let recorded = parts.recorder.is_some();
     let node = Node::new(host.clone(), site, config.seed, clock, parts);
     let mut node = spawn_local(node.run(config.known, inputs));
     let (discovery, addresses) = watch::channel(config.discovery);
@@ -132,6 +145,11 @@
                     let what = if moved { "now" } else { "still" };
                     host.log(format_args!("configuration read again: discovery is {what} at {address}"));
                 }
+                // With no recorder there is nobody to tell.
+                Some(Control::Record(on)) if recorded => {
+                    let _ = ends.send(Input::Record(on)).await;
+                }
+                Some(Control::Record(_)) => {}
                 Some(Control::Stop) | None => break,
             },
             ended = &mut node => return Err(format!("the node ended: {ended:?}")),
@@ -150,5 +168,9 @@
     if timeout_at(kill, all_closed).await.is_err() {
         host.log(format_args!("{} client connections still open at the end", clients.count()));
     }
+    if recorded && ends.send(Input::End).await.is_ok() {
+        // It writes the record's last entry and is gone.
+        let _ = node.await;
+    }
     Ok(())
 }
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod scenario;
 pub mod sim;
 pub mod storm;
+pub mod tape;
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -26,6 +26,7 @@
 use crate::report::{Collector, Report};
 use crate::rules::Checker;
 use crate::scenario::Scenario;
+use crate::tape::{Recording, Tape, Tapes};
 
 /// The time of day at which every simulated world begins.
 const EPOCH: Duration = Duration::from_secs(1_700_000_000);
@@ -64,7 +65,16 @@
 
 /// Runs a plan to its end on the virtual clock. Everything that is seen, and the lines of all logs, go to `trace`.
 pub fn run(plan: &Plan, trace: Option<Trace>) -> Report {
-    chalksill_simnet::run(|| play(plan.clone(), trace))
+    chalksill_simnet::run(|| play(plan.clone(), trace, None))
+}
+
+/// As [`run`], with nodes that record; what they recorded comes along, in the order in which it was begun.
+pub fn run_recorded(plan: &Plan, trace: Option<Trace>, recording: Recording) -> (Report, Vec<Tape>) {
+    chalksill_simnet::run(|| async {
+        let tapes = Tapes::new(recording);
+        let report = play(plan.clone(), trace, Some(tapes.clone())).await;
+        (report, tapes.take())
+    })
 }
 
 struct NodeRun {
@@ -90,6 +100,7 @@
     lives: Cell<u64>,
     origin: BoxNo,
     mutant: Option<Mutant>,
+    tapes: Option<Tapes>,
 }
 
 fn node_ip(node: NodeNo) -> IpAddr {
@@ -114,7 +125,7 @@
     }
 }
 
-async fn play(plan: Plan, trace: Option<Trace>) -> Report {
+async fn play(plan: Plan, trace: Option<Trace>, tapes: Option<Tapes>) -> Report {
     let scenario = plan.scenario.clone();
     let links = &scenario.network;
     let ms =
@@ -178,6 +189,7 @@
         lives: Cell::new(0),
         origin,
         mutant: plan.mutant,
+        tapes,
     });
     for number in 0..origin {
         world.start_box(number, scenario.boxes.start_cold).await;
@@ -300,13 +312,21 @@
             Ok(config) => config,
             Err(e) => return host.log(format_args!("unreadable configuration: {e}")),
         };
+        let mut recorder = None;
+        if let Some(tapes) = &self.tapes {
+            let (made, line) = tapes.recorder(node, &config, host.unix_time().as_micros() as u64);
+            recorder = Some(made);
+            if let Some(line) = line {
+                host.log(format_args!("{line}"));
+            }
+        }
         let (control, told) = mpsc::channel(4);
         let local = LocalSet::new();
         let (runs, log) = (host.clone(), host.clone());
         let running = match self.mutant {
-            None => local.spawn_local(mothpier_node::run(runs, config, told)),
+            None => local.spawn_local(mothpier_node::run(runs, config, told, recorder)),
             Some(mutant) => {
-                local.spawn_local(mothpier_node::run(MutantHost::new(runs, mutant), config, told))
+                local.spawn_local(mothpier_node::run(MutantHost::new(runs, mutant), config, told, recorder))
             }
         };
         // The set lives as long as the node does; dropping it with its task ends all of the node's tasks.
