--- a/crates/record/src/recorder.rs
+++ b/crates/record/src/recorder.rs
@@ -36,7 +36,7 @@
         Figures {
             segment_mib: 16.0,
             most_mib: 1024.0,
-            hand_over_ms: 20.0,
+            hand_over_ms: 100.0,
             sync_ms: 1000.0,
             wait_mib: 4.0,
             again_ms: 1000.0,
@@ -219,7 +219,10 @@
         }
         if !on && let Some(mut open) = self.open.take() {
             open.writer.entry(now, &Body::End);
-            let _ = self.give(&mut open);
+            let events = open.events;
+            if self.give(&mut open).is_err() {
+                self.lose(events);
+            }
         }
         (self.on, self.not_before, self.missing) = (on, 0, 0);
         Some(if on { "recording".into() } else { format!("recording has stopped; {}", self.line()) })
