Record: one table of things met for keys and servers, one way to the store's lock

Need: keys and servers were told by their place through two copies of the same code, writing and reading, and the store took its lock in three places in the same words. Change: Met serves both, with the same limit and the same bytes; locked serves all three.

--- a/crates/record/src/entry.rs
+++ b/crates/record/src/entry.rs
@@ -6,6 +6,7 @@
 //! servers by their place among those met in the segment.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 
 use brassrouter::{
     Action, Condition, Event, Key, Legacy, ListKind, Load, Micros, Note, Outcome, Request, RequestId,
@@ -15,7 +16,7 @@
 use crate::wire::{Bad, Input, put, put_delta, put_figure};
 
 /// Keys, and servers, that a segment knows by their place; later ones are written out.
-const MOST_KEYS: usize = 1 << 16;
+const MOST_MET: usize = 1 << 16;
 
 /// An action as it is recorded: what is said to people and peers only by its checksum (CRC-32).
 #[derive(Debug, Clone, PartialEq)]
@@ -177,10 +178,44 @@
 pub(crate) struct Context {
     at: Micros,
     request: RequestId,
-    places: HashMap<Key, u32>,
-    keys: Vec<Key>,
-    server_places: HashMap<ServerId, u32>,
-    servers: Vec<ServerId>,
+    keys: Met<Key>,
+    servers: Met<ServerId>,
+}
+
+/// Things that are told in full when they are first met, and by their place from then on.
+#[derive(Default)]
+struct Met<T> {
+    places: HashMap<T, u32>,
+    all: Vec<T>,
+}
+
+impl<T: Copy + Eq + Hash> Met<T> {
+    fn put<const N: usize>(&mut self, out: &mut Vec<u8>, thing: T, bytes: [u8; N]) {
+        if let Some(place) = self.places.get(&thing) {
+            return put(out, u64::from(*place) + 1);
+        }
+        put(out, 0);
+        out.extend(bytes);
+        if self.places.len() < MOST_MET {
+            self.places.insert(thing, self.places.len() as u32);
+        }
+    }
+
+    fn read(&mut self, input: &mut Input, full: impl FnOnce(&mut Input) -> Result<T, Bad>) -> Result<T, Bad> {
+        let place = input.number()?;
+        if place > 0 {
+            return self
+                .all
+                .get(place as usize - 1)
+                .copied()
+                .ok_or("a key or a server that was not met before");
+        }
+        let thing = full(input)?;
+        if self.all.len() < MOST_MET {
+            self.all.push(thing);
+        }
+        Ok(thing)
+    }
 }
 
 impl Context {
@@ -201,25 +236,11 @@
     }
 
     fn key(&mut self, out: &mut Vec<u8>, key: Key) {
-        if let Some(place) = self.places.get(&key) {
-            return put(out, u64::from(*place) + 1);
-        }
-        put(out, 0);
-        out.extend(key.to_le_bytes());
-        if self.places.len() < MOST_KEYS {
-            self.places.insert(key, self.places.len() as u32);
-        }
+        self.keys.put(out, key, key.to_le_bytes());
     }
 
     fn server(&mut self, out: &mut Vec<u8>, server: ServerId) {
-        if let Some(place) = self.server_places.get(&server) {
-            return put(out, u64::from(*place) + 1);
-        }
-        put(out, 0);
-        out.extend(server.to_le_bytes());
-        if self.server_places.len() < MOST_KEYS {
-            self.server_places.insert(server, self.server_places.len() as u32);
-        }
+        self.servers.put(out, server, server.to_le_bytes());
     }
 
     /// Writes an entry that is no event.
@@ -437,27 +458,11 @@
     }
 
     fn read_key(&mut self, input: &mut Input) -> Result<Key, Bad> {
-        let place = input.number()?;
-        if place > 0 {
-            return self.keys.get(place as usize - 1).copied().ok_or("a key that was not met before");
-        }
-        let key = read_u64(input)?;
-        if self.keys.len() < MOST_KEYS {
-            self.keys.push(key);
-        }
-        Ok(key)
+        self.keys.read(input, read_u64)
     }
 
     fn read_server(&mut self, input: &mut Input) -> Result<ServerId, Bad> {
-        let place = input.number()?;
-        if place > 0 {
-            return self.servers.get(place as usize - 1).copied().ok_or("a server that was not met before");
-        }
-        let server = u32::from_le_bytes(input.word()?);
-        if self.servers.len() < MOST_KEYS {
-            self.servers.push(server);
-        }
-        Ok(server)
+        self.servers.read(input, |input| Ok(u32::from_le_bytes(input.word()?)))
     }
 
     fn read_event(&mut self, kind: u8, input: &mut Input) -> Result<(Event, Option<u32>), Bad> {
--- a/crates/record/src/store.rs
+++ b/crates/record/src/store.rs
@@ -8,7 +8,7 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -138,6 +138,11 @@
     dropped: u64,
 }
 
+/// What a thread that panicked left there is still whole: counts, and a line of text.
+fn locked(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The way to the thread that writes.
 pub struct Store {
     pieces: Option<SyncSender<Job>>,
@@ -165,8 +170,8 @@
         Ok(Store { pieces: Some(pieces), shared, most_waiting, thread: Some(thread), ended })
     }
 
-    fn shared(&self) -> std::sync::MutexGuard<'_, Shared> {
-        self.shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    fn shared(&self) -> MutexGuard<'_, Shared> {
+        locked(&self.shared)
     }
 }
 
@@ -282,7 +287,7 @@
                 Ok(job) => {
                     let (length, events) = (job.piece.bytes.len(), job.piece.events);
                     let done = self.write(&job);
-                    let mut shared = self.shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                    let mut shared = locked(&self.shared);
                     shared.waiting -= length;
                     shared.dropped += if done == Ok(true) { 0 } else { events };
                     done.map(drop)
@@ -295,7 +300,7 @@
             };
             if let Err(e) = done {
                 self.close();
-                self.shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner).trouble = Some(e);
+                locked(&self.shared).trouble = Some(e);
             }
         }
     }
