Weigh machine kinds by the pace of their answers, here and at peers

Cause: weights of kinds follow only load reports, of which this site has none; weigh_kinds in policy.rs left all at 1. In a small tier the load bound moves keys off slow servers; in one of 100 nodes it never can. Change: each node keeps the mean logarithm of its answers' times by kind (Pace, in the new estimate.rs, where the other estimators went) and tells it its peers in the entries of a message that it has anyhow. A kind's weight is how many times as fast as all it answers, as far as the number of answers lets believe. Where sizes or reports are told, as before.

--- a/crates/brassrouter/src/lib.rs
+++ b/crates/brassrouter/src/lib.rs
@@ -23,6 +23,7 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: 1, server: 7 | 9, .. })));
 //! ```
 
+mod estimate;
 pub mod interface;
 mod policy;
 pub mod settings;
@@ -33,7 +34,7 @@
 pub use policy::view::{ServerView, View};
 
 /// Changes whenever the layout of the saved state ([`Policy`] through serde) or of the types that it is told in does.
-pub const STATE: u32 = 1;
+pub const STATE: u32 = 2;
 
 /// Runs the example of the README as a test.
 #[cfg(doctest)]
--- a/crates/brassrouter/src/policy.rs
+++ b/crates/brassrouter/src/policy.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::estimate::{Heat, Pace, Rate, Ratio};
 use crate::interface::*;
 use crate::state::*;
 
@@ -482,6 +483,9 @@
             return self.learn_origin(flight, o, out);
         }
         self.cache_out -= 1;
+        if o.status == Status::Served {
+            self.kinds.entry(s.line.kind).or_default().pace.took(o.took);
+        }
         if let Some(busy) = o.load.figure(&self.settings.load_fields, LoadField::Busy) {
             self.kinds.entry(s.line.kind).or_default().busy.add(busy, 1.0);
         }
@@ -544,10 +548,21 @@
     /// Unequal servers: a kind of machine whose reports say that it is busier than the rest gets a smaller
     /// weight, slowly, for reports are late. Balancers see alike of a kind, so their orders stay alike.
     /// Harm: where a kind is busy for a cause that its load does not bring.
+    /// Where neither reports nor sizes tell them apart, by how fast each kind answers: at equal weights the
+    /// slow kind is jammed at little more than half of the fleet's capacity, and one of many balancers never
+    /// has enough in flight at a server for the load bound to move anything.
     fn weigh_kinds(&mut self) {
-        let mut all = Ratio::default();
+        let (mut all, mut pace) = (Ratio::default(), Pace::default());
         self.kinds.values().for_each(|k| all.add(k.busy.cases, k.busy.all));
         self.kinds.values_mut().for_each(|k| k.weigh(all.value(), KINDS));
+        if all.all == 0.0 && !self.settings.weights_are_sizes {
+            let paces =
+                self.kinds.iter().map(|(kind, k)| self.peers.pace(*kind, &k.pace)).collect::<Vec<_>>();
+            paces.iter().for_each(|p| pace.join(p));
+            for (k, here) in self.kinds.values_mut().zip(&paces) {
+                k.weight = here.against(&pace).clamp(KINDS.1, 1.0 / KINDS.1);
+            }
+        }
         self.sum_weights();
     }
 
@@ -645,6 +660,9 @@
                 (s.cold_level, s.used) = (self.rng.unit(), self.now);
             }
             let id = line.id;
+            if !s.origin {
+                self.kinds.entry(line.kind).or_default(); // Peers may tell of its pace first.
+            }
             s.line = line;
             self.close_drained(id, true, out);
         }
@@ -700,7 +718,9 @@
         };
         log_crossing(out, was, self.level, LEVEL.2, "shedding over quota has begun", "shedding has ended");
         self.strain.fade(FADE);
-        self.heat.fade(1.0 - period as f64 / (HEAT.1 * self.aim as f64));
+        let long = 1.0 - period as f64 / (HEAT.1 * self.aim as f64);
+        self.heat.fade(long);
+        self.kinds.values_mut().for_each(|k| k.pace.fade(long));
         self.admitted.roll(period);
         self.served.iter_mut().for_each(|s| s.roll(period));
         self.senders.iter_mut().for_each(|s| s.rate.roll(period));
@@ -720,7 +740,8 @@
     /// Connections that rest are kept: new ones cost time, work and a price. Under strain they are closed:
     /// what is sent on one may be lost unseen, and full tables take capacity and shut others out. Not so
     /// while new ones are not made in time, nor what one of many balancers needs but now and then: all would
-    /// open again what all had closed. Harm: under strain of another cause many requests pay for a connection.
+    /// open again what all had closed. Harm: under strain of another cause many requests pay for a
+    /// connection.
     fn close_rested(&mut self, strain: f64, out: &mut Vec<Action>) {
         if strain.max(self.lost.value()) > STRAIN.0 && self.slow_connects.value() < REST.1 {
             let usual = self.ready(false).count() as f64 * 1e6 / self.admitted.per_s.max(0.01);
@@ -738,7 +759,7 @@
 
     /// Tells the next few peers of the traffic and the strain here.
     fn tell(&mut self, out: &mut Vec<Action>) {
-        let bytes = Peers::message(&self.strain, &self.senders, &self.servers);
+        let bytes = Peers::message(&self.strain, &self.senders, &self.kinds, &self.servers);
         let next = Peers::next(&mut self.last_told, self.settings.me, self.settings.balancers, TELL.2);
         out.extend(next.into_iter().map(|to| Action::Tell { to: Some(to), bytes: bytes.clone() }));
     }
--- a/crates/brassrouter/src/state.rs
+++ b/crates/brassrouter/src/state.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::estimate::{Pace, Rate, Ratio};
 use crate::interface::{Action, Key, Legacy, Micros, RequestId, ServerId, ServerLine, Settings};
 
 /// Why an attempt is out.
@@ -173,8 +174,8 @@
     }
 }
 
-/// Keyed writes that may have run, by key: when the earliest attempt was sent. A repeat later than its window would
-/// run again.
+/// Keyed writes that may have run, by key: when the earliest attempt was sent. A repeat later than its
+/// window would run again.
 #[derive(Default, Serialize, Deserialize)]
 pub struct Writes(BTreeMap<Key, Micros>);
 
@@ -182,7 +183,8 @@
     /// So many are remembered at most; of more, the repeats are as unknown as those of another balancer.
     const MOST: usize = 4096;
 
-    /// One is sent, of a class with a window: a first try stands for a new write, a repeat for the one that is known.
+    /// One is sent, of a class with a window: a first try stands for a new write, a repeat for the one that
+    /// is known.
     pub fn sent(&mut self, key: Key, window: Option<Micros>, now: Micros, repeat: bool) {
         if window.is_some() && !(repeat && self.0.contains_key(&key)) && self.0.len() < Self::MOST {
             self.0.insert(key, now);
@@ -215,16 +217,18 @@
     }
 }
 
-/// What is known of a machine kind: the factor on its weight, and how busy its load reports say it is.
+/// What is known of a machine kind: the factor on its weight, how busy its load reports say it is, and how
+/// fast it answers.
 #[derive(Serialize, Deserialize)]
 pub struct Kind {
     pub weight: f64,
     pub busy: Ratio,
+    pub pace: Pace,
 }
 
 impl Kind {
-    /// Moves the weight by a step for how much less busy than the rest its reports say that it is; the step, the
-    /// least weight, and what is kept of the reports.
+    /// Moves the weight by a step for how much less busy than the rest its reports say that it is; the step,
+    /// the least weight, and what is kept of the reports.
     pub fn weigh(&mut self, rest: f64, (step, least, keep): (f64, f64, f64)) {
         if self.busy.all >= 1.0 {
             self.weight = (self.weight * (1.0 + step * (rest - self.busy.value()))).clamp(least, 1.0 / least);
@@ -235,81 +239,7 @@
 
 impl Default for Kind {
     fn default() -> Self {
-        Kind { weight: 1.0, busy: Ratio::default() }
-    }
-}
-
-/// How often each key was asked for here of late; fades.
-#[derive(Default, Serialize, Deserialize)]
-pub struct Heat {
-    counts: BTreeMap<Key, f64>,
-    all: f64,
-}
-
-impl Heat {
-    /// Counts a request for a key and gives the key's part of those before it.
-    pub fn seen(&mut self, key: Key) -> f64 {
-        let count = self.counts.entry(key).or_default();
-        let share = *count / self.all.max(1.0);
-        *count += 1.0;
-        self.all += 1.0;
-        share
-    }
-
-    /// Lets the past count for less and forgets what is long past.
-    pub fn fade(&mut self, keep: f64) {
-        self.all *= keep;
-        self.counts.retain(|_, count| {
-            *count *= keep;
-            *count > 0.1
-        });
-    }
-}
-
-/// How many cases among all of late; both fade.
-#[derive(Default, Clone, Copy, Serialize, Deserialize)]
-pub struct Ratio {
-    pub cases: f64,
-    pub all: f64,
-}
-
-impl Ratio {
-    /// Counts cases, and among how many.
-    pub fn add(&mut self, cases: f64, all: f64) {
-        self.cases += cases;
-        self.all += all;
-    }
-
-    /// The cases as a part of all.
-    pub fn value(&self) -> f64 {
-        self.cases / self.all.max(1.0)
-    }
-
-    /// Lets the past count for less.
-    pub fn fade(&mut self, keep: f64) {
-        self.cases *= keep;
-        self.all *= keep;
-    }
-}
-
-/// Events a second, smoothed over about a second.
-#[derive(Default, Clone, Serialize, Deserialize)]
-pub struct Rate {
-    counted: f64,
-    pub per_s: f64,
-}
-
-impl Rate {
-    /// Counts an event.
-    pub fn count(&mut self) {
-        self.counted += 1.0;
-    }
-
-    /// Takes what was counted in a period into the rate.
-    pub fn roll(&mut self, period: Micros) {
-        let seconds = period as f64 / 1e6;
-        self.per_s += (self.counted / seconds - self.per_s) * seconds.min(1.0);
-        self.counted = 0.0;
+        Kind { weight: 1.0, busy: Ratio::default(), pace: Pace::default() }
     }
 }
 
@@ -333,8 +263,9 @@
         self.0 - now
     }
 
-    /// A time to stay away until round the next place. Where the line is longer than clients wait, anywhere in the
-    /// later half of that, for all at its end would come in step; what was promised beyond that is void.
+    /// A time to stay away until round the next place. Where the line is longer than clients wait, anywhere
+    /// in the later half of that, for all at its end would come in step; what was promised beyond that is
+    /// void.
     pub fn advise(
         &mut self,
         now: Micros,
@@ -351,12 +282,14 @@
     }
 }
 
-/// What a balancer tells of itself: what each tenant sends there a second, and its signs of overload.
+/// What a balancer tells of itself: what each tenant sends there a second, its signs of overload, of trouble
+/// at servers, and the usual time of an answer by kind.
 #[derive(Default, Serialize, Deserialize)]
 pub struct Figures {
     pub rates: Vec<f64>,
     pub strain: Ratio,
     pub signs: Vec<(ServerId, f64)>,
+    pub paces: Vec<(u16, f64)>,
 }
 
 /// When each peer was last heard, and what it told.
@@ -364,22 +297,36 @@
 pub struct Peers(BTreeMap<u32, (Micros, Figures)>);
 
 impl Peers {
+    /// In a message what stands for a server from here on is a kind: its number, and the usual time of its
+    /// answers.
+    const KINDS: ServerId = ServerId::MAX - u16::MAX as ServerId;
+
     /// A message of at most 256 bytes in half-width floats: two figures of strain, a rate for each tenant (up
-    /// to 64), then servers with signs of trouble, 6 bytes each, the most troubled first.
-    pub fn message(strain: &Ratio, senders: &[Sender], servers: &BTreeMap<ServerId, Server>) -> Vec<u8> {
+    /// to 64), then up to 4 kinds and 16 servers with signs of trouble, 6 bytes each, the most troubled
+    /// first.
+    pub fn message(
+        strain: &Ratio,
+        senders: &[Sender],
+        kinds: &BTreeMap<u16, Kind>,
+        servers: &BTreeMap<ServerId, Server>,
+    ) -> Vec<u8> {
         let half = |f: f64| (((f as f32).to_bits() >> 16) as u16).to_le_bytes();
         let rates = senders.iter().take(64).map(|s| s.rate.per_s);
         let mut bytes: Vec<u8> = [strain.cases, strain.all].into_iter().chain(rates).flat_map(half).collect();
         let mut troubled: Vec<_> = servers.iter().filter(|(_, s)| s.signs.cases >= 0.25).collect();
         troubled.sort_by(|a, b| b.1.signs.cases.total_cmp(&a.1.signs.cases));
-        for (id, s) in troubled.into_iter().take(16) {
+        let paces =
+            kinds.iter().filter_map(|(kind, k)| Some((Self::KINDS + u32::from(*kind), k.pace.usual()?)));
+        let signs = troubled.into_iter().take(16).map(|(id, s)| (*id, s.signs.cases));
+        for (id, figure) in paces.take(4).chain(signs) {
             bytes.extend(id.to_le_bytes());
-            bytes.extend(half(s.signs.cases));
+            bytes.extend(half(figure));
         }
         bytes
     }
 
-    /// The peers whose turn it is to be told, at most so many; `last` is how far beyond `me` the turn has come.
+    /// The peers whose turn it is to be told, at most so many; `last` is how far beyond `me` the turn has
+    /// come.
     pub fn next(last: &mut u32, me: u32, balancers: u32, most: u32) -> Vec<u32> {
         let others = balancers.saturating_sub(1);
         let mut next = || {
@@ -398,8 +345,10 @@
         let mut next = || figures.next().unwrap_or(0.0);
         let strain = Ratio { cases: next(), all: next() };
         let server = |c: &[u8]| (ServerId::from_le_bytes([c[0], c[1], c[2], c[3]]), figure(&c[4..]));
-        let signs = servers.chunks_exact(6).map(server).collect();
-        self.0.insert(from, (now, Figures { rates: figures.collect(), strain, signs }));
+        let (kinds, signs): (Vec<_>, Vec<_>) =
+            servers.chunks_exact(6).map(server).partition(|(id, _)| *id >= Self::KINDS);
+        let paces = kinds.into_iter().map(|(id, usual)| ((id - Self::KINDS) as u16, usual)).collect();
+        self.0.insert(from, (now, Figures { rates: figures.collect(), strain, signs, paces }));
     }
 
     /// The signs of trouble that the peers heard lately saw at each server.
@@ -411,8 +360,16 @@
         sums
     }
 
-    /// What a tenant sends to all balancers: peers that tell of their traffic show the whole of it, those of them
-    /// heard standing for the rest; without them all are taken as alike.
+    /// The pace of a kind's answers here and at the peers heard lately.
+    pub fn pace(&self, kind: u16, here: &Pace) -> Pace {
+        let mut pace = *here;
+        let told = self.0.values().flat_map(|(_, f)| &f.paces).filter(|(of, _)| *of == kind);
+        told.for_each(|(_, usual)| pace.hear(*usual));
+        pace
+    }
+
+    /// What a tenant sends to all balancers: peers that tell of their traffic show the whole of it, those of
+    /// them heard standing for the rest; without them all are taken as alike.
     pub fn whole(&self, tenant: usize, here: f64, balancers: u32, heard_at_most: u32) -> f64 {
         let others = balancers.max(2) - 1;
         let unheard = f64::from(others) / f64::from(others.min(heard_at_most));
--- a/crates/brassrouter/tests/policy.rs
+++ b/crates/brassrouter/tests/policy.rs
@@ -881,6 +881,69 @@
     assert!(share(0.9) < 150, "{} of 500 at the busier half", share(0.9));
 }
 
+/// The part of requests that go to the faster half of eight servers, of a kind that answers in 60 ms, not 120, of a node
+/// that asks every so often and is told of the kinds' paces by as many peers.
+fn share_of_the_faster(every: Micros, peers: u32, config: Settings) -> f64 {
+    let mut node = Node::new(Settings { balancers: 100, may_tell_peers: true, ..config }, 0);
+    let kinds = (1..=8).map(|id| ServerLine { kind: 2 + (id % 2) as u16, ..server(id) });
+    node.list(ListKind::Full, kinds.chain([origin()]).collect());
+    let (mut faster, mut all) = (0.0, 0.0);
+    let requests = 10 * SECOND / every;
+    for id in 1..=requests {
+        node.pass(every);
+        for from in 1..=peers {
+            let mut bytes = figures(&[0.0, 8.0]);
+            for (kind, usual) in [(3u32, 60_000.0), (2, 120_000.0)] {
+                bytes.extend((0xffff_0000 + kind).to_le_bytes());
+                bytes.extend(figures(&[usual]));
+            }
+            node.event(Event::PeerMessage { from, bytes });
+        }
+        let to = sent_to(&node.request(read(id, id))).unwrap();
+        let (status, note, load) = (Status::Served, Note::None, Load::default());
+        // Spread as answers are: a third of the usual time, that, and three times as long.
+        let took = (if to % 2 == 1 { 60 * MS } else { 120 * MS }) * 3u64.pow((id % 3) as u32) / 3;
+        let o = Outcome { request: id, attempt: 0, server: to, status, over: true, note, took, load };
+        node.event(Event::Outcome(o));
+        if id > requests / 2 {
+            (faster, all) = (faster + f64::from(to % 2), all + 1.0);
+        }
+    }
+    faster / all
+}
+
+#[test]
+fn a_kind_that_answers_faster_gets_more_and_peers_tell_which_it_is() {
+    // 100 nodes before 60 servers, none of which reports anything: at equal weights the slow kind, 0.6 times as fast, was
+    // jammed from 0.8 of the fleet's capacity on, while no node ever had enough in flight there to pass it over.
+    let busy = share_of_the_faster(10 * MS, 0, settings());
+    assert!((0.62..0.72).contains(&busy), "a node that sees enough knows by itself: {busy}");
+    let told = share_of_the_faster(20 * MS, 20, Settings { tenants: Vec::new(), ..settings() });
+    assert!((0.62..0.72).contains(&told), "and so does one that is told: {told}");
+    let sized = share_of_the_faster(10 * MS, 0, Settings { weights_are_sizes: true, ..settings() });
+    assert!((0.45..0.55).contains(&sized), "sizes that are told tell of the pace, too: {sized}");
+}
+
+#[test]
+fn one_of_many_balancers_tells_its_peers_how_fast_each_kind_answers() {
+    let config = Settings { balancers: 2, may_tell_peers: true, ..settings() };
+    let mut node = Node::new(config, 4);
+    for id in 1..=40u64 {
+        node.pass(20 * MS);
+        let to = sent_to(&node.request(read(id, id))).unwrap();
+        node.outcome(id, 0, to, Status::Served);
+    }
+    let told = |a: &Action| match a {
+        Action::Tell { bytes, .. } => Some(bytes.clone()),
+        _ => None,
+    };
+    let bytes = node.pass(2 * SECOND).iter().find_map(told).expect("peers are told");
+    // Two figures of strain, and then the one kind: answers here took a millisecond.
+    let mut wanted = 0xffff_0000u32.to_le_bytes().to_vec();
+    wanted.extend(figures(&[1000.0]));
+    assert_eq!(bytes[bytes.len() - 6..], wanted);
+}
+
 #[test]
 fn a_hot_key_is_split_over_servers_and_a_cold_one_is_not() {
     // Full size: a balancer that sees one request a second never has two of a key in flight, so that the load
