Count lists, failed calls, messages and connects in the log's line of five seconds

Need: what a fleet does to discovery, to its peers and to servers' connections could be counted with a patched build only. Origin calls against the caps are not told yet.

--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -1,6 +1,7 @@
 //! What the node did in the last few seconds, as one line of the log: the first thing that on-call staff look at.
 
 use std::fmt;
+use std::time::Duration;
 
 use brassrouter::{Micros, Status};
 
@@ -52,6 +53,15 @@
     pub failed: u32,
     cache: Calls,
     origin: Calls,
+    /// Lists and changes of the list that discovery gave, and calls to it that failed.
+    pub lists: u32,
+    pub list_failures: u32,
+    /// Messages to peers, and of peers.
+    pub told: u32,
+    pub heard: u32,
+    /// Connections to cache servers that were begun, and those of them that were refused.
+    pub connects: u32,
+    pub refused_connects: u32,
 }
 
 impl Counters {
@@ -61,12 +71,27 @@
         calls.ended(status, took);
     }
 
-    /// The line since the last one, if anything happened at all.
-    pub fn line(&mut self, open: usize) -> Option<String> {
+    /// The line since the last one, if anything happened at all; `list_age` is the time since discovery last answered.
+    pub fn line(&mut self, open: usize, list_age: Option<Duration>) -> Option<String> {
         let c = std::mem::take(self);
+        let age =
+            list_age.map_or("none yet".into(), |age| format!("the last {:.1} s ago", age.as_secs_f64()));
         let line = format!(
-            "{} asked, {} served, {} refused ({} untried), {} failed, {open} open; cache:{}; origin:{}",
-            c.asked, c.served, c.refused, c.untried, c.failed, c.cache, c.origin
+            "{} asked, {} served, {} refused ({} untried), {} failed, {open} open; cache:{}; origin:{}; \
+             lists: {}, {age}, {} calls failed; peers: {} told, {} heard; connects: {}, {} refused",
+            c.asked,
+            c.served,
+            c.refused,
+            c.untried,
+            c.failed,
+            c.cache,
+            c.origin,
+            c.lists,
+            c.list_failures,
+            c.told,
+            c.heard,
+            c.connects,
+            c.refused_connects
         );
         (c.asked > 0 || open > 0).then_some(line)
     }
@@ -82,13 +107,18 @@
         counters.ended(false, Status::Served, 2_000);
         counters.ended(false, Status::Served, 4_000);
         counters.ended(true, Status::Full, 500);
+        (counters.lists, counters.list_failures, counters.told, counters.heard) = (1, 2, 16, 15);
+        (counters.connects, counters.refused_connects) = (9, 4);
         assert_eq!(
-            counters.line(0).as_deref(),
+            counters.line(0, Some(Duration::from_millis(2_140))).as_deref(),
             Some(
                 "3 asked, 2 served, 1 refused (1 untried), 0 failed, 0 open; cache: 2 served (3.0 ms); \
-                 origin: 1 full (0.5 ms)"
+                 origin: 1 full (0.5 ms); lists: 1, the last 2.1 s ago, 2 calls failed; \
+                 peers: 16 told, 15 heard; connects: 9, 4 refused"
             )
         );
-        assert_eq!(counters.line(0), None);
+        assert_eq!(counters.line(0, None), None);
+        let line = Counters { asked: 1, ..Counters::default() }.line(0, None).unwrap_or_default();
+        assert!(line.contains("lists: 0, none yet, 0 calls failed"), "{line}");
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -111,6 +111,8 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     counters: Counters,
+    /// When discovery last answered.
+    listed: Option<Instant>,
 }
 
 impl<H: Host> Node<H> {
@@ -130,6 +132,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             counters: Counters::default(),
+            listed: None,
         }
     }
 
@@ -170,7 +173,9 @@
                 Some(Reverse((_, Due::Timer(token)))) => self.events.push_back(Event::Timer(token)),
                 Some(Reverse((_, Due::GiveUp(id)))) => self.give_up(id, Status::TimedOut),
                 Some(Reverse((_, Due::Report))) => {
-                    if let Some(line) = self.counters.line(self.open.len()) {
+                    (self.counters.connects, self.counters.refused_connects) = self.parts.servers.connects();
+                    let age = self.listed.map(|at| at.elapsed());
+                    if let Some(line) = self.counters.line(self.open.len(), age) {
                         self.host.log(format_args!("{line}"));
                     }
                     self.wake(REPORT, Due::Report);
@@ -262,10 +267,13 @@
             }
             Input::Discovery(Heard::List(list)) => {
                 self.parts.ready.set(true);
+                self.counters.lists += 1;
+                self.listed = Some(Instant::now());
                 let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
                 self.list(list, kind);
             }
             Input::Discovery(Heard::Failed) => {
+                self.counters.list_failures += 1;
                 // Only one that asks is told so; what is pushed goes on by itself.
                 if self.site.decisions.ask_discovery {
                     self.parts.wanted.send_modify(|w| w.watch = false);
@@ -273,6 +281,7 @@
                 }
             }
             Input::Peer { from, mut bytes } => {
+                self.counters.heard += 1;
                 if let Some(weather) = &mut self.parts.weather {
                     bytes = weather.told(self.clock.now(), from, bytes);
                 }
@@ -347,6 +356,7 @@
                     bytes = weather.tell(bytes);
                 }
                 if let Some(peers) = &self.parts.peers {
+                    self.counters.told += 1;
                     peers.tell(to, &bytes);
                 }
             }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -178,11 +178,22 @@
     /// Connections to all servers, and how many servers take new requests: asked with every attempt.
     all: Rc<Cell<usize>>,
     ready: usize,
+    /// Connections begun since this was last asked for, and those that were refused.
+    connects: (u32, u32),
 }
 
 impl<H: Host> Servers<H> {
     pub fn new(host: H, limits: Limits, events: mpsc::Sender<Input>) -> Self {
-        Servers { host, pools: BTreeMap::new(), limits, events, numbers: 0, all: Rc::default(), ready: 0 }
+        Servers {
+            host,
+            pools: BTreeMap::new(),
+            limits,
+            events,
+            numbers: 0,
+            all: Rc::default(),
+            ready: 0,
+            connects: (0, 0),
+        }
     }
 
     /// Takes a line of the list. Returns the attempts that were not begun to be written to a server that now
@@ -215,6 +226,11 @@
         unsent
     }
 
+    /// How many connections were begun since the last call, and how many were refused.
+    pub fn connects(&mut self) -> (u32, u32) {
+        std::mem::take(&mut self.connects)
+    }
+
     /// How many are kept.
     #[cfg(test)]
     pub fn len(&self) -> usize {
@@ -259,6 +275,7 @@
             pool.address.filter(|_| moving < part && may_open && self.all.get() < self.limits.descriptors)
         {
             self.numbers += 1;
+            self.connects.0 = self.connects.0.saturating_add(1);
             self.all.set(self.all.get() + 1);
             pool.open(
                 &self.host,
@@ -291,6 +308,7 @@
             }
             Event::Spoilt(attempt) => ended.push((attempt, Ended::Spoilt)),
             Event::Down { refused, written, unwritten } => {
+                self.connects.1 = self.connects.1.saturating_add(u32::from(refused));
                 ended.extend(written.into_iter().map(|id| (id, Ended::Reset)));
                 ended.extend(unwritten.into_iter().map(|id| (id, Ended::NotConnected)));
                 if let Some(pool) = self.pools.get_mut(&server) {
@@ -536,6 +554,8 @@
                     assert!(servers.send(7, Command { attempt, bytes, probe: true }));
                 }
                 assert_eq!(servers.pools[&7].connections.len(), connections);
+                assert_eq!(servers.connects(), (connections as u32, 0));
+                assert_eq!(servers.connects(), (0, 0), "told once");
             }
         });
     }
