--- a/crates/brassrouter/tests/common/mod.rs
+++ b/crates/brassrouter/tests/common/mod.rs
@@ -91,11 +91,21 @@
         attempt: u16,
         server: ServerId,
         status: Status,
+    ) -> Vec<Action> {
+        self.outcome_after(request, attempt, server, status, MS)
+    }
+
+    pub fn outcome_after(
+        &mut self,
+        request: RequestId,
+        attempt: u16,
+        server: ServerId,
+        status: Status,
+        took: Micros,
     ) -> Vec<Action> {
         let over = status == Status::Served;
         let (note, load) = (Note::None, Load::default());
-        let outcome = Outcome { request, attempt, server, status, over, note, took: MS, load };
-        self.event(Event::Outcome(outcome))
+        self.event(Event::Outcome(Outcome { request, attempt, server, status, over, note, took, load }))
     }
 
     /// Lets time pass, with the timers that come due, and returns what the policy answered meanwhile.
--- a/crates/brassrouter/tests/policy.rs
+++ b/crates/brassrouter/tests/policy.rs
@@ -377,18 +377,7 @@
             node.pass(20 * MS);
             let Some(to) = sent_to(&node.request(read(id, id))) else { continue };
             let status = if id % 3 == 0 { status } else { Status::Served };
-            let over = status == Status::Served;
-            let (note, load) = (Note::None, Load::default());
-            let next = node.event(Event::Outcome(Outcome {
-                request: id,
-                attempt: 0,
-                server: to,
-                status,
-                over,
-                note,
-                took,
-                load,
-            }));
+            let next = node.outcome_after(id, 0, to, status, took);
             if let Some(next) = sent_to(&next) {
                 node.outcome(id, 1, next, Status::Served);
             }
@@ -929,11 +918,9 @@
             node.event(Event::PeerMessage { from, bytes });
         }
         let to = sent_to(&node.request(read(id, id))).unwrap();
-        let (status, note, load) = (Status::Served, Note::None, Load::default());
         // Spread as answers are: a third of the usual time, that, and three times as long.
         let took = (if to % 2 == 1 { 60 * MS } else { 120 * MS }) * 3u64.pow((id % 3) as u32) / 3;
-        let o = Outcome { request: id, attempt: 0, server: to, status, over: true, note, took, load };
-        node.event(Event::Outcome(o));
+        node.outcome_after(id, 0, to, Status::Served, took);
         if id > requests / 2 {
             (faster, all) = (faster + f64::from(to % 2), all + 1.0);
         }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -5,6 +5,8 @@
 
 use brassrouter::{Micros, Status};
 
+use crate::servers::Connects;
+
 /// How calls of one kind ended since the last line: how many with each status, and how long those took in all.
 #[derive(Default)]
 struct Calls([(u32, Micros); STATUSES.len()]);
@@ -59,9 +61,7 @@
     /// Messages to peers, and of peers.
     pub told: u32,
     pub heard: u32,
-    /// Connections to cache servers that were begun, and those of them that were refused.
-    pub connects: u32,
-    pub refused_connects: u32,
+    pub connects: Connects,
 }
 
 impl Counters {
@@ -90,8 +90,8 @@
             c.list_failures,
             c.told,
             c.heard,
-            c.connects,
-            c.refused_connects
+            c.connects.begun,
+            c.connects.refused
         );
         (c.asked > 0 || open > 0).then_some(line)
     }
@@ -108,7 +108,7 @@
         counters.ended(false, Status::Served, 4_000);
         counters.ended(true, Status::Full, 500);
         (counters.lists, counters.list_failures, counters.told, counters.heard) = (1, 2, 16, 15);
-        (counters.connects, counters.refused_connects) = (9, 4);
+        counters.connects = Connects { begun: 9, refused: 4 };
         assert_eq!(
             counters.line(0, Some(Duration::from_millis(2_140))).as_deref(),
             Some(
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -173,7 +173,7 @@
                 Some(Reverse((_, Due::Timer(token)))) => self.events.push_back(Event::Timer(token)),
                 Some(Reverse((_, Due::GiveUp(id)))) => self.give_up(id, Status::TimedOut),
                 Some(Reverse((_, Due::Report))) => {
-                    (self.counters.connects, self.counters.refused_connects) = self.parts.servers.connects();
+                    self.counters.connects = self.parts.servers.connects();
                     let age = self.listed.map(|at| at.elapsed());
                     if let Some(line) = self.counters.line(self.open.len(), age) {
                         self.host.log(format_args!("{line}"));
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -168,6 +168,14 @@
     alone_until: Instant,
 }
 
+/// How many connections to cache servers were made of late.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Connects {
+    pub begun: u32,
+    /// Of these, the ones that were refused.
+    pub refused: u32,
+}
+
 /// All connections to cache servers.
 pub struct Servers<H> {
     host: H,
@@ -178,8 +186,7 @@
     /// Connections to all servers, and how many servers take new requests: asked with every attempt.
     all: Rc<Cell<usize>>,
     ready: usize,
-    /// Connections begun since this was last asked for, and those that were refused.
-    connects: (u32, u32),
+    connects: Connects,
 }
 
 impl<H: Host> Servers<H> {
@@ -192,7 +199,7 @@
             numbers: 0,
             all: Rc::default(),
             ready: 0,
-            connects: (0, 0),
+            connects: Connects::default(),
         }
     }
 
@@ -226,8 +233,8 @@
         unsent
     }
 
-    /// How many connections were begun since the last call, and how many were refused.
-    pub fn connects(&mut self) -> (u32, u32) {
+    /// The connects since the last call.
+    pub fn connects(&mut self) -> Connects {
         std::mem::take(&mut self.connects)
     }
 
@@ -275,7 +282,7 @@
             pool.address.filter(|_| moving < part && may_open && self.all.get() < self.limits.descriptors)
         {
             self.numbers += 1;
-            self.connects.0 = self.connects.0.saturating_add(1);
+            self.connects.begun = self.connects.begun.saturating_add(1);
             self.all.set(self.all.get() + 1);
             pool.open(
                 &self.host,
@@ -308,7 +315,7 @@
             }
             Event::Spoilt(attempt) => ended.push((attempt, Ended::Spoilt)),
             Event::Down { refused, written, unwritten } => {
-                self.connects.1 = self.connects.1.saturating_add(u32::from(refused));
+                self.connects.refused = self.connects.refused.saturating_add(u32::from(refused));
                 ended.extend(written.into_iter().map(|id| (id, Ended::Reset)));
                 ended.extend(unwritten.into_iter().map(|id| (id, Ended::NotConnected)));
                 if let Some(pool) = self.pools.get_mut(&server) {
@@ -554,8 +561,8 @@
                     assert!(servers.send(7, Command { attempt, bytes, probe: true }));
                 }
                 assert_eq!(servers.pools[&7].connections.len(), connections);
-                assert_eq!(servers.connects(), (connections as u32, 0));
-                assert_eq!(servers.connects(), (0, 0), "told once");
+                assert_eq!(servers.connects(), Connects { begun: connections as u32, refused: 0 });
+                assert_eq!(servers.connects(), Connects::default(), "told once");
             }
         });
     }
