--- a/crates/brassrouter/src/policy/view.rs
+++ b/crates/brassrouter/src/policy/view.rs
@@ -84,6 +84,16 @@
         if all > 0.0 { (now / all).min(1.0) } else { 0.0 }
     }
 
+    /// How many cache servers the list has, and how many of them it avoids now: those that drain, and those in trouble
+    /// that keep less than half of their keys.
+    pub fn avoided(&self) -> (usize, usize) {
+        let listed = self.servers.values().filter(|s| !s.origin && s.line.condition != Condition::Gone);
+        listed.fold((0, 0), |(known, avoided), s| {
+            let avoids = s.line.condition != Condition::Ready || s.part < PART.2;
+            (known + 1, avoided + usize::from(avoids))
+        })
+    }
+
     /// What it would leave behind if it ended now: what a next life should count.
     pub fn legacy(&self) -> Legacy {
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
--- a/crates/mothpier/src/main.rs
+++ b/crates/mothpier/src/main.rs
@@ -1,12 +1,15 @@
 //! `mothpier`, a load-balancing node for a fleet of cache servers: environment, runtime and signals.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use brassrouter::Settings;
 use mothpier_host::{Host, Machine};
 use mothpier_node::config::{self, Config, Environment, Precedence};
 use mothpier_node::keys::Keys;
-use mothpier_node::{Control, operator, run};
+use mothpier_node::{Control, operator, ops, run};
+use mothpier_ops::Desk;
 use mothpier_record::Recorder;
 use mothpier_record::recover::{Found, Unseen, recover};
 use mothpier_record::store::{self, Folder, Store};
@@ -44,6 +47,7 @@
         name: env("ROUTER_NAME"),
         listen: env("ROUTER_LISTEN"),
         discovery: env("ROUTER_DISCOVERY"),
+        ops: env("ROUTER_OPS"),
     };
     let mut config = config::read(&text, told, precedence).map_err(|e| format!("unreadable {path}: {e}"))?;
     if let Some(path) = env("ROUTER_OPERATOR") {
@@ -94,6 +98,37 @@
     }
 }
 
+/// Opens the second address on a thread of its own: staff are owed an answer in a second also when the node's own thread
+/// has more to do than it can.
+fn staff(
+    address: SocketAddr,
+    desk: Arc<Desk>,
+    control: mpsc::Sender<Control>,
+    descriptors: usize,
+) -> Result<(), String> {
+    let (bound, is_bound) = std::sync::mpsc::channel();
+    let serves = move || {
+        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(e) => return bound.send(Err(e)).unwrap_or_default(),
+        };
+        LocalSet::new().block_on(&runtime, async {
+            match HOST.listen(address).await {
+                Ok(listener) => {
+                    let _ = bound.send(listener.local_addr());
+                    ops::serve(HOST, listener, desk, control, descriptors).await;
+                }
+                Err(e) => bound.send(Err(e)).unwrap_or_default(),
+            }
+        });
+    };
+    let thread = std::thread::Builder::new().name("ops".into()).spawn(serves);
+    let bound = thread.and_then(|_| is_bound.recv().map_err(std::io::Error::other)?);
+    let address = bound.map_err(|e| format!("cannot listen on {address} for staff: {e}"))?;
+    HOST.log(format_args!("staff are answered on {address}"));
+    Ok(())
+}
+
 /// Runs the node and passes signals on to it.
 async fn serve(config: Config) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
@@ -101,8 +136,13 @@
     // Taken from the start on: unhandled, this signal would end the node.
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let (control, told) = mpsc::channel(8);
+    config.notes.iter().for_each(|note| HOST.log(format_args!("{note}")));
+    let desk = Desk::new(&config.site.classes);
+    if let Some(address) = config.ops {
+        staff(address, desk.clone(), control.clone(), config.sockets)?;
+    }
     let recorder = recorder(&config);
-    let mut node = std::pin::pin!(run(HOST, config, told, recorder));
+    let mut node = std::pin::pin!(run(HOST, config, desk, told, recorder));
     loop {
         let tell = tokio::select! {
             ended = &mut node => return ended,
--- /dev/null
+++ b/crates/mothpier/tests/staff.rs
@@ -0,0 +1,215 @@
+//! The second address of a node as a process: figures against an account of what was asked, drain, callers that hang.
+#![allow(missing_docs)]
+
+mod world;
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
+
+use world::*;
+
+/// A node with a second address.
+fn staffed(name: &str, discovery: &Discovery) -> Node {
+    let node = Node::run(staffed_command(name, discovery, "127.0.0.1:0"), discovery);
+    // It has asked for the list's next version, and may not have taken in this one yet.
+    node.ready();
+    node
+}
+
+fn staffed_command(name: &str, discovery: &Discovery, ops: &str) -> std::process::Command {
+    let mut command = node_command(name, discovery.address, 1024, "");
+    command.env("ROUTER_OPS", ops);
+    command
+}
+
+#[test]
+fn every_way_a_request_ends_is_counted_once() {
+    let (arrived, commands) = channel();
+    let arrived = Mutex::new(arrived);
+    // By their keys: served, failing, silent, and missing at the server with an origin that is busy.
+    let server = serve(command, move |asked| {
+        let _ = arrived.lock().unwrap().send(asked[1].clone());
+        match asked[1].as_str() {
+            "fails" => Reaction::Answer(b"-ERR failed\r\n".to_vec()),
+            "silent" => Reaction::Silence,
+            "missing" => miss(),
+            _ => array("value"),
+        }
+    });
+    let origin = serve(call, |asked| match asked[0].starts_with("PUT /reset") {
+        true => Reaction::Reset,
+        false => Reaction::Answer(b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_vec()),
+    });
+    let members = [member("s-1", server, "m", "ready"), member("o-1", origin, "origin", "ready")].join(",");
+    let node = staffed("ends", &Discovery::start(&members));
+    for class in ["read", "once", "brief"] {
+        for end in ["served", "refused", "failed"] {
+            let name = format!("edge_router_{end}_total{{class=\"{class}\"}}");
+            assert_eq!(node.figure(&name), Some(0), "{name} at the start");
+        }
+    }
+    node.figure_becomes("edge_router_cache_servers_known", 1);
+    assert_eq!(node.figure("edge_router_cache_servers_excluded"), Some(0));
+    let mut client = node.client();
+    let mut account = [0u64; 3];
+    let mut ask = |key: &str, id: &str, extras: &str, write: bool| {
+        let mut words = vec![if write { "CACHE.SET" } else { "CACHE.GET" }, key, id, extras];
+        words.extend(write.then_some("v"));
+        let answer = client.ask(&words);
+        account[match answer.as_bytes()[0] {
+            b'$' => 0,
+            _ if answer.starts_with("-BUSY") => 1,
+            _ => 2,
+        }] += 1;
+        answer
+    };
+    assert_eq!(ask("good", "a1", "c=read,t=acme,d=9000", false), "$value");
+    assert_eq!(ask("good", "a2", "c=read,t=acme,d=9000", false), "$value");
+    // A write that the origin proves not to have run is refused; one whose connection is lost has failed.
+    assert!(ask("busy", "b1", "c=once,t=acme,d=9000", true).starts_with("-BUSY"));
+    assert_eq!(ask("reset", "b2", "c=once,t=acme,d=9000", true), "-ERR failed");
+    // Its time is up before anyone answers.
+    assert_eq!(ask("silent", "c1", "c=brief,t=acme,d=150", false).as_bytes()[0], b'-');
+    assert_eq!(ask("good", "d1", "c=read,t=nobody,d=9000", false), "-ERR unknown tenant");
+    let sum = |end: &str| -> u64 {
+        let classes = ["read", "once", "brief"];
+        let names = classes.map(|class| format!("edge_router_{end}_total{{class=\"{class}\"}}"));
+        names.iter().filter_map(|name| node.figure(name)).sum()
+    };
+    node.figure_becomes("edge_router_in_flight", 0);
+    assert_eq!(["served", "refused", "failed"].map(sum), account);
+    assert_eq!(node.figure("edge_router_served_total{class=\"read\"}"), Some(2));
+    assert_eq!(node.figure("edge_router_failed_total{class=\"read\"}"), Some(1));
+    // One that the client abandons is no end, and is in flight until then.
+    while commands.try_recv().is_ok() {}
+    let mut gone = node.client();
+    gone.send(&["CACHE.GET", "silent", "e1", "c=read,t=acme,d=9000"]);
+    assert_eq!(commands.recv_timeout(HUNG).unwrap(), "silent");
+    assert_eq!(node.figure("edge_router_in_flight"), Some(1));
+    drop(gone);
+    node.figure_becomes("edge_router_in_flight", 0);
+    assert_eq!(["served", "refused", "failed"].map(sum), account);
+    assert!(node.figure("edge_router_attempts_total").unwrap() >= 6);
+}
+
+#[test]
+fn a_drained_node_answers_what_it_took_lets_go_of_its_clients_and_comes_back() {
+    let (arrived, commands) = channel();
+    let (go, wait) = channel::<()>();
+    let (arrived, wait) = (Mutex::new(arrived), Mutex::new(wait));
+    let server = serve(command, move |asked| {
+        arrived.lock().unwrap().send(()).unwrap();
+        let _ = wait.lock().unwrap().recv();
+        array(&asked[2])
+    });
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let node = staffed("drain", &discovery);
+    assert_eq!(node.status("GET /ready"), 200);
+    let (mut busy, mut resting, mut pings) = (node.client(), node.client(), node.client());
+    assert_eq!(resting.ask(&["PING"]), "+PONG");
+    busy.send(&["CACHE.GET", "k", "id1", "c=read,t=acme,d=9000"]);
+    commands.recv_timeout(HUNG).unwrap();
+    assert_eq!(node.status("PUT /drain"), 200);
+    assert_eq!(node.status("PUT /drain"), 200, "a second time");
+    assert_eq!(node.status("GET /ready"), 503);
+    assert_eq!(pings.ask(&["PING"]), "-ERR drained");
+    // What rests goes, well before 4 s; what is owed an answer stays until it has it.
+    let begun = Instant::now();
+    assert_eq!(resting.answer(), "end");
+    assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+    assert_eq!(node.client().ask(&["PING"]), "-ERR drained", "a drained node is still asked");
+    // A reload does not undo it.
+    node.signal("HUP");
+    node.logged("configuration read again");
+    assert_eq!(node.client().ask(&["PING"]), "-ERR drained");
+    go.send(()).unwrap();
+    assert_eq!(busy.answer(), "$id1");
+    assert_eq!(busy.answer(), "end");
+    assert_eq!(node.status("PUT /undrain"), 200);
+    assert_eq!(node.client().ask(&["PING"]), "+PONG");
+    let mut again = node.client();
+    go.send(()).unwrap();
+    assert_eq!(again.ask(&["CACHE.GET", "k", "id2", "c=read,t=acme,d=9000"]), "$id2");
+    assert_eq!(again.ask(&["PING"]), "+PONG", "nothing leaves any more");
+    // Ended while it is drained: in order, and no longer to be undrained.
+    assert_eq!(node.status("PUT /drain"), 200);
+    node.signal("TERM");
+    node.logged("stopping");
+    assert_eq!(node.status("PUT /undrain"), 409);
+    let mut node = node;
+    assert!(node.ended().success());
+}
+
+#[test]
+fn an_undrain_in_the_middle_of_a_drain_keeps_connections() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let node = staffed("undrain", &Discovery::start(&member("s-1", server, "m", "ready")));
+    let mut client = node.client();
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+    assert_eq!(node.status("PUT /drain"), 200);
+    assert_eq!(node.status("PUT /undrain"), 200);
+    std::thread::sleep(Duration::from_millis(1500));
+    assert_eq!(client.ask(&["CACHE.GET", "k", "id", "c=read,t=acme,d=9000"]), "$id");
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+}
+
+#[test]
+fn a_request_that_crosses_a_drains_close_meets_the_end_and_no_reset() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let node = staffed("crossing", &Discovery::start(&member("s-1", server, "m", "ready")));
+    let mut stream = TcpStream::connect(node.address).unwrap();
+    stream.set_read_timeout(Some(HUNG)).unwrap();
+    stream.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    let mut buffer = [0; 64];
+    assert_eq!(stream.read(&mut buffer).unwrap(), 7);
+    assert_eq!(node.status("PUT /drain"), 200);
+    // The end has come and the client has not looked yet.
+    std::thread::sleep(Duration::from_millis(1300));
+    stream.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    assert_eq!(stream.read(&mut buffer).expect("a reset"), 0);
+}
+
+#[test]
+fn callers_that_never_finish_keep_nobody_out() {
+    let server = serve(command, |_| array("v"));
+    let node = staffed("hangers", &Discovery::start(&member("s-1", server, "m", "ready")));
+    let staff = node.staff.unwrap();
+    let hang = |_| {
+        let mut stream = TcpStream::connect(staff).unwrap();
+        stream.write_all(b"GET /ready HTT").unwrap();
+        stream
+    };
+    let mut held: Vec<TcpStream> = (0..200).map(hang).collect();
+    for _ in 0..5 {
+        let begun = Instant::now();
+        assert_eq!(node.status("GET /ready"), 200);
+        assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
+    }
+    // The last one had room: it is told that it is too slow, in time.
+    let mut last = held.pop().unwrap();
+    last.set_read_timeout(Some(HUNG)).unwrap();
+    let mut told = String::new();
+    last.read_to_string(&mut told).unwrap();
+    assert!(told.starts_with("HTTP/1.1 408 "), "{told:?}");
+}
+
+#[test]
+fn without_a_second_address_nothing_listens_and_one_that_is_taken_ends_the_start() {
+    let server = serve(command, |_| array("v"));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    assert_eq!(Node::start("unstaffed", &discovery).staff, None);
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let mut command = staffed_command("taken", &discovery, &address);
+    let ended = command.stderr(Stdio::piped()).output().unwrap();
+    let log = String::from_utf8(ended.stderr).unwrap();
+    assert!(
+        !ended.status.success() && log.contains(&format!("cannot listen on {address} for staff")),
+        "{log}"
+    );
+}
--- a/crates/mothpier/tests/world/mod.rs
+++ b/crates/mothpier/tests/world/mod.rs
@@ -170,6 +170,8 @@
 pub struct Node {
     pub child: Child,
     pub address: SocketAddr,
+    /// Where staff ask it.
+    pub staff: Option<SocketAddr>,
     /// What it logs after its start.
     log: Receiver<String>,
 }
@@ -218,16 +220,20 @@
     pub fn spawn(mut command: Command) -> Self {
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut staff = None;
         let address = loop {
             let mut line = String::new();
             assert!(log.read_line(&mut line).unwrap() > 0, "the node ended at its start");
+            if let Some((_, address)) = line.trim_end().split_once("staff are answered on ") {
+                staff = Some(address.parse().unwrap());
+            }
             if let Some((_, address)) = line.trim_end().split_once(" listens on ") {
                 break address.parse().unwrap();
             }
         };
         let (logged, lines) = channel();
         thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|line| logged.send(line)));
-        Node { child, address, log: lines }
+        Node { child, address, staff, log: lines }
     }
 
     /// Sends it a signal by its name.
@@ -246,6 +252,46 @@
         }
     }
 
+    /// A call at the second address: the whole answer.
+    pub fn call(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.staff.expect("no second address")).unwrap();
+        stream.set_read_timeout(Some(HUNG)).unwrap();
+        stream.write_all(format!("{line} HTTP/1.1\r\nHost: node\r\n\r\n").as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
+    /// The code of a call's answer.
+    pub fn status(&self, line: &str) -> u16 {
+        self.call(line).split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or_default()
+    }
+
+    /// Waits until it says that it can serve.
+    pub fn ready(&self) {
+        let begun = std::time::Instant::now();
+        while self.status("GET /ready") != 200 {
+            assert!(begun.elapsed() < HUNG, "never ready");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// A figure by its name, labels included.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let text = self.call("GET /metrics");
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+        line.and_then(|value| value.parse().ok())
+    }
+
+    /// Waits until a figure has a value.
+    pub fn figure_becomes(&self, name: &str, value: u64) {
+        let begun = std::time::Instant::now();
+        while self.figure(name) != Some(value) {
+            assert!(begun.elapsed() < HUNG, "{name} is {:?}, not {value}", self.figure(name));
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     pub fn ended(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::future::poll_fn;
-use std::io::ErrorKind;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,6 +13,7 @@
 use brassrouter::{Micros, Request, RequestId};
 use bytes::{Bytes, BytesMut};
 use mothpier_host::{Host, Listener, Reading, Stream};
+use mothpier_ops::{Desk, End, Phase, Ticket};
 use mothpier_resp::{self as resp, MAX_VALUE, Malformed};
 use mothpier_storm::{Door, Verdict};
 use redis_protocol::resp2::types::BytesFrame;
@@ -24,13 +24,12 @@
 use crate::command::{Answer, Claim, Command, Ids};
 use crate::input::{Asked, Input};
 use crate::keys::Keys;
+use crate::stream::{FAREWELL, READ, part, read};
 
 /// Requests of one connection that may be open; those beyond are refused.
 const MAX_PIPELINE: usize = 128;
 /// Answers of one connection that may wait, refusals and errors too; a client that goes on beyond is cut off.
 const MAX_WAITING: usize = 1024;
-/// Read from a connection at once.
-const READ: usize = 4096;
 /// Answers that are ready are put into one write up to about this size.
 const WRITE: usize = 64 * 1024;
 /// A client that takes none of its answer for this long is cut off.
@@ -55,8 +54,6 @@
 /// Connections that are being told to come back at once, as a part of all that there may be; while there are so many no
 /// other is accepted.
 const TURNED_AWAY: usize = 8;
-/// One of them gets this long to read it and close.
-const FAREWELL: Duration = Duration::from_millis(200);
 
 /// What clients may take of the node.
 pub struct Bounds {
@@ -68,28 +65,48 @@
     pub door: Door,
 }
 
-/// Whether the node is closing: the listener is closed then, and each connection with its last answer. Those that wait
-/// for it are woken in the order in which they began to wait: a watch channel would wake them in a random one.
+/// Which connections of clients are to go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Leaving {
+    /// None: the node serves.
+    #[default]
+    None,
+    /// Each behind the answer that it was owed: a close that goes out with an answer crosses no request.
+    Answered,
+    /// Those that rest, too.
+    Resting,
+}
+
+/// How connections retire, for a drain and for the end of the node alike. Those that wait for a change are woken in the
+/// order in which they began to wait: a watch channel would wake them in a random one.
 #[derive(Default)]
-pub struct Closing {
-    begun: Cell<bool>,
+pub struct Retiring {
+    leaving: Cell<Leaving>,
+    /// Nothing more is accepted.
+    ended: Cell<bool>,
     changed: Notify,
 }
 
-impl Closing {
-    /// It begins now.
-    pub fn begin(&self) {
-        self.begun.set(true);
+impl Retiring {
+    /// From now on these connections go.
+    pub fn set(&self, leaving: Leaving) {
+        self.leaving.set(leaving);
+        self.changed.notify_waiters();
+    }
+
+    /// Nothing is accepted from now on.
+    pub fn end_listening(&self) {
+        self.ended.set(true);
         self.changed.notify_waiters();
     }
 
-    fn begun(&self) -> bool {
-        self.begun.get()
+    fn leaving(&self) -> Leaving {
+        self.leaving.get()
     }
 
-    /// Waits until it begins. Safe to drop and call again.
-    async fn wait(&self) {
-        if !self.begun() {
+    /// Waits until nothing is accepted any more. Safe to drop and call again.
+    async fn listening_ended(&self) {
+        while !self.ended.get() {
             self.changed.notified().await;
         }
     }
@@ -106,7 +123,7 @@
     host: H,
     site: Site,
     now: Box<dyn Fn() -> Micros>,
-    ready: Rc<Cell<bool>>,
+    desk: Arc<Desk>,
     next_request: Cell<RequestId>,
     ids: Ids,
     /// Permits of a KB.
@@ -118,7 +135,7 @@
     half_known: Cell<usize>,
     farewells: Arc<Semaphore>,
     began: Instant,
-    closing: Rc<Closing>,
+    retiring: Rc<Retiring>,
     /// Connections since the start.
     connections: Rc<Cell<u64>>,
     events: mpsc::Sender<Input>,
@@ -139,9 +156,9 @@
         host: H,
         grammar: Grammar,
         now: Box<dyn Fn() -> Micros>,
-        ready: Rc<Cell<bool>>,
+        desk: Arc<Desk>,
         bounds: Bounds,
-        closing: Rc<Closing>,
+        retiring: Rc<Retiring>,
         events: mpsc::Sender<Input>,
     ) -> Rc<Self> {
         Rc::new(Clients {
@@ -149,7 +166,7 @@
             site: grammar.site,
             keys: grammar.keys,
             now,
-            ready,
+            desk,
             next_request: Cell::new(1),
             ids: Ids::default(),
             memory: Arc::new(Semaphore::new(bounds.memory / 1024)),
@@ -158,7 +175,7 @@
             half_known: Cell::new(0),
             farewells: Arc::new(Semaphore::new((bounds.most / TURNED_AWAY).max(1))),
             began: Instant::now(),
-            closing,
+            retiring,
             connections: Rc::default(),
             events,
             open: RefCell::default(),
@@ -197,14 +214,14 @@
                     biased;
                     () = self.closed.notified() => {}
                     () = sleep(ACCEPT_PAUSE) => {}
-                    () = self.closing.wait() => return,
+                    () = self.retiring.listening_ended() => return,
                 }
                 continue;
             }
             let accepted = tokio::select! {
                 biased;
                 accepted = listener.accept() => accepted,
-                () = self.closing.wait() => break,
+                () = self.retiring.listening_ended() => break,
             };
             number += 1;
             match accepted {
@@ -264,16 +281,9 @@
         tokio::task::spawn_local(async move {
             let (reading, mut writing) = stream.into_halves();
             let line = resp::error(&format!("BUSY {}", after.as_millis().max(1)));
-            let said = async {
-                writing.write_all(&line).await.ok()?;
-                writing.shutdown().await.ok()?;
-                let mut buffer = BytesMut::new();
-                while read(&reading, &mut buffer).await {
-                    buffer.clear();
-                }
-                Some(())
-            };
-            let _ = timeout(FAREWELL, said).await;
+            if let Ok(Ok(())) = timeout(FAREWELL, writing.write_all(&line)).await {
+                part(&reading, &mut writing).await;
+            }
             drop(place);
         });
     }
@@ -304,7 +314,7 @@
     }
 
     /// Reads a command's words; the error is answered to the client.
-    fn parse(&self, words: &[Bytes], came: Micros) -> Result<(Request, Command), String> {
+    fn parse(&self, words: &[Bytes], came: Micros) -> Result<(Request, Command), Rejected> {
         let [name, key, id, extras, value @ ..] = words else {
             return Err("wrong number of arguments".into());
         };
@@ -339,29 +349,31 @@
         };
         let class = extra("c").and_then(|c| self.site.classes.iter().position(|n| n == c));
         let class = class.ok_or("unknown class")?;
+        let rejected = |told: String| Rejected { told, class: Some(class) };
         let tenant = match extra("t") {
             _ if self.site.tenants.is_empty() => Some(0),
             tenant => tenant.and_then(|t| self.site.tenants.iter().position(|n| n == t)),
         };
-        let asked_for = figure("d")?.ok_or("no d: how long the answer is waited for")?;
+        let asked_for = figure("d").and_then(|d| d.ok_or("no d: how long the answer is waited for".into()));
+        let asked_for = asked_for.map_err(rejected)?;
         // No longer than the class allows: what is kept for a request must not stay for as long as anyone says.
         let deadline = self.site.decisions.classes[class].deadline;
         let time_left = ((asked_for * 1000.0) as Micros).min(deadline);
         let request = Request {
             id: self.next_request.replace(self.next_request.get() + 1),
             class,
-            tenant: tenant.ok_or("unknown tenant")?,
+            tenant: tenant.ok_or("unknown tenant".into()).map_err(rejected)?,
             key: self.keys.number(key),
             write,
             repeat: extra("r") == Some("1"),
             // The client's wait began before its command was read whole.
             time_left: time_left.saturating_sub((self.now)() - came),
-            cost: figure("h")?.map(|us| us as Micros),
-            size: figure("size")?.unwrap_or_default() as f32,
+            cost: figure("h").map_err(rejected)?.map(|us| us as Micros),
+            size: figure("size").map_err(rejected)?.unwrap_or_default() as f32,
         };
         // Two open requests of one id could not be told apart by servers; the first one stays as it is.
-        let claim =
-            Claim::of(&self.ids, &Bytes::copy_from_slice(id)).ok_or("a request of this id is open")?;
+        let claim = Claim::of(&self.ids, &Bytes::copy_from_slice(id));
+        let claim = claim.ok_or("a request of this id is open".into()).map_err(rejected)?;
         // Copies: a slice would keep all that was read at once for as long as the request is open.
         let command = Command {
             name: Bytes::from_static(if write { b"CACHE.SET" } else { b"CACHE.GET" }),
@@ -376,6 +388,28 @@
     }
 }
 
+/// A command that is answered with an error.
+struct Rejected {
+    told: String,
+    /// Where it is a request of a class that can be told.
+    class: Option<usize>,
+}
+
+impl From<&str> for Rejected {
+    fn from(told: &str) -> Self {
+        Rejected { told: told.into(), class: None }
+    }
+}
+
+/// How a session ends.
+#[derive(Clone, Copy, PartialEq)]
+enum Parting {
+    /// The other side has gone, or its place is wanted at once.
+    Close,
+    /// In order: what may be on its way must meet the end of the stream, not a reset.
+    HalfClose,
+}
+
 enum Wait {
     Ready(Bytes),
     Node(RequestId, oneshot::Receiver<Answer>),
@@ -385,6 +419,8 @@
     wait: Wait,
     /// Held until the answer is written; only requests that went on have it.
     memory: Option<OwnedSemaphorePermit>,
+    /// Of a request: it ends, in this way, once its answer is written.
+    ticket: Option<(Ticket, End)>,
 }
 
 struct Session<H> {
@@ -401,9 +437,21 @@
 }
 
 impl<H: Host> Session<H> {
+    /// Serves a connection until its end.
     async fn run(&mut self, stream: H::Stream, evict: Rc<Notify>) {
-        let clients = self.clients.clone();
         let (reading, mut writing) = stream.into_halves();
+        if self.serve(&reading, &mut writing, evict).await == Parting::HalfClose {
+            part(&reading, &mut writing).await;
+        }
+    }
+
+    async fn serve(
+        &mut self,
+        reading: &<H::Stream as Stream>::Reading,
+        writing: &mut <H::Stream as Stream>::Writing,
+        evict: Rc<Notify>,
+    ) -> Parting {
+        let clients = self.clients.clone();
         let mut buffer = BytesMut::new();
         let mut came = (clients.now)();
         let connected = Instant::now();
@@ -411,6 +459,8 @@
         let mut begun = None;
         // Since when nothing was asked and nothing owed.
         let mut rests = connected;
+        // Its last answer went out while connections were leaving behind theirs.
+        let mut answered = false;
         loop {
             while !self.ended && !buffer.is_empty() {
                 match resp::take_frame(&mut buffer) {
@@ -437,12 +487,17 @@
                 (entry.idle, entry.known) = (idle.then_some(rests), self.known);
             }
             if self.ended && idle {
-                return;
+                return Parting::HalfClose;
             }
-            let closing = clients.closing.begun();
+            let leaving = match clients.retiring.leaving() {
+                Leaving::None => false,
+                Leaving::Answered => answered,
+                // One that has asked nothing yet may only just have come, to ask whether the node serves.
+                Leaving::Resting => self.known,
+            };
             let first = (!self.known && idle).then_some(connected + HALF);
             let half = begun.filter(|_| !self.ended).map(|since| since + HALF);
-            let rest = idle.then_some(if closing && begun.is_none() {
+            let rest = idle.then_some(if leaving && begun.is_none() {
                 now
             } else if rests + IDLE.1 > now || clients.crowded() {
                 rests + IDLE.1
@@ -457,34 +512,41 @@
                     let bytes = self.take_answers(ready);
                     let whole = timeout(SLOW_READER, writing.write_all(&bytes)).await;
                     rests = Instant::now();
-                    self.pending.drain(..ready);
-                    if !matches!(whole, Ok(Ok(()))) {
-                        return;
+                    answered = clients.retiring.leaving() >= Leaving::Answered;
+                    let whole = matches!(whole, Ok(Ok(())));
+                    for slot in self.pending.drain(..ready) {
+                        // What could not be written was abandoned: that is no end.
+                        if let Some((ticket, end)) = slot.ticket.filter(|_| whole) {
+                            ticket.end(end);
+                        }
+                    }
+                    if !whole {
+                        return Parting::Close;
                     }
                 }
-                more = read(&reading, &mut buffer), if !self.ended => {
+                more = read(reading, &mut buffer), if !self.ended => {
                     // A client that closes has gone away: what it asked for is not wanted any more.
                     if !more {
-                        return;
+                        return Parting::Close;
                     }
                     (came, rests) = ((clients.now)(), Instant::now());
                 }
                 () = evict.notified(), if idle => {
-                    if quiet(&reading, &mut buffer).await {
-                        return;
+                    if quiet(reading, &mut buffer).await {
+                        return Parting::Close;
                     }
                     (came, rests) = ((clients.now)(), Instant::now());
                 }
                 () = sleep_until(limit.unwrap_or(now)), if limit.is_some() => {
-                    if !quiet(&reading, &mut buffer).await {
+                    if !quiet(reading, &mut buffer).await {
                         (came, rests) = ((clients.now)(), Instant::now());
                     } else if half.is_some_and(|half| half <= Instant::now()) {
                         self.protocol_error(Malformed("the rest of the command has not come"));
-                    } else if !self.known || closing || clients.crowded() || rests.elapsed() >= IDLE.0 {
-                        return;
+                    } else if !self.known || leaving || clients.crowded() || rests.elapsed() >= IDLE.0 {
+                        return Parting::HalfClose;
                     }
                 }
-                () = clients.closing.wait(), if !closing => {}
+                () = clients.retiring.changed.notified() => {}
             }
         }
     }
@@ -516,7 +578,7 @@
     }
 
     fn answer(&mut self, bytes: Bytes) {
-        self.pending.push_back(Slot { wait: Wait::Ready(bytes), memory: None });
+        self.pending.push_back(Slot { wait: Wait::Ready(bytes), memory: None, ticket: None });
     }
 
     async fn command(&mut self, frame: BytesFrame, came: Micros) {
@@ -537,13 +599,20 @@
                     self.is_known();
                     self.ask(request, Box::new(command)).await;
                 }
-                Err(e) => self.answer(resp::error(&format!("ERR {e}"))),
+                Err(e) => {
+                    let ticket = e.class.map(|class| (self.clients.desk.figures.taken(class), End::Failed));
+                    let wait = Wait::Ready(resp::error(&format!("ERR {}", e.told)));
+                    self.pending.push_back(Slot { wait, memory: None, ticket });
+                }
             },
             name if name.eq_ignore_ascii_case(b"PING") => {
                 self.is_known();
-                self.answer(match self.clients.ready.get() {
-                    true => Bytes::from_static(b"+PONG\r\n"),
-                    false => resp::error("ERR not ready: no list of servers yet"),
+                let life = &self.clients.desk.lifecycle;
+                self.answer(match life.phase() {
+                    _ if life.serves() => Bytes::from_static(b"+PONG\r\n"),
+                    Phase::Serving | Phase::Starting => resp::error("ERR not ready: no list of servers yet"),
+                    Phase::Drained => resp::error("ERR drained"),
+                    Phase::Stopping => resp::error("ERR stopping"),
                 });
             }
             name if name.eq_ignore_ascii_case(b"QUIT") => {
@@ -557,6 +626,7 @@
     async fn ask(&mut self, request: Request, command: Box<Command>) {
         // Memory is bounded by what open requests may hold, and one connection by its own part of them; what is
         // beyond never runs, and is told so instead of being left unread.
+        let ticket = self.clients.desk.figures.taken(request.class);
         let holds = REQUEST_KB + command.value.as_ref().map_or(0, Bytes::len).div_ceil(1024);
         let memory = match self.asked < MAX_PIPELINE
             && self.clients.ids.borrow().len() <= self.clients.site.max_open
@@ -565,7 +635,9 @@
             false => None,
         };
         let Some(memory) = memory else {
-            return self.answer(resp::error(&format!("BUSY {FULL_RETRY_MS}")));
+            let wait = Wait::Ready(resp::error(&format!("BUSY {FULL_RETRY_MS}")));
+            let ticket = Some((ticket, End::Refused));
+            return self.pending.push_back(Slot { wait, memory: None, ticket });
         };
         let (answer, receiver) = oneshot::channel();
         let id = request.id;
@@ -574,23 +646,8 @@
             return self.answer(resp::error("ERR stopping"));
         }
         self.asked += 1;
-        self.pending.push_back(Slot { wait: Wait::Node(id, receiver), memory: Some(memory) });
-    }
-}
-
-/// Reads what has come; whether the client is still there. Room is made only once something is there. Safe to drop
-/// and call again.
-async fn read(reading: &impl Reading, buffer: &mut BytesMut) -> bool {
-    loop {
-        if reading.readable().await.is_err() {
-            return false;
-        }
-        buffer.reserve(READ);
-        match reading.try_read_buf(buffer) {
-            Ok(read) => return read > 0,
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return false,
-        }
+        let ticket = Some((ticket, End::Failed));
+        self.pending.push_back(Slot { wait: Wait::Node(id, receiver), memory: Some(memory), ticket });
     }
 }
 
@@ -610,6 +667,13 @@
         for slot in pending.iter_mut() {
             if let Wait::Node(_, receiver) = &mut slot.wait {
                 let Poll::Ready(answer) = Pin::new(receiver).poll(cx) else { break };
+                if let Some((_, end)) = &mut slot.ticket {
+                    *end = match &answer {
+                        Ok(Answer::Value(_)) => End::Served,
+                        Ok(Answer::Busy(_)) => End::Refused,
+                        Ok(Answer::Failed) | Err(_) => End::Failed,
+                    };
+                }
                 slot.wait = Wait::Ready(match answer {
                     Ok(Answer::Value(value)) => resp::encode(&BytesFrame::BulkString(value)),
                     Ok(Answer::Busy(0)) => resp::error("BUSY"),
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -25,6 +25,10 @@
     pub sockets: usize,
     /// Bytes that the process may use.
     pub memory: usize,
+    /// What is odd about what it was told, for the log.
+    pub notes: Vec<String>,
+    /// Where staff ask the node; nowhere without it.
+    pub ops: Option<SocketAddr>,
     /// Where messages of other nodes come in.
     pub peer_listen: Option<SocketAddr>,
     /// The tier's nodes by their numbers.
@@ -50,6 +54,7 @@
     seed: serde_json::Value,
     #[serde(default)]
     limits: Limits,
+    ops: Option<String>,
     peer_listen: Option<String>,
     #[serde(default)]
     peers: Vec<String>,
@@ -80,6 +85,8 @@
     pub listen: Option<String>,
     /// `ROUTER_DISCOVERY`.
     pub discovery: Option<String>,
+    /// `ROUTER_OPS`.
+    pub ops: Option<String>,
 }
 
 /// What has the last word on the address of discovery.
@@ -117,13 +124,21 @@
     if file.limits.sockets < 32 {
         return Err(format!("limits.sockets: {} are too few to work with", file.limits.sockets));
     }
+    let mut notes = Vec::new();
+    if let (Some(env), Some(file)) = (&env.ops, &file.ops)
+        && env != file
+    {
+        notes.push(format!("ops: the environment says {env}, the file {file}; the environment's holds"));
+    }
     Ok(Config {
+        notes,
         name: env.name.or(file.name).unwrap_or_else(|| "mothpier".into()),
         listen: address("listen", env.listen.or(file.listen))?,
         discovery: address("discovery", discovery)?,
         seed,
         sockets: file.limits.sockets,
         memory: (file.limits.memory_mb.clamp(16.0, 1e6) * 1048576.0) as usize,
+        ops: optional("ops", env.ops.or(file.ops))?,
         peer_listen: optional("peer_listen", file.peer_listen)?,
         peers: file.peers.into_iter().map(|p| address("peers", Some(p))).collect::<Result<_, _>>()?,
         peers_all: optional("peers_all", file.peers_all)?,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,10 +17,12 @@
 pub mod keys;
 mod node;
 pub mod operator;
+pub mod ops;
 mod origin;
 mod peers;
 mod servers;
 mod service;
+mod stream;
 mod weather;
 
 pub use discovery::{List, Member};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,9 +1,9 @@
 //! The node: the one owner of the decision module. Events go in, actions become I/O; nothing is decided here.
 
-use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use brassrouter::settings::Site;
@@ -13,6 +13,7 @@
 };
 use bytes::Bytes;
 use mothpier_host::Host;
+use mothpier_ops::{Desk, Step};
 use mothpier_record::{Recorder, entry};
 use mothpier_resp as resp;
 use redis_protocol::resp2::types::BytesFrame;
@@ -31,6 +32,8 @@
 
 /// A probe without answer after this time has failed.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
+/// Between two looks at the gauges that staff read: what they tell may be half a second old.
+const GAUGES: Duration = Duration::from_millis(200);
 /// Between two lines of the log that tell what was done meanwhile.
 const REPORT: Duration = Duration::from_secs(5);
 
@@ -81,6 +84,7 @@
     GiveUp(AttemptId),
     Report,
     Look,
+    Gauges,
 }
 
 /// The parts that the node drives.
@@ -89,7 +93,9 @@
     pub origins: Origins<H>,
     pub peers: Option<Peers<H>>,
     pub wanted: watch::Sender<Wanted>,
-    pub ready: Rc<Cell<bool>>,
+    pub desk: Arc<Desk>,
+    /// Whether anyone can read the gauges.
+    pub staffed: bool,
     pub weather: Option<Weather>,
     pub recorder: Option<Recorder>,
 }
@@ -149,6 +155,9 @@
         if self.parts.weather.is_some() {
             self.wake(LOOK, Due::Look);
         }
+        if self.parts.staffed {
+            self.gauges();
+        }
         loop {
             let next = self.due.peek().map(|Reverse((time, _))| *time);
             let idle = Instant::now() + Duration::from_secs(3600);
@@ -181,12 +190,20 @@
                     self.wake(REPORT, Due::Report);
                 }
                 Some(Reverse((_, Due::Look))) => self.look(),
+                Some(Reverse((_, Due::Gauges))) => self.gauges(),
                 None => {}
             }
             self.settle();
         }
     }
 
+    /// Tells staff what the module holds and avoids.
+    fn gauges(&mut self) {
+        self.wake(GAUGES, Due::Gauges);
+        let (known, avoided) = self.policy.avoided();
+        self.parts.desk.figures.servers(known, avoided);
+    }
+
     /// Reads the signs of a storm.
     fn look(&mut self) {
         self.wake(LOOK, Due::Look);
@@ -266,7 +283,7 @@
                 self.end(attempt, ended.status, Note::None, load, Some(ended.value));
             }
             Input::Discovery(Heard::List(list)) => {
-                self.parts.ready.set(true);
+                self.parts.desk.lifecycle.step(Step::Ready);
                 self.counters.lists += 1;
                 self.listed = Some(Instant::now());
                 let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
@@ -580,12 +597,21 @@
                 connect_timeout: Duration::from_secs(30),
                 descriptors: 8,
             };
+            let desk = Desk::new(["read"]);
             let parts = Parts {
-                servers: Servers::new(HOST, limits, events.clone()),
-                origins: Origins::new(HOST, Duration::from_secs(60), Duration::from_secs(30), 8, events),
+                servers: Servers::new(HOST, limits, desk.figures.clone(), events.clone()),
+                origins: Origins::new(
+                    HOST,
+                    Duration::from_secs(60),
+                    Duration::from_secs(30),
+                    8,
+                    desk.figures.clone(),
+                    events,
+                ),
                 peers: None,
                 wanted: watch::channel(Wanted::default()).0,
-                ready: Rc::default(),
+                desk,
+                staffed: false,
                 weather: None,
                 recorder: None,
             };
--- /dev/null
+++ b/crates/node/src/ops.rs
@@ -0,0 +1,134 @@
+//! The second address: calls of staff, from the socket to the desk and back. Its own runtime may drive it, for it shares
+//! nothing with the node but the desk and a channel.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use mothpier_host::{Host, Listener, Stream};
+use mothpier_ops::{Called, Desk, MAX_HEAD};
+use tokio::io::AsyncWriteExt;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+use crate::Control;
+use crate::stream::{part, read};
+
+/// Connections at once, as a part of all descriptors, and at most: a handful of callers and those that never finish.
+const CONNECTIONS: (usize, usize) = (12, 64);
+/// Descriptors of the listener and of the runtime.
+const OWN_DESCRIPTORS: usize = 8;
+/// A head must come whole within this time, and an answer be taken.
+const HEAD: Duration = Duration::from_secs(2);
+const TAKEN: Duration = Duration::from_secs(1);
+/// Between tries to accept after a failure.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How many connections it may have, of a process that may hold so many descriptors.
+fn connections(descriptors: usize) -> usize {
+    (descriptors / CONNECTIONS.0).clamp(4, CONNECTIONS.1)
+}
+
+/// Descriptors to set aside for it.
+pub fn descriptors(all: usize) -> usize {
+    connections(all) + OWN_DESCRIPTORS
+}
+
+/// The connections without a whole call, oldest first, and the number of all.
+#[derive(Default)]
+struct Open {
+    unfinished: RefCell<BTreeMap<u64, AbortHandle>>,
+    all: Cell<usize>,
+    closed: Notify,
+}
+
+/// One of them; dropping it gives its place back.
+struct Place(Rc<Open>, u64);
+
+impl Place {
+    /// Its call is whole: it is answered, whoever else comes.
+    fn finished(&self) {
+        self.0.unfinished.borrow_mut().remove(&self.1);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.finished();
+        self.0.all.set(self.0.all.get() - 1);
+        self.0.closed.notify_one();
+    }
+}
+
+/// Answers staff until it is dropped. Must run inside a [`LocalSet`](tokio::task::LocalSet).
+pub async fn serve<H: Host>(
+    host: H,
+    listener: H::Listener,
+    desk: Arc<Desk>,
+    control: mpsc::Sender<Control>,
+    descriptors: usize,
+) {
+    let most = connections(descriptors);
+    let open = Rc::new(Open::default());
+    for number in 0.. {
+        while open.all.get() >= most {
+            // The oldest that has asked nothing gives way; all others end within a known time.
+            if let Some((_, oldest)) = open.unfinished.borrow_mut().pop_first() {
+                oldest.abort();
+            }
+            open.closed.notified().await;
+        }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                host.log(format_args!("ops: accepting failed: {e}"));
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        open.all.set(open.all.get() + 1);
+        let place = Place(open.clone(), number);
+        let task = spawn_local(answer::<H>(stream, place, desk.clone(), control.clone(), host.clone()));
+        open.unfinished.borrow_mut().insert(number, task.abort_handle());
+    }
+}
+
+async fn answer<H: Host>(
+    stream: H::Stream,
+    place: Place,
+    desk: Arc<Desk>,
+    control: mpsc::Sender<Control>,
+    host: H,
+) {
+    let (reading, mut writing) = stream.into_halves();
+    let mut head = BytesMut::new();
+    let called = async {
+        loop {
+            if !read(&reading, &mut head).await {
+                return None;
+            }
+            head.truncate(MAX_HEAD);
+            if let Called::Answer { bytes, step } = desk.call(&head) {
+                return Some((bytes, step));
+            }
+        }
+    };
+    let (bytes, step) = match timeout(HEAD, called).await {
+        Ok(Some(answer)) => answer,
+        Ok(None) => return,
+        Err(_) => (desk.too_slow(), None),
+    };
+    place.finished();
+    if let Some((step, phase)) = step {
+        host.log(format_args!("staff: {step:?}, the node is {phase:?} now"));
+        // Its connections follow; what is asked of the node changed with the step itself.
+        let _ = control.send(Control::Lifecycle).await;
+    }
+    if let Ok(Ok(())) = timeout(TAKEN, writing.write_all(&bytes)).await {
+        part(&reading, &mut writing).await;
+    }
+}
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request};
 use mothpier_host::Host;
+use mothpier_ops::Figures;
 use mothpier_resp::MAX_VALUE;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_encode};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
@@ -91,6 +92,7 @@
     connect_timeout: Duration,
     /// Connections that may be open to all together.
     descriptors: Arc<Semaphore>,
+    figures: Arc<Figures>,
     events: mpsc::Sender<Input>,
 }
 
@@ -100,11 +102,12 @@
         idle_close: Duration,
         connect_timeout: Duration,
         descriptors: usize,
+        figures: Arc<Figures>,
         events: mpsc::Sender<Input>,
     ) -> Self {
         let descriptors = Arc::new(Semaphore::new(descriptors.max(1)));
         let idle_close = idle_close.mul_f64(FRESH);
-        Origins { host, pools: BTreeMap::new(), idle_close, connect_timeout, descriptors, events }
+        Origins { host, pools: BTreeMap::new(), idle_close, connect_timeout, descriptors, figures, events }
     }
 
     /// Takes a line of the list of one that is not gone.
@@ -137,7 +140,8 @@
         }
     }
 
-    /// Calls the origin for a command; its end comes as an event.
+    /// Calls the origin for a command; its end comes as an event. Counted among the attempts, as the list has origins
+    /// among its cache servers.
     pub fn call(&self, server: ServerId, attempt: AttemptId, command: &Command) -> Option<Call> {
         let pool = self.pools.get(&server).filter(|p| p.ready.get())?.clone();
         let address = pool.address?;
@@ -150,7 +154,7 @@
             .header("X-Extras", command.extras.as_ref())
             .body(Full::new(command.value.clone().unwrap_or_default()))
             .ok()?;
-        Some(self.spawn(pool, address, attempt, request))
+        Some(self.spawn(pool, address, attempt, request, Some(self.figures.clone())))
     }
 
     /// Asks an origin for its load.
@@ -159,7 +163,7 @@
         let address = pool.address?;
         let request =
             Request::get("/-/load").header("Host", address.to_string()).body(Full::default()).ok()?;
-        Some(self.spawn(pool, address, attempt, request))
+        Some(self.spawn(pool, address, attempt, request, None))
     }
 
     fn spawn(
@@ -168,12 +172,17 @@
         address: SocketAddr,
         attempt: AttemptId,
         request: Request<Full<Bytes>>,
+        figures: Option<Arc<Figures>>,
     ) -> Call {
         let written = Rc::new(Cell::new(false));
         let (host, begun, events) = (self.host.clone(), written.clone(), self.events.clone());
+        let begins = move || {
+            begun.set(true);
+            figures.iter().for_each(|f| f.attempt());
+        };
         let (fresh, within, descriptors) = (self.idle_close, self.connect_timeout, self.descriptors.clone());
         let task = tokio::task::spawn_local(async move {
-            let ended = exchange(&host, &pool, address, request, (fresh, within), descriptors, &begun).await;
+            let ended = exchange(&host, &pool, address, request, (fresh, within), descriptors, begins).await;
             let _ = events.send(Input::Origin { attempt, ended }).await;
         });
         Call { written, task: task.abort_handle() }
@@ -194,7 +203,7 @@
     request: Request<Full<Bytes>>,
     (fresh, within): (Duration, Duration),
     descriptors: Arc<Semaphore>,
-    begun: &Cell<bool>,
+    begins: impl FnOnce(),
 ) -> Ended {
     // Once round the runtime: a close that has come in is noticed before a connection is chosen, or a write that
     // must not run twice would be lost on it.
@@ -216,7 +225,7 @@
     if !pool.ready.get() {
         return Ended::with(Status::NotSent);
     }
-    begun.set(true);
+    begins();
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         // Given back: the connection had ended before any of it was written.
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -5,11 +5,13 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use brassrouter::ServerId;
 use bytes::{Bytes, BytesMut};
 use mothpier_host::{Host, Reading, Stream};
+use mothpier_ops::Figures;
 use mothpier_resp as resp;
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::AsyncWriteExt;
@@ -112,10 +114,10 @@
     }
 }
 
-#[derive(Default)]
 struct Shared {
     line: RefCell<Line>,
     wake: Notify,
+    figures: Arc<Figures>,
 }
 
 struct Connection {
@@ -187,10 +189,11 @@
     all: Rc<Cell<usize>>,
     ready: usize,
     connects: Connects,
+    figures: Arc<Figures>,
 }
 
 impl<H: Host> Servers<H> {
-    pub fn new(host: H, limits: Limits, events: mpsc::Sender<Input>) -> Self {
+    pub fn new(host: H, limits: Limits, figures: Arc<Figures>, events: mpsc::Sender<Input>) -> Self {
         Servers {
             host,
             pools: BTreeMap::new(),
@@ -200,6 +203,7 @@
             all: Rc::default(),
             ready: 0,
             connects: Connects::default(),
+            figures,
         }
     }
 
@@ -292,6 +296,7 @@
                 &self.limits,
                 &self.events,
                 self.all.clone(),
+                self.figures.clone(),
             );
             pool.waiting.push_back(command);
             return true;
@@ -370,8 +375,9 @@
         limits: &Limits,
         events: &mpsc::Sender<Input>,
         all: Rc<Cell<usize>>,
+        figures: Arc<Figures>,
     ) {
-        let shared = Rc::new(Shared::default());
+        let shared = Rc::new(Shared { line: RefCell::default(), wake: Notify::new(), figures });
         let (host, line, events, within) =
             (host.clone(), shared.clone(), events.clone(), limits.connect_timeout);
         let task = tokio::task::spawn_local(async move {
@@ -522,6 +528,9 @@
             // No await since the last byte was written: it is on record before an answer can be read.
             let mut line = shared.line.borrow_mut();
             line.writing = None;
+            if !probe {
+                shared.figures.attempt();
+            }
             line.sent.push_back(Sent { attempt, probe, given_up: false });
         }
     };
@@ -535,6 +544,7 @@
     use std::io::Read;
 
     use mothpier_host::Machine;
+    use mothpier_ops::Desk;
 
     use super::*;
 
@@ -554,7 +564,12 @@
                     connect_timeout: Duration::from_secs(30),
                     descriptors,
                 };
-                let mut servers = Servers::new(Machine { program: "test" }, limits, events);
+                let mut servers = Servers::new(
+                    Machine { program: "test" },
+                    limits,
+                    Desk::new(["read"]).figures.clone(),
+                    events,
+                );
                 assert!(servers.listed(7, Some(address), true).is_empty());
                 for attempt in 1..=20 {
                     let bytes = resp::command(["PING".into()]);
@@ -582,7 +597,12 @@
                 connect_timeout: Duration::from_secs(30),
                 descriptors: 8,
             };
-            let mut servers = Servers::new(Machine { program: "test" }, limits, events);
+            let mut servers = Servers::new(
+                Machine { program: "test" },
+                limits,
+                Desk::new(["read"]).figures.clone(),
+                events,
+            );
             let ping = |attempt| Command { attempt, bytes: resp::command(["PING".into()]), probe: true };
             assert!(servers.listed(7, Some(address), true).is_empty());
             assert!(servers.send(7, ping(1)));
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -1,29 +1,35 @@
 //! A node from its start to its end: its parts put together, and what it does when told to stop.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use brassrouter::Micros;
 use mothpier_host::{Host, Listener};
+use mothpier_ops::{Desk, Phase, Step};
 use mothpier_record::Recorder;
 use mothpier_storm::Door;
 use tokio::sync::{mpsc, watch};
-use tokio::task::spawn_local;
+use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::clients::{Bounds, Clients, Closing, Grammar};
+use crate::clients::{Bounds, Clients, Grammar, Leaving, Retiring};
 use crate::config::Config;
 use crate::input::Input;
 use crate::node::{Clock, Node, Parts};
 use crate::weather::Weather;
-use crate::{discovery, origin, peers, servers};
+use crate::{discovery, ops, origin, peers, servers};
 
 /// Inputs that wait for the node; who brings more waits in turn.
 const QUEUE: usize = 1024;
 /// After SIGTERM new connections come for 0.4 s at most; this much longer they are still taken.
 const KEEP_ACCEPTING: Duration = Duration::from_millis(600);
+/// When connections begin to leave behind their answers, and when those that rest leave too. New ones come for 0.2 s after
+/// a drain and for 0.4 s after SIGTERM; a drained node may hold nothing at 4 s that was used since 2 s.
+const DRAIN: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(1200));
+/// At its end a node has less time: what comes later than 0.7 s after SIGTERM is its own to answer before SIGKILL.
+const STOP: (Duration, Duration) = (Duration::from_millis(300), KEEP_ACCEPTING);
 /// A restarted node is used even when discovery is silent, with the list it last had.
 const WITHOUT_DISCOVERY: Duration = Duration::from_secs(1);
 /// Descriptors for the listener, the peers, discovery, the runtime and the standard streams.
@@ -34,6 +40,8 @@
 pub enum Control {
     /// End: take nothing new soon, answer what was taken.
     Stop,
+    /// The lifecycle at the desk took a step that its connections are to follow.
+    Lifecycle,
     /// Discovery is at this address from now on.
     Discovery(SocketAddr),
     /// Recording goes on or off, where the node has a recorder.
@@ -49,6 +57,7 @@
 pub async fn run<H: Host>(
     host: H,
     config: Config,
+    desk: Arc<Desk>,
     mut control: mpsc::Receiver<Control>,
     mut recorder: Option<Recorder>,
 ) -> Result<(), String> {
@@ -60,7 +69,8 @@
     let idle_close = Duration::from_micros(site.idle_close);
     let connect_timeout = Duration::from_micros(site.decisions.connect_timeout);
     // Half for clients, half for servers: neither can leave the other without.
-    let descriptors = (config.sockets - OWN_DESCRIPTORS) / 2;
+    let staff = config.ops.map_or(0, |_| ops::descriptors(config.sockets));
+    let descriptors = (config.sockets - OWN_DESCRIPTORS).saturating_sub(staff).max(2) / 2;
     let limits = servers::Limits {
         balancers: site.decisions.balancers as usize,
         // A request that may have one attempt out must close the connection of one given up, so that no other
@@ -84,19 +94,20 @@
     let aims = format!("aims: {}; {} nodes", aims.collect::<Vec<_>>().join(", "), site.decisions.balancers);
     let watched = discovery::Wanted { watch: !site.decisions.ask_discovery, calls: 0 };
     let (wanted, wishes) = watch::channel(watched);
-    let ready = Rc::new(Cell::new(false));
     let mut parts = Parts {
-        servers: servers::Servers::new(host.clone(), limits, events.clone()),
+        servers: servers::Servers::new(host.clone(), limits, desk.figures.clone(), events.clone()),
         origins: origin::Origins::new(
             host.clone(),
             idle_close,
             connect_timeout,
             descriptors / 4,
+            desk.figures.clone(),
             events.clone(),
         ),
         peers,
         wanted,
-        ready: ready.clone(),
+        desk: desk.clone(),
+        staffed: config.ops.is_some(),
         weather: None,
         recorder: None,
     };
@@ -104,7 +115,7 @@
     let listener = host.listen(config.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let listener_address = listener.local_addr();
-    let closing = Rc::new(Closing::default());
+    let retiring = Rc::new(Retiring::default());
     let longest: Micros = site.decisions.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let bounds =
         Bounds { most: descriptors, memory: config.memory / 2, door: Door::new(&storm.figures, descriptors) };
@@ -112,9 +123,9 @@
         host.clone(),
         Grammar { site: site.clone(), keys: config.keys },
         Box::new(move || clock.now()),
-        ready.clone(),
+        desk.clone(),
         bounds,
-        closing.clone(),
+        retiring.clone(),
         events.clone(),
     );
     parts.weather = Weather::new(&storm, site.tenants.len(), clients.connections());
@@ -129,13 +140,15 @@
     let (discovery, addresses) = watch::channel(config.discovery);
     spawn_local(discovery::run(host.clone(), addresses, revision, wishes, events));
     let accepting = spawn_local(clients.clone().accept(listener));
+    let waits = desk.clone();
     spawn_local(async move {
         sleep(WITHOUT_DISCOVERY).await;
-        ready.set(true);
+        waits.lifecycle.step(Step::Ready);
     });
     let listening = listener_address.map_err(|e| e.to_string())?;
     host.log(format_args!("{} listens on {listening}", config.name));
     host.log(format_args!("{aims}"));
+    let mut drain: Option<AbortHandle> = None;
     loop {
         tokio::select! {
             biased;
@@ -150,15 +163,26 @@
                     let _ = ends.send(Input::Record(on)).await;
                 }
                 Some(Control::Record(_)) => {}
+                Some(Control::Lifecycle) => {
+                    let drained = desk.lifecycle.phase() == Phase::Drained;
+                    if drained && drain.is_none() {
+                        drain = Some(retire(&retiring, DRAIN));
+                    } else if !drained && let Some(drain) = drain.take() {
+                        drain.abort();
+                        retiring.set(Leaving::None);
+                    }
+                }
                 Some(Control::Stop) | None => break,
             },
             ended = &mut node => return Err(format!("the node ended: {ended:?}")),
         }
     }
+    desk.lifecycle.step(Step::Stop);
     host.log(format_args!("stopping"));
     let kill = Instant::now() + Duration::from_micros(longest) + KEEP_ACCEPTING;
+    retire(&retiring, STOP);
     sleep(KEEP_ACCEPTING).await;
-    closing.begin();
+    retiring.end_listening();
     let _ = accepting.await;
     let all_closed = async {
         while clients.count() > 0 {
@@ -174,3 +198,15 @@
     }
     Ok(())
 }
+
+/// Lets the connections of clients go, first behind their answers, then all that rest.
+fn retire(retiring: &Rc<Retiring>, (answered, resting): (Duration, Duration)) -> AbortHandle {
+    let retiring = retiring.clone();
+    let task = spawn_local(async move {
+        sleep(answered).await;
+        retiring.set(Leaving::Answered);
+        sleep(resting.saturating_sub(answered)).await;
+        retiring.set(Leaving::Resting);
+    });
+    task.abort_handle()
+}
--- /dev/null
+++ b/crates/ops/src/lib.rs
@@ -0,0 +1,31 @@
+//! What the people who run a node ask of it: whether it can serve, its figures, and that it drains. Nothing here does
+//! I/O: a driver hands over the bytes of a call and writes the answer back, from a thread of its own if it likes.
+//!
+//! [`Lifecycle`] is the one place that knows whether the node serves; [`Figures`] the one that counts how requests end.
+
+mod call;
+mod figures;
+mod lifecycle;
+mod text;
+
+use std::sync::Arc;
+
+pub use call::{Called, MAX_HEAD};
+pub use figures::{End, Figures, Ticket};
+pub use lifecycle::{Lifecycle, Phase, Step};
+
+/// What the node shares with those who ask.
+#[derive(Debug)]
+pub struct Desk {
+    /// Whether the node serves.
+    pub lifecycle: Lifecycle,
+    /// What it has done.
+    pub figures: Arc<Figures>,
+}
+
+impl Desk {
+    /// The desk of a node that has just begun.
+    pub fn new<S: Into<String>>(classes: impl IntoIterator<Item = S>) -> Arc<Self> {
+        Arc::new(Desk { lifecycle: Lifecycle::default(), figures: Arc::new(Figures::new(classes)) })
+    }
+}
--- /dev/null
+++ b/crates/ops/src/lifecycle.rs
@@ -0,0 +1,121 @@
+//! Whether a node serves, as one machine of three facts and a rule that ranks them.
+
+use std::sync::atomic::{AtomicU8, Ordering};
+
+/// It has held a list of servers that may be used.
+const READY: u8 = 1;
+/// Staff have told it to drain.
+const DRAINED: u8 = 2;
+/// It has been told to end.
+const STOPPING: u8 = 4;
+
+/// Something that happens to a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// It can serve from now on.
+    Ready,
+    /// Staff want no clients at it.
+    Drain,
+    /// Staff want clients at it again.
+    Undrain,
+    /// It ends. Nothing takes this back.
+    Stop,
+}
+
+/// What a node is to those who ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It can't serve yet.
+    Starting,
+    /// It serves.
+    Serving,
+    /// It is alive and wants no clients.
+    Drained,
+    /// It ends.
+    Stopping,
+}
+
+/// The state of a node. Readers on other threads see a step at once.
+#[derive(Debug, Default)]
+pub struct Lifecycle(AtomicU8);
+
+impl Lifecycle {
+    /// What the node is now.
+    pub fn phase(&self) -> Phase {
+        phase(self.0.load(Ordering::Acquire))
+    }
+
+    /// Whether clients that ask are served. A node that ends takes all that still comes to it, so it says yes for as long
+    /// as it listens; only one that staff have drained wants none.
+    pub fn serves(&self) -> bool {
+        self.0.load(Ordering::Acquire) & (READY | DRAINED) == READY
+    }
+
+    /// Takes a step; what the node was before and is now. A step that is made already, or that can't be made any
+    /// more, changes nothing.
+    pub fn step(&self, step: Step) -> (Phase, Phase) {
+        let facts = |was: u8| match step {
+            Step::Ready => was | READY,
+            Step::Drain => was | DRAINED,
+            Step::Undrain => was & !DRAINED,
+            Step::Stop => was | STOPPING,
+        };
+        let was = self.0.fetch_update(Ordering::AcqRel, Ordering::Acquire, |was| Some(facts(was)));
+        let was = was.unwrap_or_else(|same| same);
+        (phase(was), phase(facts(was)))
+    }
+}
+
+fn phase(facts: u8) -> Phase {
+    if facts & STOPPING != 0 {
+        Phase::Stopping
+    } else if facts & DRAINED != 0 {
+        Phase::Drained
+    } else if facts & READY != 0 {
+        Phase::Serving
+    } else {
+        Phase::Starting
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_step_leads_where_it_should_from_everywhere() {
+        use Phase::*;
+        let after = |steps: &[Step]| {
+            let life = Lifecycle::default();
+            for step in steps {
+                life.step(*step);
+            }
+            life.phase()
+        };
+        for (steps, phase) in [
+            (&[][..], Starting),
+            (&[Step::Ready], Serving),
+            (&[Step::Drain], Drained),
+            (&[Step::Drain, Step::Undrain], Starting),
+            (&[Step::Drain, Step::Ready], Drained),
+            (&[Step::Drain, Step::Ready, Step::Undrain], Serving),
+            (&[Step::Ready, Step::Drain, Step::Drain, Step::Undrain], Serving),
+            (&[Step::Ready, Step::Undrain], Serving),
+            (&[Step::Ready, Step::Drain, Step::Stop], Stopping),
+            (&[Step::Ready, Step::Stop, Step::Drain, Step::Undrain], Stopping),
+        ] {
+            assert_eq!(after(steps), phase, "{steps:?}");
+        }
+        let life = Lifecycle::default();
+        assert!(!life.serves());
+        life.step(Step::Ready);
+        life.step(Step::Stop);
+        assert!(life.serves(), "what still comes is taken");
+        life.step(Step::Drain);
+        assert!(!life.serves());
+        let life = Lifecycle::default();
+        assert_eq!(life.step(Step::Ready), (Starting, Serving));
+        assert_eq!(life.step(Step::Drain), (Serving, Drained));
+        assert_eq!(life.step(Step::Drain), (Drained, Drained));
+    }
+}
--- /dev/null
+++ b/crates/ops/src/text.rs
@@ -0,0 +1,97 @@
+//! The figures in Prometheus' text format, version 0.0.4.
+
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+use crate::figures::{Ends, Figures};
+
+/// Stands before the name of each figure.
+const PREFIX: &str = "edge_router_";
+
+type Count = fn(&Ends) -> &AtomicU64;
+
+const BY_CLASS: [(&str, &str, Count); 3] = [
+    ("served_total", "Requests answered with their value or receipt.", |e| &e.served),
+    ("refused_total", "Requests turned away; trying again is harmless.", |e| &e.refused),
+    ("failed_total", "Requests that failed.", |e| &e.failed),
+];
+
+impl Figures {
+    /// All figures as text.
+    pub fn text(&self) -> String {
+        let mut out = String::with_capacity(1024 + 256 * self.classes.len());
+        for (name, help, count) in BY_CLASS {
+            head(&mut out, name, help, "counter");
+            for (class, ends) in &self.classes {
+                let value = count(ends).load(Relaxed);
+                let _ = writeln!(out, "{PREFIX}{name}{{class=\"{}\"}} {value}", escaped(class));
+            }
+        }
+        let single = [
+            (
+                "attempts_total",
+                "Attempts written to cache servers, the origin among them.",
+                "counter",
+                &self.attempts,
+            ),
+            ("in_flight", "Requests taken and not ended.", "gauge", &self.in_flight),
+            ("cache_servers_known", "Cache servers in the list, without the origin.", "gauge", &self.known),
+            ("cache_servers_excluded", "Listed cache servers that are avoided now.", "gauge", &self.excluded),
+        ];
+        for (name, help, kind, value) in single {
+            head(&mut out, name, help, kind);
+            let _ = writeln!(out, "{PREFIX}{name} {}", value.load(Relaxed));
+        }
+        out
+    }
+}
+
+fn head(out: &mut String, name: &str, help: &str, kind: &str) {
+    let _ = writeln!(out, "# HELP {PREFIX}{name} {help}\n# TYPE {PREFIX}{name} {kind}");
+}
+
+/// A label's value: a backslash, a quote and an end of line would end it or mean something else.
+fn escaped(label: &str) -> String {
+    label.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use std::sync::Arc;
+
+    use super::*;
+    use crate::End;
+
+    #[test]
+    fn every_class_is_there_from_the_start_and_each_end_counts_once() {
+        let figures = Arc::new(Figures::new(["read", "a \"quoted\\\n\" one"]));
+        assert_eq!(figures.text().matches("} 0\n").count(), 6, "{}", figures.text());
+        for (end, times) in [(End::Served, 3), (End::Refused, 2), (End::Failed, 1)] {
+            (0..times).for_each(|_| figures.taken(0).end(end));
+        }
+        drop(figures.taken(1));
+        let open = figures.taken(1);
+        figures.attempt();
+        figures.servers(9, 12);
+        let text = figures.text();
+        for line in [
+            "# TYPE edge_router_served_total counter",
+            "edge_router_served_total{class=\"read\"} 3",
+            "edge_router_refused_total{class=\"read\"} 2",
+            "edge_router_failed_total{class=\"read\"} 1",
+            "edge_router_failed_total{class=\"a \\\"quoted\\\\\\n\\\" one\"} 0",
+            "edge_router_attempts_total 1",
+            "# TYPE edge_router_in_flight gauge",
+            "edge_router_in_flight 1",
+            "edge_router_cache_servers_known 9",
+            "edge_router_cache_servers_excluded 9",
+        ] {
+            assert!(text.lines().any(|l| l == line), "{line}\n{text}");
+        }
+        assert!(text.lines().all(|l| l.starts_with("# HELP edge_")
+            || l.starts_with("# TYPE edge_")
+            || l.starts_with("edge_")));
+        drop(open);
+        assert_eq!(figures.in_flight(), 0);
+    }
+}
--- /dev/null
+++ b/crates/ops/tests/calls.rs
@@ -0,0 +1,83 @@
+//! Calls as an HTTP client makes them, and as none should.
+
+use mothpier_ops::{Called, Desk, MAX_HEAD, Phase, Step};
+
+fn said(desk: &Desk, call: &[u8]) -> (String, Option<(Step, Phase)>) {
+    match desk.call(call) {
+        Called::Unfinished => ("unfinished".into(), None),
+        Called::Answer { bytes, step } => (String::from_utf8(bytes).unwrap(), step),
+    }
+}
+
+fn status(desk: &Desk, line: &str) -> String {
+    let (answer, _) = said(desk, format!("{line} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes());
+    answer.split(' ').nth(1).unwrap_or_default().to_owned()
+}
+
+#[test]
+fn the_calls_answer_by_the_state_of_the_node() {
+    let desk = Desk::new(["read"]);
+    assert_eq!(status(&desk, "GET /ready"), "503");
+    assert_eq!(status(&desk, "GET /metrics"), "200", "figures are there before the node serves");
+    desk.lifecycle.step(Step::Ready);
+    assert_eq!(status(&desk, "GET /ready"), "200");
+    let put =
+        |path: &str| said(&desk, format!("PUT {path} HTTP/1.1\r\nContent-Length: 0\r\n\r\n").as_bytes());
+    assert_eq!(put("/drain").1, Some((Step::Drain, Phase::Drained)));
+    assert_eq!(put("/drain").1, None, "drained already");
+    assert!(put("/drain").0.starts_with("HTTP/1.1 200 OK\r\n"));
+    assert_eq!(status(&desk, "GET /ready"), "503");
+    assert_eq!(put("/undrain").1, Some((Step::Undrain, Phase::Serving)));
+    assert_eq!(put("/undrain").1, None);
+    assert_eq!(status(&desk, "GET /ready"), "200");
+    desk.lifecycle.step(Step::Stop);
+    assert_eq!(status(&desk, "GET /ready"), "503");
+    assert_eq!(status(&desk, "PUT /undrain"), "409", "nothing brings back a node that ends");
+    assert_eq!(status(&desk, "PUT /drain"), "200");
+}
+
+#[test]
+fn wrong_calls_get_the_answers_of_http() {
+    let desk = Desk::new(["read"]);
+    desk.lifecycle.step(Step::Ready);
+    for (line, wanted) in [
+        ("GET /", "404"),
+        ("GET /drain/", "404"),
+        ("GET /drain", "405"),
+        ("POST /undrain", "405"),
+        ("DELETE /metrics", "405"),
+        ("PUT /ready", "405"),
+        ("GET /ready?full=1", "200"),
+        ("GET http://127.0.0.1:9901/metrics", "200"),
+        ("GET http://127.0.0.1:9901", "404"),
+    ] {
+        assert_eq!(status(&desk, line), wanted, "{line}");
+    }
+    assert!(said(&desk, b"GET /drain HTTP/1.1\r\n\r\n").0.contains("\r\nAllow: PUT\r\n"));
+    assert_eq!(desk.lifecycle.phase(), Phase::Serving, "a GET has drained the node");
+    let (head, _) = said(&desk, b"HEAD /metrics HTTP/1.1\r\n\r\n");
+    let (whole, _) = said(&desk, b"GET /metrics HTTP/1.1\r\n\r\n");
+    assert!(head.ends_with("\r\n\r\n") && whole.starts_with(&head), "HEAD: the same head, no body");
+    let body = whole.split_once("\r\n\r\n").unwrap().1;
+    assert!(whole.contains(&format!("Content-Length: {}\r\n", body.len())));
+    assert!(whole.contains("Connection: close\r\n") && whole.contains("version=0.0.4"));
+}
+
+#[test]
+fn heads_are_waited_for_refused_or_cut_but_never_guessed() {
+    let desk = Desk::new(["read"]);
+    let call = b"PUT /drain HTTP/1.1\r\nHost: x\r\n\r\n";
+    for cut in 0..call.len() {
+        assert_eq!(said(&desk, &call[..cut]), ("unfinished".into(), None), "{cut}");
+    }
+    assert_eq!(desk.lifecycle.phase(), Phase::Starting, "half a call has drained the node");
+    for bad in [&b"\x16\x03\x01\x02\x00\x01"[..], b"PING\r\n\r\n", b"GET /ready HTTP/1.1\r\nno colon\r\n\r\n"]
+    {
+        assert!(said(&desk, bad).0.starts_with("HTTP/1.1 400 "), "{bad:?}");
+    }
+    let long = [b"GET /ready HTTP/1.1\r\nX: ".to_vec(), vec![b'x'; MAX_HEAD]].concat();
+    assert!(said(&desk, &long).0.starts_with("HTTP/1.1 431 "));
+    let many = format!("GET /ready HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(100));
+    assert!(said(&desk, many.as_bytes()).0.starts_with("HTTP/1.1 431 "));
+    assert!(desk.too_slow().starts_with(b"HTTP/1.1 408 "));
+}
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -10,6 +10,7 @@
 use mothpier_host::Host;
 use mothpier_node::config::{self, Config};
 use mothpier_node::{Control, operator};
+use mothpier_ops::Desk;
 use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinHandle, LocalSet, spawn_local};
@@ -321,12 +322,14 @@
             }
         }
         let (control, told) = mpsc::channel(4);
+        let desk = Desk::new(&config.site.classes);
         let local = LocalSet::new();
         let (runs, log) = (host.clone(), host.clone());
         let running = match self.mutant {
-            None => local.spawn_local(mothpier_node::run(runs, config, told, recorder)),
+            None => local.spawn_local(mothpier_node::run(runs, config, desk, told, recorder)),
             Some(mutant) => {
-                local.spawn_local(mothpier_node::run(MutantHost::new(runs, mutant), config, told, recorder))
+                let runs = MutantHost::new(runs, mutant);
+                local.spawn_local(mothpier_node::run(runs, config, desk, told, recorder))
             }
         };
         // The set lives as long as the node does; dropping it with its task ends all of the node's tasks.
