Take over the inherited listener and hand peers and connections to the new process

Change: the listener named by ROUTER_SOCKET_FD is taken (one audited unsafe function, checks that it is open and listens), accepted from only once the process can serve, and left to the other process at SIGTERM; the peers' address is tried for until the old process lets go; connections leave behind their answers, those that rest after 0.65 s. Tests: two real processes on one listener under load, bad descriptors, a new one that dies, peers' duty, held requests.

--- a/crates/host/src/machine.rs
+++ b/crates/host/src/machine.rs
@@ -19,6 +19,17 @@
     pub program: &'static str,
 }
 
+impl Machine {
+    /// Goes on with a listener that was made elsewhere. Must run inside the runtime that will drive it.
+    ///
+    /// # Errors
+    /// What the machine says.
+    pub fn adopt(&self, listener: std::net::TcpListener) -> io::Result<TcpListener> {
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener)
+    }
+}
+
 impl Host for Machine {
     type Stream = TcpStream;
     type Listener = TcpListener;
--- a/crates/mothpier/src/main.rs
+++ b/crates/mothpier/src/main.rs
@@ -1,14 +1,14 @@
 //! `mothpier`, a load-balancing node for a fleet of cache servers: environment, runtime and signals.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use brassrouter::Settings;
-use mothpier_host::{Host, Machine};
+use mothpier_host::{Host, Machine, inherited};
 use mothpier_node::config::{self, Config, Environment, Precedence};
 use mothpier_node::keys::Keys;
-use mothpier_node::{Control, operator, ops, run};
+use mothpier_node::{Control, Start, operator, ops, run};
 use mothpier_ops::Desk;
 use mothpier_record::Recorder;
 use mothpier_record::recover::{Found, Unseen, recover};
@@ -20,15 +20,19 @@
 const HOST: Machine = Machine { program: "mothpier" };
 
 fn main() -> ExitCode {
-    let config = match read(Precedence::Environment) {
-        Ok(config) => config,
+    // Before anything is opened: what has this number now is what was left open for this process.
+    let begun = inherited_listener().and_then(|l| read(Precedence::Environment).map(|config| (config, l)));
+    let (config, listener) = match begun {
+        Ok(begun) => begun,
         Err(e) => {
             HOST.log(format_args!("{e}"));
             return ExitCode::from(2);
         }
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ended = runtime.map_err(|e| e.to_string()).and_then(|r| LocalSet::new().block_on(&r, serve(config)));
+    let ended = runtime
+        .map_err(|e| e.to_string())
+        .and_then(|r| LocalSet::new().block_on(&r, serve(config, listener)));
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -38,6 +42,13 @@
     }
 }
 
+/// The listener that `ROUTER_SOCKET_FD` names, where it is set.
+fn inherited_listener() -> Result<Option<TcpListener>, String> {
+    let named = std::env::var_os("ROUTER_SOCKET_FD").filter(|v| !v.is_empty());
+    let listener = named.map(|text| inherited::listener(&text.to_string_lossy())).transpose();
+    listener.map_err(|e| format!("ROUTER_SOCKET_FD: {e}"))
+}
+
 /// Reads the environment and the files that it names; the error is one plain line.
 fn read(precedence: Precedence) -> Result<Config, String> {
     let env = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
@@ -130,7 +141,7 @@
 }
 
 /// Runs the node and passes signals on to it.
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(config: Config, listener: Option<TcpListener>) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
     // Taken from the start on: unhandled, this signal would end the node.
@@ -141,8 +152,10 @@
     if let Some(address) = config.ops {
         staff(address, desk.clone(), control.clone(), config.sockets)?;
     }
-    let recorder = recorder(&config);
-    let mut node = std::pin::pin!(run(HOST, config, desk, told, recorder));
+    let listener =
+        listener.map(|l| HOST.adopt(l)).transpose().map_err(|e| format!("inherited listener: {e}"))?;
+    let start = Start { recorder: recorder(&config), listener };
+    let mut node = std::pin::pin!(run(HOST, config, desk, told, start));
     loop {
         let tell = tokio::select! {
             ended = &mut node => return ended,
--- /dev/null
+++ b/crates/mothpier/tests/upgrade.rs
@@ -0,0 +1,217 @@
+//! Two processes of one node on one inherited listener: what clients, the origin and peers may notice of it.
+#![allow(missing_docs)]
+
+mod world;
+
+use std::net::{TcpListener, UdpSocket};
+use std::os::fd::OwnedFd;
+use std::process::{Command, Stdio};
+use std::sync::Mutex;
+use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
+
+use world::*;
+
+/// A listener that the processes of one node share, and a folder that they share, too.
+struct Platform {
+    name: &'static str,
+    listener: TcpListener,
+    folder: String,
+}
+
+impl Platform {
+    fn new(name: &'static str) -> Self {
+        let folder = format!("{}/{name}", env!("CARGO_TARGET_TMPDIR"));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir(&folder).unwrap();
+        Platform { name, listener: TcpListener::bind("127.0.0.1:0").unwrap(), folder }
+    }
+
+    fn command(&self, discovery: &Discovery) -> Command {
+        inheriting(
+            node_command(self.name, discovery.address, 1024, "exec 4<&0 0</dev/null;"),
+            &self.listener,
+            "4",
+        )
+        .with_folder(&self.folder)
+    }
+
+    /// Starts a process and waits until it says yes.
+    fn start(&self, discovery: &Discovery) -> Node {
+        let node = Node::spawn(self.command(discovery));
+        node.ready();
+        node
+    }
+}
+
+trait Folder {
+    fn with_folder(self, folder: &str) -> Self;
+}
+
+impl Folder for Command {
+    fn with_folder(mut self, folder: &str) -> Self {
+        self.env("TMPDIR", folder);
+        self
+    }
+}
+
+fn inheriting(mut command: Command, socket: &TcpListener, number: &str) -> Command {
+    command.stdin(Stdio::from(OwnedFd::from(socket.try_clone().unwrap())));
+    command.env("ROUTER_SOCKET_FD", number).env("ROUTER_OPS", "127.0.0.1:0");
+    command
+}
+
+#[test]
+fn a_descriptor_that_is_no_listener_is_said_and_ends_the_start() {
+    let server = serve(command, |_| array("v"));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    for (number, before, told) in [
+        ("four", "", "\"four\" is no number of an inherited descriptor"),
+        ("-1", "", "\"-1\" is no number of an inherited descriptor"),
+        ("1", "", "\"1\" is no number of an inherited descriptor"),
+        ("99999999999", "", "is no number of an inherited descriptor"),
+        ("77", "", "descriptor 77 can't be taken: Bad file descriptor"),
+        ("4", "exec 4</dev/null;", "descriptor 4 is no socket"),
+    ] {
+        let mut command =
+            inheriting(node_command("no-listener", discovery.address, 1024, before), &listener, number);
+        let ended = command.stderr(Stdio::piped()).output().unwrap();
+        let log = String::from_utf8(ended.stderr).unwrap();
+        assert!(!ended.status.success(), "{number}");
+        assert!(log.contains("ROUTER_SOCKET_FD: ") && log.contains(told), "{number}: {log}");
+    }
+    // A socket, and of TCP, but not one that listens.
+    let stream = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let mut command = node_command("no-listener", discovery.address, 1024, "exec 4<&0 0</dev/null;");
+    command.stdin(Stdio::from(OwnedFd::from(stream))).env("ROUTER_SOCKET_FD", "4");
+    let ended = command.stderr(Stdio::piped()).output().unwrap();
+    let log = String::from_utf8(ended.stderr).unwrap();
+    assert!(!ended.status.success() && log.contains("descriptor 4 is no TCP socket that listens"), "{log}");
+}
+
+#[test]
+fn a_new_version_takes_over_under_load_and_no_request_is_lost() {
+    let server = serve(command, |asked| {
+        std::thread::sleep(Duration::from_millis(5));
+        array(&asked[2])
+    });
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let platform = Platform::new("take-over");
+    let old = platform.start(&discovery);
+    let address = old.address;
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let clients: Vec<_> = (0..8)
+        .map(|number| {
+            let stop = stop.clone();
+            std::thread::spawn(move || {
+                let (mut client, mut asked, mut renewed) = (Client::connect(address), 0, 0);
+                while !stop.load(std::sync::atomic::Ordering::Relaxed) {
+                    let id = format!("c{number}-{asked}");
+                    let mut answer = client.ask(&["CACHE.GET", &id, &id, "c=read,t=acme,d=9000"]);
+                    // Closed between requests: asked once more, on a new connection.
+                    if answer == "end" {
+                        (client, renewed) = (Client::connect(address), renewed + 1);
+                        answer = client.ask(&["CACHE.GET", &id, &format!("{id}-2"), "c=read,t=acme,d=9000"]);
+                    }
+                    assert!(answer.starts_with(&format!("${id}")) || answer.starts_with("-BUSY"), "{answer}");
+                    asked += 1;
+                }
+                (asked, renewed)
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(300));
+    let new = platform.start(&discovery);
+    let mut old = old;
+    old.signal("TERM");
+    assert!(old.ended().success());
+    std::thread::sleep(Duration::from_millis(300));
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    let (asked, renewed): (Vec<u32>, Vec<u32>) = clients.into_iter().map(|c| c.join().unwrap()).unzip();
+    assert!(renewed.iter().all(|r| *r <= 1), "a client was sent away more than once: {renewed:?}");
+    assert!(asked.iter().all(|a| *a > 20), "{asked:?}");
+    assert_eq!(Client::connect(address).ask(&["PING"]), "+PONG");
+    assert!(new.figure("edge_router_served_total{class=\"read\"}").unwrap() > 0);
+}
+
+#[test]
+fn a_new_process_accepts_nothing_before_it_can_serve_and_one_that_dies_changes_nothing() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let platform = Platform::new("dies");
+    let old = platform.start(&discovery);
+    // Killed before it can say yes, and after.
+    drop(Node::spawn(platform.command(&discovery)));
+    drop(platform.start(&discovery));
+    for i in 0..20 {
+        let mut client = old.client();
+        assert_eq!(client.ask(&["PING"]), "+PONG");
+        assert_eq!(
+            client.ask(&["CACHE.GET", "k", &format!("i{i}"), "c=read,t=acme,d=9000"]),
+            format!("$i{i}")
+        );
+    }
+}
+
+#[test]
+fn one_process_at_a_time_hears_the_peers() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let platform = Platform::new("duty");
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let duty = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (here, there) = (duty.to_string(), peer.local_addr().unwrap().to_string());
+    let start = || {
+        let path = format!("{}/duty-peers.json", env!("CARGO_TARGET_TMPDIR"));
+        let config = config(platform.name, discovery.address, 1024);
+        let peers = format!(r#""peer_listen":"{here}","peers":["{here}","{there}"],"settings""#);
+        let config = config.replace(r#""settings""#, &peers).replace(r#""balancers":1"#, r#""balancers":2"#);
+        std::fs::write(&path, config).unwrap();
+        let mut command = platform.command(&discovery);
+        command.env("ROUTER_CONFIG", path);
+        let node = Node::spawn(command);
+        node.ready();
+        node
+    };
+    let mut old = start();
+    peer.set_read_timeout(Some(HUNG)).unwrap();
+    let mut buffer = [0; 512];
+    assert_eq!(peer.recv_from(&mut buffer).unwrap().1, duty);
+    let new = start();
+    old.signal("TERM");
+    new.logged("messages of peers come here from now on");
+    let begun = Instant::now();
+    // Told by the new one, from the same address.
+    assert!(old.ended().success());
+    assert_eq!(peer.recv_from(&mut buffer).unwrap().1, duty);
+    assert!(begun.elapsed() < HUNG);
+}
+
+#[test]
+fn what_the_old_process_took_it_answers() {
+    let (arrived, commands) = channel();
+    let (go, wait) = channel::<()>();
+    let (arrived, wait) = (Mutex::new(arrived), Mutex::new(wait));
+    let server = serve(command, move |asked| {
+        arrived.lock().unwrap().send(()).unwrap();
+        let _ = wait.lock().unwrap().recv();
+        array(&asked[2])
+    });
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let platform = Platform::new("answers");
+    let mut old = platform.start(&discovery);
+    let mut client = old.client();
+    client.send(&["CACHE.GET", "k", "id", "c=read,t=acme,d=9000"]);
+    commands.recv_timeout(HUNG).unwrap();
+    let new = platform.start(&discovery);
+    old.signal("TERM");
+    old.logged("stopping");
+    // A connection that comes now is the new one's.
+    assert_eq!(Client::connect(old.address).ask(&["PING"]), "+PONG");
+    go.send(()).unwrap();
+    assert_eq!(client.answer(), "$id");
+    assert_eq!(client.answer(), "end");
+    assert!(old.ended().success());
+    assert_eq!(new.status("GET /ready"), 200);
+}
--- a/crates/mothpier/tests/world/mod.rs
+++ b/crates/mothpier/tests/world/mod.rs
@@ -297,15 +297,19 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(HUNG)).unwrap();
-        Client(BufReader::new(stream))
+        Client::connect(self.address)
     }
 }
 
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
+    pub fn connect(to: SocketAddr) -> Self {
+        let stream = TcpStream::connect(to).unwrap();
+        stream.set_read_timeout(Some(HUNG)).unwrap();
+        Client(BufReader::new(stream))
+    }
+
     pub fn write(&mut self, bytes: impl AsRef<[u8]>) {
         self.0.get_mut().write_all(bytes.as_ref()).unwrap();
     }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -77,13 +77,24 @@
     Resting,
 }
 
+/// Whether new connections are taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Listening {
+    #[default]
+    Yes,
+    /// Not any more, but those that the machine has accepted are: no other process would.
+    TakeRest,
+    /// Not any more: another process accepts from the same socket.
+    LeaveRest,
+}
+
 /// How connections retire, for a drain and for the end of the node alike. Those that wait for a change are woken in the
 /// order in which they began to wait: a watch channel would wake them in a random one.
 #[derive(Default)]
 pub struct Retiring {
     leaving: Cell<Leaving>,
     /// Nothing more is accepted.
-    ended: Cell<bool>,
+    listening: Cell<Listening>,
     changed: Notify,
 }
 
@@ -94,9 +105,9 @@
         self.changed.notify_waiters();
     }
 
-    /// Nothing is accepted from now on.
-    pub fn end_listening(&self) {
-        self.ended.set(true);
+    /// Nothing is accepted from now on but, where they are told to be taken, what has arrived by now.
+    pub fn end_listening(&self, rest: Listening) {
+        self.listening.set(rest);
         self.changed.notify_waiters();
     }
 
@@ -106,7 +117,7 @@
 
     /// Waits until nothing is accepted any more. Safe to drop and call again.
     async fn listening_ended(&self) {
-        while !self.ended.get() {
+        while self.listening.get() == Listening::Yes {
             self.changed.notified().await;
         }
     }
@@ -220,6 +231,7 @@
             }
             let accepted = tokio::select! {
                 biased;
+                () = self.retiring.listening_ended(), if self.retiring.listening.get() != Listening::TakeRest => break,
                 accepted = listener.accept() => accepted,
                 () = self.retiring.listening_ended() => break,
             };
@@ -250,11 +262,12 @@
                 }
             }
         }
-        while let Some((stream, _)) = poll_fn(|cx| match listener.poll_accept(cx) {
-            Poll::Ready(accepted) => Poll::Ready(accepted.ok()),
-            Poll::Pending => Poll::Ready(None),
-        })
-        .await
+        while self.retiring.listening.get() == Listening::TakeRest
+            && let Some((stream, _)) = poll_fn(|cx| match listener.poll_accept(cx) {
+                Poll::Ready(accepted) => Poll::Ready(accepted.ok()),
+                Poll::Pending => Poll::Ready(None),
+            })
+            .await
         {
             number += 1;
             self.clone().start(stream, number);
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -24,6 +24,8 @@
         from: u32,
         bytes: Vec<u8>,
     },
+    /// Another process of this node hears its peers from now on.
+    LeavePeers,
     /// Recording goes on or off.
     Record(bool),
     /// The node ends in order: all that was taken is answered.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,4 +26,4 @@
 mod weather;
 
 pub use discovery::{List, Member};
-pub use service::{Control, run};
+pub use service::{Control, Start, run};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -257,6 +257,11 @@
                 let notice = self.parts.recorder.as_mut().and_then(|r| r.switch(on, now));
                 self.notice(notice);
             }
+            Input::LeavePeers => {
+                if let Some(peers) = &mut self.parts.peers {
+                    peers.close();
+                }
+            }
             Input::End => {}
             Input::Client(Asked::Request { mut request, connection, command, answer }) => {
                 let ends = Instant::now() + Duration::from_micros(request.time_left);
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -14,7 +14,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::clients::{Bounds, Clients, Grammar, Leaving, Retiring};
+use crate::clients::{Bounds, Clients, Grammar, Leaving, Listening, Retiring};
 use crate::config::Config;
 use crate::input::Input;
 use crate::node::{Clock, Node, Parts};
@@ -30,6 +30,10 @@
 const DRAIN: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(1200));
 /// At its end a node has less time: what comes later than 0.7 s after SIGTERM is its own to answer before SIGKILL.
 const STOP: (Duration, Duration) = (Duration::from_millis(300), KEEP_ACCEPTING);
+/// Where another process accepts what is new already, connections leave at once.
+const HAND_OVER: (Duration, Duration) = (Duration::ZERO, Duration::from_millis(650));
+/// Between two looks whether a node that shares its listener can serve: until then it accepts nothing.
+const READY_LOOK: Duration = Duration::from_millis(5);
 /// A restarted node is used even when discovery is silent, with the list it last had.
 const WITHOUT_DISCOVERY: Duration = Duration::from_secs(1);
 /// Descriptors for the listener, the peers, discovery, the runtime and the standard streams.
@@ -48,6 +52,20 @@
     Record(bool),
 }
 
+/// What a node begins with beside its configuration.
+pub struct Start<H: Host> {
+    /// Where the decision module's events are recorded.
+    pub recorder: Option<Recorder>,
+    /// The listener for clients, where it is one that other processes hold, too; else one is opened.
+    pub listener: Option<H::Listener>,
+}
+
+impl<H: Host> Default for Start<H> {
+    fn default() -> Self {
+        Start { recorder: None, listener: None }
+    }
+}
+
 /// Runs a node until it is told to stop and has answered what it took. What the decision module is told goes to the
 /// recorder, where one is given. Must run inside a
 /// [`LocalSet`](tokio::task::LocalSet): dropping that ends the node at once, as a kill would.
@@ -59,9 +77,11 @@
     config: Config,
     desk: Arc<Desk>,
     mut control: mpsc::Receiver<Control>,
-    mut recorder: Option<Recorder>,
+    start: Start<H>,
 ) -> Result<(), String> {
     let clock = Clock::start(&host);
+    let Start { mut recorder, listener } = start;
+    let shared = listener.is_some();
     let (events, inputs) = mpsc::channel(QUEUE);
     let mut site = config.site;
     let storm = config.operator.storm;
@@ -82,7 +102,7 @@
     };
     let peers = match config.peer_listen.filter(|_| site.decisions.may_tell_peers) {
         Some(listen) => {
-            peers::Peers::open(host.clone(), listen, config.peers, config.peers_all, events.clone())
+            peers::Peers::open(host.clone(), listen, shared, config.peers, config.peers_all, events.clone())
                 .await
                 .map(Some)
                 .map_err(|e| format!("cannot open {listen}: {e}"))?
@@ -112,8 +132,13 @@
         recorder: None,
     };
     let revision = config.known.as_ref().map(|l| l.revision);
-    let listener = host.listen(config.listen).await;
-    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let listener = match listener {
+        Some(listener) => listener,
+        None => {
+            let listener = host.listen(config.listen).await;
+            listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?
+        }
+    };
     let listener_address = listener.local_addr();
     let retiring = Rc::new(Retiring::default());
     let longest: Micros = site.decisions.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
@@ -139,7 +164,13 @@
     let mut node = spawn_local(node.run(config.known, inputs));
     let (discovery, addresses) = watch::channel(config.discovery);
     spawn_local(discovery::run(host.clone(), addresses, revision, wishes, events));
-    let accepting = spawn_local(clients.clone().accept(listener));
+    let (accepts, waits) = (clients.clone(), desk.clone());
+    let accepting = spawn_local(async move {
+        while shared && waits.lifecycle.phase() == Phase::Starting {
+            sleep(READY_LOOK).await;
+        }
+        accepts.accept(listener).await;
+    });
     let waits = desk.clone();
     spawn_local(async move {
         sleep(WITHOUT_DISCOVERY).await;
@@ -180,9 +211,16 @@
     desk.lifecycle.step(Step::Stop);
     host.log(format_args!("stopping"));
     let kill = Instant::now() + Duration::from_micros(longest) + KEEP_ACCEPTING;
-    retire(&retiring, STOP);
-    sleep(KEEP_ACCEPTING).await;
-    retiring.end_listening();
+    if shared {
+        retiring.end_listening(Listening::LeaveRest);
+        let _ = ends.send(Input::LeavePeers).await;
+        retire(&retiring, HAND_OVER);
+        sleep(HAND_OVER.1).await;
+    } else {
+        retire(&retiring, STOP);
+        sleep(KEEP_ACCEPTING).await;
+        retiring.end_listening(Listening::TakeRest);
+    }
     let _ = accepting.await;
     let all_closed = async {
         while clients.count() > 0 {
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -9,7 +9,7 @@
 use chalksill_simnet::{Links, Net, SimHost};
 use mothpier_host::Host;
 use mothpier_node::config::{self, Config};
-use mothpier_node::{Control, operator};
+use mothpier_node::{Control, Start, operator};
 use mothpier_ops::Desk;
 use rand::Rng;
 use tokio::sync::mpsc;
@@ -326,10 +326,14 @@
         let local = LocalSet::new();
         let (runs, log) = (host.clone(), host.clone());
         let running = match self.mutant {
-            None => local.spawn_local(mothpier_node::run(runs, config, desk, told, recorder)),
+            None => {
+                let start = Start { recorder, listener: None };
+                local.spawn_local(mothpier_node::run(runs, config, desk, told, start))
+            }
             Some(mutant) => {
                 let runs = MutantHost::new(runs, mutant);
-                local.spawn_local(mothpier_node::run(runs, config, desk, told, recorder))
+                let start = Start { recorder, listener: None };
+                local.spawn_local(mothpier_node::run(runs, config, desk, told, start))
             }
         };
         // The set lives as long as the node does; dropping it with its task ends all of the node's tasks.
