Pass large values on as they come, and let slow pieces take their time

An answer over 64 KiB was malformed and went to another server and the origin, where it failed as well; an answer in small pieces was given up 250 ms after its first byte. Ruled out: memory and descriptors (2 of 48 MB, 125 of 1024 used). Change: values to 4 MiB pass through a channel of two pieces of 16 KiB from server or origin to the client; the attempt is served for the module with the first bytes; a cut value ends the client's connection and counts as failed. An answer or a value need only go on; a head has 2.6 s. Large writes are read whole, their memory reserved first, else dropped and refused. Tests: byte for byte by server and origin, first bytes and pauses, a cut value, 24 readers that stop (24 MB at the most), writes without room, a command byte by byte over 2 s.

--- /dev/null
+++ b/crates/mothpier/tests/large.rs
@@ -0,0 +1,290 @@
+//! Large values through a node as a process: byte for byte, as they come, and at the cost of the slow one alone.
+#![allow(missing_docs)]
+
+mod world;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use world::*;
+
+const LARGE: usize = 4 << 20;
+
+/// Bytes that are the same for a seed and have no period that a buffer has.
+fn bytes(seed: u64, length: usize) -> Vec<u8> {
+    let mut state = seed | 1;
+    let mut next = || {
+        state = state.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (state >> 33) as u8
+    };
+    (0..length).map(|_| next()).collect()
+}
+
+/// Reads a value of the node's answer.
+fn value(stream: &mut impl BufRead) -> Vec<u8> {
+    let mut line = String::new();
+    stream.read_line(&mut line).unwrap();
+    let length: usize =
+        line.trim_end().strip_prefix('$').unwrap_or_else(|| panic!("{line:?}")).parse().unwrap();
+    let mut value = vec![0; length + 2];
+    stream.read_exact(&mut value).unwrap();
+    assert_eq!(value.split_off(length), b"\r\n");
+    value
+}
+
+/// A cache server that writes its answers itself, as the test says.
+fn server(answer: impl Fn(&[String], &mut TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let answer = Arc::new(answer);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let answer = answer.clone();
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while let Some(asked) = command(&mut reader) {
+                    answer(&asked, &mut stream);
+                }
+            });
+        }
+    });
+    address
+}
+
+fn whole(value: &[u8]) -> Vec<u8> {
+    [format!("*3\r\n${}\r\n", value.len()).as_bytes(), value, b"\r\n$3\r\nhit\r\n$-1\r\n"].concat()
+}
+
+fn get(node: &Node, key: &str, id: &str) -> BufReader<TcpStream> {
+    let mut stream = TcpStream::connect(node.address).unwrap();
+    stream.set_read_timeout(Some(HUNG)).unwrap();
+    ask(&mut stream, key, id);
+    BufReader::new(stream)
+}
+
+fn ask(stream: &mut TcpStream, key: &str, id: &str) {
+    let words = ["CACHE.GET", key, id, "c=read,t=acme,d=19000"];
+    let command: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    stream.write_all(format!("*4\r\n{command}").as_bytes()).unwrap();
+}
+
+/// Peak memory of a process, KiB.
+fn peak(node: &Node) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).unwrap();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+    line.trim().trim_end_matches(" kB").trim().parse().unwrap()
+}
+
+#[test]
+fn large_values_come_byte_for_byte_from_server_and_origin_and_the_connection_goes_on() {
+    let cached = server(|asked, stream| {
+        let bytes = match asked[1].as_str() {
+            "missing" => b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec(),
+            key => whole(&bytes(7, key.parse().unwrap())),
+        };
+        // Cut anywhere, as a network would.
+        bytes.chunks(9973).for_each(|part| stream.write_all(part).unwrap_or_default());
+    });
+    let origin = serve(call, |asked| {
+        let body = bytes(9, LARGE);
+        let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+        assert!(asked[0].starts_with("GET /missing"));
+        answer.extend(body);
+        Reaction::Answer(answer)
+    });
+    let members = [member("s-1", cached, "m", "ready"), member("o-1", origin, "origin", "ready")].join(",");
+    let node = Node::start("large", &Discovery::start(&members));
+    let mut client = get(&node, "70000", "a0");
+    assert_eq!(value(&mut client), bytes(7, 70_000));
+    for (i, length) in [65_535, 65_536, 65_537, 65_536 + 16 * 1024, LARGE, 5].into_iter().enumerate() {
+        ask(client.get_mut(), &length.to_string(), &format!("a{}", i + 1));
+        assert!(value(&mut client) == bytes(7, length), "{length} bytes");
+    }
+    ask(client.get_mut(), "missing", "b1");
+    ask(client.get_mut(), "missing", "b2");
+    assert!(value(&mut client) == bytes(9, LARGE), "from the origin");
+    assert!(value(&mut client) == bytes(9, LARGE), "behind another");
+    assert!(peak(&node) < 24 * 1024, "{} KiB at the most", peak(&node));
+}
+
+#[test]
+fn the_first_bytes_go_on_while_the_server_still_writes_and_pauses_are_borne() {
+    let (go, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let slow = server(move |_, stream| {
+        let answer = whole(&bytes(3, 100_000));
+        stream.write_all(&answer[..50]).unwrap();
+        wait.lock().unwrap().recv().unwrap();
+        stream.write_all(&answer[50..60_000]).unwrap();
+        thread::sleep(Duration::from_millis(600));
+        // Its last bytes one by one.
+        stream.write_all(&answer[60_000..answer.len() - 40]).unwrap();
+        for byte in &answer[answer.len() - 40..] {
+            stream.write_all(&[*byte]).unwrap();
+            thread::sleep(Duration::from_millis(2));
+        }
+    });
+    let node = Node::start("pauses", &Discovery::start(&member("s-1", slow, "m", "ready")));
+    let mut client = get(&node, "k", "a1");
+    let mut first = [0; 30];
+    client.read_exact(&mut first).unwrap();
+    assert!(first.starts_with(b"$100000\r\n"), "held back");
+    go.send(()).unwrap();
+    let mut rest = vec![0; 100_000 + 9 + 2 - first.len()];
+    client.read_exact(&mut rest).unwrap();
+    let all = [&first[9..], &rest[..rest.len() - 2]].concat();
+    assert!(all == bytes(3, 100_000));
+}
+
+#[test]
+fn a_value_that_its_server_cuts_ends_the_connection_and_counts_as_failed() {
+    let cut = server(|asked, stream| {
+        let answer = whole(&bytes(3, 100_000));
+        match asked[1].as_str() {
+            "cut" => {
+                stream.write_all(&answer[..80_000]).unwrap();
+                stream.shutdown(Shutdown::Both).unwrap();
+            }
+            _ => stream.write_all(&whole(b"v")).unwrap(),
+        }
+    });
+    let discovery = Discovery::start(&member("s-1", cut, "m", "ready"));
+    let mut command = node_command("cut", discovery.address, 1024, "");
+    command.env("ROUTER_OPS", "127.0.0.1:0");
+    let node = Node::run(command, &discovery);
+    node.ready();
+    let mut client = get(&node, "cut", "a1");
+    let mut all = Vec::new();
+    // A reset or the end: in either case fewer bytes than the header says.
+    let _ = client.read_to_end(&mut all);
+    assert!(all.starts_with(b"$100000\r\n") && all.len() < 100_000, "{} bytes", all.len());
+    node.figure_becomes("edge_router_failed_total{class=\"read\"}", 1);
+    assert_eq!(value(&mut get(&node, "k", "a2")), b"v");
+    node.figure_becomes("edge_router_served_total{class=\"read\"}", 1);
+    node.figure_becomes("edge_router_in_flight", 0);
+}
+
+#[test]
+fn many_slow_readers_cost_little_memory_and_no_one_else() {
+    let large = server(|asked, stream| {
+        let value = if asked[1].starts_with("large") { bytes(5, LARGE) } else { b"v".to_vec() };
+        let _ = stream.write_all(&whole(&value));
+    });
+    let node = Node::start("readers", &Discovery::start(&member("s-1", large, "m", "ready")));
+    // Each stops after the first line. A node that has just begun refuses some at first.
+    let mut readers = Vec::new();
+    for try_no in 0..400 {
+        let mut reader = get(&node, &format!("large{try_no}"), &format!("a{try_no}"));
+        let mut line = String::new();
+        reader.read_line(&mut line).unwrap();
+        match line.starts_with('$') {
+            true => readers.push(reader),
+            false => thread::sleep(Duration::from_millis(20)),
+        }
+        if readers.len() == 24 {
+            break;
+        }
+    }
+    assert_eq!(readers.len(), 24, "too few have begun");
+    let asked = Instant::now();
+    assert_eq!(value(&mut get(&node, "small", "b1")), b"v");
+    // As soon as if nobody else were there.
+    assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+    assert!(peak(&node) < 24 * 1024, "{} KiB at the most", peak(&node));
+}
+
+fn set(node: &Node, id: &str, length: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(node.address).unwrap();
+    stream.set_read_timeout(Some(HUNG)).unwrap();
+    let words = ["CACHE.SET", "k", id, "c=once,t=acme,d=19000"];
+    let head: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    stream.write_all(format!("*5\r\n{head}${length}\r\n").as_bytes()).unwrap();
+    stream
+}
+
+/// An origin that tells of each write its body's length and whether it is as it should be.
+fn writes() -> (SocketAddr, Receiver<(usize, bool)>) {
+    let (told, seen): (Sender<(usize, bool)>, _) = channel();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let told = told.clone();
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream);
+                loop {
+                    let (mut length, mut line) = (0, String::new());
+                    while reader.read_line(&mut line).is_ok_and(|n| n > 2) {
+                        if let Some(n) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+                            length = n.trim().parse().unwrap();
+                        }
+                        line.clear();
+                    }
+                    let mut body = vec![0; length];
+                    if length == 0 || reader.read_exact(&mut body).is_err() {
+                        return;
+                    }
+                    told.send((length, body == bytes(11, length))).unwrap();
+                    reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
+                }
+            });
+        }
+    });
+    (address, seen)
+}
+
+#[test]
+fn large_writes_reach_the_origin_whole_and_those_without_room_are_refused() {
+    let (origin, seen) = writes();
+    let node = Node::start("writes", &Discovery::start(&member("o-1", origin, "origin", "ready")));
+    let mut stream = set(&node, "w1", LARGE);
+    for part in bytes(11, LARGE).chunks(70_001) {
+        stream.write_all(part).unwrap();
+    }
+    stream.write_all(b"\r\n").unwrap();
+    let mut reader = BufReader::new(stream);
+    assert_eq!(value(&mut reader), b"ok");
+    assert_eq!(seen.recv_timeout(HUNG).unwrap(), (LARGE, true));
+    // Of 192 MB half may be held by requests: 23 such values and no more. They come and never end.
+    let held: Vec<TcpStream> = (0..23).map(|i| set(&node, &format!("h{i}"), LARGE)).collect();
+    thread::sleep(Duration::from_millis(300));
+    let mut refused = set(&node, "w2", LARGE);
+    let mut told = BufReader::new(refused.try_clone().unwrap());
+    bytes(11, LARGE).chunks(70_001).for_each(|part| refused.write_all(part).unwrap());
+    refused.write_all(b"\r\n*1\r\n$4\r\nPING\r\n").unwrap();
+    let mut line = String::new();
+    told.read_line(&mut line).unwrap();
+    assert!(line.starts_with("-BUSY"), "{line:?}");
+    line.clear();
+    told.read_line(&mut line).unwrap();
+    assert_eq!(line, "+PONG\r\n", "what stands behind a dropped value");
+    drop(held);
+    let mut again = set(&node, "w3", LARGE);
+    again.write_all(&bytes(11, LARGE)).unwrap();
+    again.write_all(b"\r\n").unwrap();
+    assert_eq!(value(&mut BufReader::new(again)), b"ok");
+    assert_eq!(seen.recv_timeout(HUNG).unwrap(), (LARGE, true));
+    assert!(seen.try_recv().is_err(), "what was refused reached the origin");
+}
+
+#[test]
+fn a_command_byte_by_byte_and_a_head_of_two_seconds_are_served() {
+    let small = server(|_, stream| stream.write_all(&whole(b"v")).unwrap());
+    let node = Node::start("pieces", &Discovery::start(&member("s-1", small, "m", "ready")));
+    let words = ["CACHE.GET", "k", "slow", "c=read,t=acme,d=19000"];
+    let command: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    let command = format!("*4\r\n{command}");
+    let pause = Duration::from_secs(2) / command.len() as u32;
+    let mut stream = TcpStream::connect(node.address).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(HUNG)).unwrap();
+    for byte in command.as_bytes() {
+        stream.write_all(&[*byte]).unwrap();
+        thread::sleep(pause);
+    }
+    assert_eq!(value(&mut BufReader::new(stream)), b"v");
+}
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -14,14 +14,14 @@
 use bytes::{Bytes, BytesMut};
 use mothpier_host::{Host, Listener, Reading, Stream};
 use mothpier_ops::{Desk, End, Phase, Ticket};
-use mothpier_resp::{self as resp, MAX_VALUE, Malformed};
+use mothpier_resp::{self as resp, Extent, MAX_VALUE, Malformed, WHOLE};
 use mothpier_storm::{Door, Verdict};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::command::{Answer, Claim, Command, Ids};
+use crate::command::{Answer, Claim, Command, Ids, STANDSTILL, Stream as LargeValue};
 use crate::input::{Asked, Input};
 use crate::keys::Keys;
 use crate::stream::{FAREWELL, READ, part, read};
@@ -34,9 +34,11 @@
 const WRITE: usize = 64 * 1024;
 /// A client that takes none of its answer for this long is cut off.
 const SLOW_READER: Duration = Duration::from_secs(10);
-/// A first command, and the rest of one that has begun, must come within this time: bad clients are owed an
-/// error or a close within 3 s.
-const HALF: Duration = Duration::from_secs(2);
+/// A first command, and the rest of one that has begun, must come within this time: true clients may take 2 s, bad
+/// ones are owed an error or a close within 3 s. A value need only go on.
+const HALF: Duration = Duration::from_millis(2600);
+/// The longest time that a value may take in all.
+const VALUE: Duration = Duration::from_secs(30);
 /// A connection that asks nothing for so long is closed: some clients keep theirs for good. The shorter time holds
 /// once half of the connections that there may be are open, for clients can hold only so many and those that are
 /// kept keep others out.
@@ -48,8 +50,8 @@
 /// When a request that finds the node's memory full may come back, milliseconds.
 const FULL_RETRY_MS: u64 = 100;
 /// Memory that an open request counts for until its answer is written, beside its own value: half of the largest
-/// answer, for few are large.
-const REQUEST_KB: usize = MAX_VALUE / 2 / 1024;
+/// answer that is held whole, for few are large; the pieces of one that passes are no more.
+const REQUEST_KB: usize = WHOLE / 2 / 1024;
 
 /// Connections that are being told to come back at once, as a part of all that there may be; while there are so many no
 /// other is accepted.
@@ -309,8 +311,16 @@
         self.open.borrow_mut().insert(number, entry);
         tokio::task::spawn_local(async move {
             let pending = VecDeque::new();
-            let mut session =
-                Session { clients: self.clone(), number, pending, asked: 0, known: false, ended: false };
+            let mut session = Session {
+                clients: self.clone(),
+                number,
+                pending,
+                asked: 0,
+                known: false,
+                ended: false,
+                coming: Coming::Head,
+                room: None,
+            };
             session.run(stream, evict).await;
             for slot in &session.pending {
                 if let Wait::Node(id, _) = slot.wait {
@@ -393,7 +403,8 @@
             key: Bytes::copy_from_slice(key),
             id: claim.1.clone(),
             extras: Bytes::copy_from_slice(extras),
-            value: value.first().map(|v| Bytes::copy_from_slice(v)),
+            // Read alone, and too large to be copied.
+            value: value.first().map(|v| if v.len() > WHOLE { v.clone() } else { Bytes::copy_from_slice(v) }),
             write,
             _claim: claim,
         };
@@ -425,6 +436,8 @@
 
 enum Wait {
     Ready(Bytes),
+    /// A large value, which goes on as it comes.
+    Stream(LargeValue),
     Node(RequestId, oneshot::Receiver<Answer>),
 }
 
@@ -436,6 +449,17 @@
     ticket: Option<(Ticket, End)>,
 }
 
+/// What a command that has not all come yet lacks.
+#[derive(Clone, Copy, PartialEq)]
+enum Coming {
+    /// Its head, which has its time.
+    Head,
+    /// Its value, which must go on.
+    Value,
+    /// So many bytes of a value that there is no room for: they are dropped, and then it is refused.
+    Dropped(usize),
+}
+
 struct Session<H> {
     clients: Rc<Clients<H>>,
     number: u64,
@@ -447,6 +471,10 @@
     known: bool,
     /// No more commands are read: the last answer closes.
     ended: bool,
+    /// What the command that has not all come yet lacks.
+    coming: Coming,
+    /// Reserved for the value that is coming.
+    room: Option<OwnedSemaphorePermit>,
 }
 
 impl<H: Host> Session<H> {
@@ -468,31 +496,36 @@
         let mut buffer = BytesMut::new();
         let mut came = (clients.now)();
         let connected = Instant::now();
-        // When the command that has not all come yet began to.
-        let mut begun = None;
+        // When the command that has not all come yet began to, and when its value last went on.
+        let mut begun: Option<(Instant, Instant)> = None;
         // Since when nothing was asked and nothing owed.
         let mut rests = connected;
         // Its last answer went out while connections were leaving behind theirs.
         let mut answered = false;
         loop {
             while !self.ended && !buffer.is_empty() {
-                match resp::take_frame(&mut buffer) {
+                match resp::take_frame(&mut buffer, MAX_VALUE) {
                     Ok(Some(frame)) => {
                         begun = None;
                         self.command(frame, came).await;
+                        // What was reserved went with the request, or was for none.
+                        (self.coming, self.room) = (Coming::Head, None);
+                    }
+                    Ok(None) => {
+                        self.large(&mut buffer, came);
+                        break;
                     }
-                    Ok(None) => break,
                     Err(e) => self.protocol_error(e),
                 }
                 if self.pending.len() > MAX_WAITING {
                     self.protocol_error(Malformed("too many commands at once"));
                 }
             }
-            if self.ended || buffer.is_empty() {
+            if self.ended || (buffer.is_empty() && self.coming == Coming::Head) {
                 // An idle connection must not keep the room that its largest command took.
-                buffer = BytesMut::new();
+                (buffer, begun) = (BytesMut::new(), None);
             } else {
-                begun.get_or_insert_with(Instant::now);
+                begun.get_or_insert_with(|| (Instant::now(), Instant::now()));
             }
             let idle = self.pending.is_empty();
             let now = Instant::now();
@@ -508,9 +541,10 @@
                 // One that has asked nothing yet may only just have come, to ask whether the node serves.
                 Leaving::Resting => self.known,
             };
-            let first = (!self.known && idle).then_some(connected + HALF);
-            let half = begun.filter(|_| !self.ended).map(|since| since + HALF);
-            let rest = idle.then_some(if leaving && begun.is_none() {
+            let asks_nothing = idle && begun.is_none();
+            let first = (!self.known && asks_nothing).then_some(connected + HALF);
+            let half = begun.filter(|_| !self.ended).map(|(first, last)| (last + HALF).min(first + VALUE));
+            let rest = asks_nothing.then_some(if leaving {
                 now
             } else if rests + IDLE.1 > now || clients.crowded() {
                 rests + IDLE.1
@@ -522,17 +556,12 @@
             tokio::select! {
                 biased;
                 ready = ready_answers(&mut self.pending), if !idle => {
-                    let bytes = self.take_answers(ready);
-                    let whole = timeout(SLOW_READER, writing.write_all(&bytes)).await;
+                    let whole = match ready {
+                        0 => self.pass_on(writing).await,
+                        ready => self.write(ready, writing).await,
+                    };
                     rests = Instant::now();
                     answered = clients.retiring.leaving() >= Leaving::Answered;
-                    let whole = matches!(whole, Ok(Ok(())));
-                    for slot in self.pending.drain(..ready) {
-                        // What could not be written was abandoned: that is no end.
-                        if let Some((ticket, end)) = slot.ticket.filter(|_| whole) {
-                            ticket.end(end);
-                        }
-                    }
                     if !whole {
                         return Parting::Close;
                     }
@@ -543,6 +572,10 @@
                         return Parting::Close;
                     }
                     (came, rests) = ((clients.now)(), Instant::now());
+                    if let Some((_, last)) = begun.as_mut().filter(|_| self.coming != Coming::Head) {
+                        *last = rests;
+                    }
+                    self.skip(&mut buffer);
                 }
                 () = evict.notified(), if idle => {
                     if quiet(reading, &mut buffer).await {
@@ -555,7 +588,11 @@
                         (came, rests) = ((clients.now)(), Instant::now());
                     } else if half.is_some_and(|half| half <= Instant::now()) {
                         self.protocol_error(Malformed("the rest of the command has not come"));
-                    } else if !self.known || leaving || clients.crowded() || rests.elapsed() >= IDLE.0 {
+                    } else if first.is_some_and(|first| first <= Instant::now())
+                        || leaving
+                        || clients.crowded()
+                        || rests.elapsed() >= IDLE.0
+                    {
                         return Parting::HalfClose;
                     }
                 }
@@ -564,6 +601,53 @@
         }
     }
 
+    /// Passes on the large value at the front as it comes; whether all of it has gone. Where it is cut the connection must
+    /// end, for nothing else tells the client that it is.
+    async fn pass_on(&mut self, writing: &mut <H::Stream as Stream>::Writing) -> bool {
+        let Some(Slot { wait: Wait::Stream(mut value), memory, ticket }) = self.pending.pop_front() else {
+            return false;
+        };
+        self.asked -= usize::from(memory.is_some());
+        let mut left = value.length;
+        let mut piece = resp::value_header(left);
+        let mut taken = true;
+        loop {
+            taken = taken && matches!(timeout(SLOW_READER, writing.write_all(&piece)).await, Ok(Ok(())));
+            if left == 0 || !taken {
+                break;
+            }
+            // Longer than its server may stand still, which ends it there.
+            match timeout(STANDSTILL * 2, value.pieces.recv()).await {
+                Ok(Some(next)) if next.len() <= left => piece = next,
+                _ => break,
+            }
+            left -= piece.len();
+        }
+        let whole = left == 0
+            && taken
+            && matches!(timeout(SLOW_READER, writing.write_all(b"\r\n")).await, Ok(Ok(())));
+        if let Some((ticket, _)) = ticket
+            && (whole || taken)
+        {
+            // One that the client stopped reading was abandoned.
+            ticket.end(if whole { End::Served } else { End::Failed });
+        }
+        whole
+    }
+
+    /// Writes answers that are ready; whether all of them have gone.
+    async fn write(&mut self, ready: usize, writing: &mut <H::Stream as Stream>::Writing) -> bool {
+        let bytes = self.take_answers(ready);
+        let whole = matches!(timeout(SLOW_READER, writing.write_all(&bytes)).await, Ok(Ok(())));
+        for slot in self.pending.drain(..ready) {
+            // What could not be written was abandoned: that is no end.
+            if let Some((ticket, end)) = slot.ticket.filter(|_| whole) {
+                ticket.end(end);
+            }
+        }
+        whole
+    }
+
     /// Marks the answers as taken and gives their bytes.
     fn take_answers(&mut self, ready: usize) -> Bytes {
         let mut all = BytesMut::new();
@@ -572,12 +656,68 @@
             match &slot.wait {
                 Wait::Ready(bytes) if ready == 1 => return bytes.clone(),
                 Wait::Ready(bytes) => all.extend_from_slice(bytes),
-                Wait::Node(..) => {}
+                Wait::Node(..) | Wait::Stream(_) => {}
             }
         }
         all.freeze()
     }
 
+    /// Looks at a command of which a value is still coming. Room for a large one is reserved before it is read; where there
+    /// is none it will be dropped and refused.
+    fn large(&mut self, buffer: &mut BytesMut, came: Micros) {
+        self.coming = Coming::Head;
+        let Ok(Extent::InValue { header, end, last }) = resp::extent(buffer, MAX_VALUE) else { return };
+        if last {
+            self.coming = Coming::Value;
+        }
+        if end - header <= WHOLE || self.room.is_some() {
+            return;
+        }
+        if !last {
+            return self.protocol_error(Malformed("only a value may be so large"));
+        }
+        self.room = self.clients.memory.clone().try_acquire_many_owned((end / 1024) as u32).ok();
+        if self.room.is_some() {
+            return buffer.reserve(end - buffer.len());
+        }
+        let mut head = BytesMut::from(&buffer[..header]);
+        head.extend_from_slice(b"$0\r\n\r\n");
+        self.coming = Coming::Dropped(end - buffer.len());
+        *buffer = BytesMut::new();
+        // As it would be without its value: what is wrong with it is said, and a request has its class.
+        let Ok(Some(frame)) = resp::take_frame(&mut head, WHOLE) else { return };
+        let class =
+            words(frame).map(|words| self.clients.parse(&words, came).map(|(request, _)| request.class));
+        match class {
+            Some(Ok(class)) => self.refuse(class),
+            Some(Err(e)) => self.reject(e),
+            None => self.protocol_error(Malformed("a command is an array of bulk strings")),
+        }
+    }
+
+    /// Drops what has come of a value that there is no room for.
+    fn skip(&mut self, buffer: &mut BytesMut) {
+        if let Coming::Dropped(left) = self.coming {
+            let here = left.min(buffer.len());
+            let _ = buffer.split_to(here);
+            self.coming = if left > here { Coming::Dropped(left - here) } else { Coming::Head };
+        }
+    }
+
+    /// Refuses a request for want of memory.
+    fn refuse(&mut self, class: usize) {
+        let wait = Wait::Ready(resp::error(&format!("BUSY {FULL_RETRY_MS}")));
+        let ticket = Some((self.clients.desk.figures.taken(class), End::Refused));
+        self.pending.push_back(Slot { wait, memory: None, ticket });
+    }
+
+    /// Answers a command with an error.
+    fn reject(&mut self, rejected: Rejected) {
+        let ticket = rejected.class.map(|class| (self.clients.desk.figures.taken(class), End::Failed));
+        let wait = Wait::Ready(resp::error(&format!("ERR {}", rejected.told)));
+        self.pending.push_back(Slot { wait, memory: None, ticket });
+    }
+
     /// Says what is wrong, behind the answers that are owed, and reads no more.
     fn protocol_error(&mut self, error: Malformed) {
         self.ended = true;
@@ -595,15 +735,7 @@
     }
 
     async fn command(&mut self, frame: BytesFrame, came: Micros) {
-        let word = |f: BytesFrame| match f {
-            BytesFrame::BulkString(b) => Some(b),
-            _ => None,
-        };
-        let words = match frame {
-            BytesFrame::Array(frames) => frames.into_iter().map(word).collect::<Option<Vec<_>>>(),
-            _ => None,
-        };
-        let Some(words) = words.filter(|w| !w.is_empty()) else {
+        let Some(words) = words(frame) else {
             return self.protocol_error(Malformed("a command is an array of bulk strings"));
         };
         match words[0].as_ref() {
@@ -612,11 +744,7 @@
                     self.is_known();
                     self.ask(request, Box::new(command)).await;
                 }
-                Err(e) => {
-                    let ticket = e.class.map(|class| (self.clients.desk.figures.taken(class), End::Failed));
-                    let wait = Wait::Ready(resp::error(&format!("ERR {}", e.told)));
-                    self.pending.push_back(Slot { wait, memory: None, ticket });
-                }
+                Err(e) => self.reject(e),
             },
             name if name.eq_ignore_ascii_case(b"PING") => {
                 self.is_known();
@@ -639,19 +767,22 @@
     async fn ask(&mut self, request: Request, command: Box<Command>) {
         // Memory is bounded by what open requests may hold, and one connection by its own part of them; what is
         // beyond never runs, and is told so instead of being left unread.
-        let ticket = self.clients.desk.figures.taken(request.class);
-        let holds = REQUEST_KB + command.value.as_ref().map_or(0, Bytes::len).div_ceil(1024);
+        let reserved = self.room.take();
+        let value = command.value.as_ref().filter(|_| reserved.is_none()).map_or(0, Bytes::len);
+        let holds = REQUEST_KB + value.div_ceil(1024);
         let memory = match self.asked < MAX_PIPELINE
             && self.clients.ids.borrow().len() <= self.clients.site.max_open
         {
             true => self.clients.memory.clone().try_acquire_many_owned(holds as u32).ok(),
             false => None,
         };
-        let Some(memory) = memory else {
-            let wait = Wait::Ready(resp::error(&format!("BUSY {FULL_RETRY_MS}")));
-            let ticket = Some((ticket, End::Refused));
-            return self.pending.push_back(Slot { wait, memory: None, ticket });
+        let Some(mut memory) = memory else {
+            return self.refuse(request.class);
         };
+        if let Some(reserved) = reserved {
+            memory.merge(reserved);
+        }
+        let ticket = self.clients.desk.figures.taken(request.class);
         let (answer, receiver) = oneshot::channel();
         let id = request.id;
         let asked = Asked::Request { request, connection: self.number, command, answer };
@@ -664,6 +795,16 @@
     }
 }
 
+/// The words of a command.
+fn words(frame: BytesFrame) -> Option<Vec<Bytes>> {
+    let BytesFrame::Array(frames) = frame else { return None };
+    let word = |f| match f {
+        BytesFrame::BulkString(b) => Some(b),
+        _ => None,
+    };
+    frames.into_iter().map(word).collect::<Option<Vec<_>>>().filter(|words| !words.is_empty())
+}
+
 /// Whether nothing has come in that is not read yet: a connection is closed only then, or a request would be lost
 /// with it.
 async fn quiet(reading: &impl Reading, buffer: &mut BytesMut) -> bool {
@@ -673,7 +814,7 @@
     !matches!(reading.try_read_buf(buffer), Ok(read) if read > 0)
 }
 
-/// How many answers are ready at the front, once one is. Safe to drop and call again.
+/// How many answers are ready at the front, once one is; 0 where a large value is. Safe to drop and call again.
 async fn ready_answers(pending: &mut VecDeque<Slot>) -> usize {
     poll_fn(|cx| {
         let (mut ready, mut size) = (0, 0);
@@ -682,16 +823,20 @@
                 let Poll::Ready(answer) = Pin::new(receiver).poll(cx) else { break };
                 if let Some((_, end)) = &mut slot.ticket {
                     *end = match &answer {
-                        Ok(Answer::Value(_)) => End::Served,
+                        Ok(answer) if answer.serves() => End::Served,
                         Ok(Answer::Busy(_)) => End::Refused,
-                        Ok(Answer::Failed) | Err(_) => End::Failed,
+                        _ => End::Failed,
                     };
                 }
+                if let Ok(Answer::Stream(value)) = answer {
+                    slot.wait = Wait::Stream(value);
+                    break;
+                }
                 slot.wait = Wait::Ready(match answer {
                     Ok(Answer::Value(value)) => resp::encode(&BytesFrame::BulkString(value)),
                     Ok(Answer::Busy(0)) => resp::error("BUSY"),
                     Ok(Answer::Busy(ms)) => resp::error(&format!("BUSY {ms}")),
-                    Ok(Answer::Failed) | Err(_) => resp::error("ERR failed"),
+                    _ => resp::error("ERR failed"),
                 });
             }
             let Wait::Ready(bytes) = &slot.wait else { break };
@@ -700,7 +845,8 @@
                 break;
             }
         }
-        if ready > 0 { Poll::Ready(ready) } else { Poll::Pending }
+        let large = matches!(pending.front(), Some(Slot { wait: Wait::Stream(_), .. }));
+        if ready > 0 || large { Poll::Ready(ready) } else { Poll::Pending }
     })
     .await
 }
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -7,6 +7,13 @@
 
 use bytes::Bytes;
 use mothpier_resp as resp;
+use tokio::sync::mpsc;
+
+/// The largest piece of a large value, and how many of them may wait between its server and its client.
+pub const PIECE: usize = 16 * 1024;
+const PIECES: usize = 2;
+/// A large value that does not go on for this long, on either side, is cut.
+pub const STANDSTILL: Duration = Duration::from_secs(10);
 
 /// Names one attempt or probe of this node.
 pub type AttemptId = u64;
@@ -59,11 +66,35 @@
     }
 }
 
+/// A large value that has begun to come. One whose channel ends before its length has come is cut.
+#[derive(Debug)]
+pub struct Stream {
+    pub length: usize,
+    pub pieces: mpsc::Receiver<Bytes>,
+}
+
+impl Stream {
+    /// A stream, and the end into which its pieces go.
+    pub fn new(length: usize) -> (mpsc::Sender<Bytes>, Stream) {
+        let (into, pieces) = mpsc::channel(PIECES);
+        (into, Stream { length, pieces })
+    }
+}
+
 /// A final answer.
 #[derive(Debug)]
 pub enum Answer {
     Value(Bytes),
+    /// A value that is passed on as it comes.
+    Stream(Stream),
     /// Refused; come back after so many milliseconds.
     Busy(u64),
     Failed,
 }
+
+impl Answer {
+    /// Whether it brings the value.
+    pub fn serves(&self) -> bool {
+        matches!(self, Answer::Value(_) | Answer::Stream(_))
+    }
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -236,7 +236,7 @@
         if response.status() != 200 {
             return Err(format!("answered {}", response.status()));
         }
-        http::body(response.into_body(), MAX_LIST).await
+        http::body(response.into_body(), MAX_LIST, None).await
     });
     let body = answer.await.map_err(|_| "no answer")??;
     let _ = tokio::time::timeout(PAUSE, connection.sender.ready()).await;
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -10,6 +10,7 @@
 use hyper_util::rt::TokioIo;
 use mothpier_host::Host;
 use tokio::task::AbortHandle;
+use tokio::time::timeout;
 
 /// Read ahead of one connection; a head without end goes no further.
 const MAX_HEAD: usize = 64 * 1024;
@@ -40,10 +41,15 @@
     Ok(Connection { sender, driver })
 }
 
-/// Reads a body of at most `most` bytes.
-pub async fn body(mut body: Incoming, most: usize) -> Result<Bytes, String> {
+/// Reads a body of at most `most` bytes, which must go on within a time where one is given.
+pub async fn body(mut body: Incoming, most: usize, within: Option<Duration>) -> Result<Bytes, String> {
     let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = match within {
+            Some(within) => timeout(within, body.frame()).await.map_err(|_| "a body that stands still")?,
+            None => body.frame().await,
+        };
+        let Some(frame) = frame else { break };
         let frame = frame.map_err(|e| e.to_string())?;
         let Some(data) = frame.data_ref() else { continue };
         if whole.len() + data.len() > most {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,7 +11,6 @@
     Action, Condition, Event, ListKind, Load, LoadField, Micros, Note, Outcome, Policy, RequestId, ServerId,
     Status,
 };
-use bytes::Bytes;
 use mothpier_host::Host;
 use mothpier_ops::{Desk, Step};
 use mothpier_record::{Recorder, entry};
@@ -285,7 +284,7 @@
             }
             Input::Origin { attempt, ended } => {
                 let load = load(&self.site, &ended.load);
-                self.end(attempt, ended.status, Note::None, load, Some(ended.value));
+                self.end(attempt, ended.status, Note::None, load, ended.value);
             }
             Input::Discovery(Heard::List(list)) => {
                 self.parts.desk.lifecycle.step(Step::Ready);
@@ -389,12 +388,11 @@
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
         if let Some(open) = self.open.remove(&request) {
-            if let Some(weather) = self.parts.weather.as_mut().filter(|_| !matches!(answer, Answer::Value(_)))
-            {
+            if let Some(weather) = self.parts.weather.as_mut().filter(|_| !answer.serves()) {
                 weather.unserved(self.clock.now(), open.fingerprint);
             }
             match answer {
-                Answer::Value(_) => self.counters.served += 1,
+                Answer::Value(_) | Answer::Stream(_) => self.counters.served += 1,
                 Answer::Busy(_) => {
                     self.counters.refused += 1;
                     self.counters.untried += u32::from(open.attempts == 0);
@@ -477,6 +475,11 @@
             }
             // It has run, whatever it was that came back.
             Ended::Spoilt => return self.end(attempt, Status::Error, Note::None, Load::default(), None),
+            // For the module it is served: what follows is between the server and the client.
+            Ended::Began(value) => {
+                let value = Some(Answer::Stream(value));
+                return self.end(attempt, Status::Served, Note::None, Load::default(), value);
+            }
             Ended::Answered(frame) => frame,
         };
         match frame {
@@ -494,7 +497,7 @@
                 };
                 let load = text(parts.next()).map(|l| load(&self.site, &l)).unwrap_or_default();
                 let status = if value.is_some() { Status::Served } else { Status::Miss };
-                self.end(attempt, status, note, load, value);
+                self.end(attempt, status, note, load, value.map(Answer::Value));
             }
             // Only to a probe: servers.rs lets nothing else through.
             BytesFrame::BulkString(report) => {
@@ -514,7 +517,7 @@
     }
 
     /// The end of an attempt or probe, whatever brought it; the first value served is the request's answer.
-    fn end(&mut self, id: AttemptId, status: Status, note: Note, load: Load, value: Option<Bytes>) {
+    fn end(&mut self, id: AttemptId, status: Status, note: Note, load: Load, value: Option<Answer>) {
         let Some(flight) = self.flights.remove(&id) else { return };
         let (server, took) = (flight.server, flight.sent.elapsed().as_micros() as Micros);
         let Some((request, attempt)) = flight.attempt else {
@@ -525,7 +528,7 @@
             weather.worked(took, self.open.contains_key(&request));
         }
         if status == Status::Served {
-            self.answer(request, value.map_or(Answer::Failed, Answer::Value));
+            self.answer(request, value.unwrap_or(Answer::Failed));
         }
         let over = !self.open.contains_key(&request);
         self.events.push_back(Event::Outcome(Outcome {
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -9,23 +9,24 @@
 
 use brassrouter::{ServerId, Status};
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::{Method, Request};
 use mothpier_host::Host;
 use mothpier_ops::Figures;
-use mothpier_resp::MAX_VALUE;
+use mothpier_resp::{MAX_VALUE, WHOLE};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_encode};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
-use crate::command::{AttemptId, Command};
+use crate::command::{Answer, AttemptId, Command, PIECE, STANDSTILL, Stream};
 use crate::http::{self, Connection};
 use crate::input::Input;
 
 /// A connection idle for this part of the time after which it is closed is not used again.
 const FRESH: f64 = 0.7;
-/// After its head an answer's body comes within this time.
+/// After its head an answer's body goes on within this time.
 const BEGUN: Duration = Duration::from_millis(250);
 /// What of a key stands in a path as something else: all that a path segment can't hold as it is.
 const ENCODED: &AsciiSet = &NON_ALPHANUMERIC
@@ -50,14 +51,14 @@
 /// How a call ended.
 pub struct Ended {
     pub status: Status,
-    pub value: Bytes,
+    pub value: Option<Answer>,
     /// The load report, as it came.
     pub load: String,
 }
 
 impl Ended {
     fn with(status: Status) -> Self {
-        Ended { status, value: Bytes::new(), load: String::new() }
+        Ended { status, value: None, load: String::new() }
     }
 }
 
@@ -182,8 +183,16 @@
         };
         let (fresh, within, descriptors) = (self.idle_close, self.connect_timeout, self.descriptors.clone());
         let task = tokio::task::spawn_local(async move {
-            let ended = exchange(&host, &pool, address, request, (fresh, within), descriptors, begins).await;
+            let answered =
+                exchange(&host, &pool, address, request, (fresh, within), descriptors, begins).await;
+            let (ended, large) = match answered {
+                Ok((ended, large)) => (ended, large),
+                Err(status) => (Ended::with(status), None),
+            };
             let _ = events.send(Input::Origin { attempt, ended }).await;
+            if let Some(large) = large {
+                large.pass_on(&pool).await;
+            }
         });
         Call { written, task: task.abort_handle() }
     }
@@ -204,7 +213,7 @@
     (fresh, within): (Duration, Duration),
     descriptors: Arc<Semaphore>,
     begins: impl FnOnce(),
-) -> Ended {
+) -> Result<(Ended, Option<Large>), Status> {
     // Once round the runtime: a close that has come in is noticed before a connection is chosen, or a write that
     // must not run twice would be lost on it.
     tokio::task::yield_now().await;
@@ -217,20 +226,20 @@
         (Some(Idle(connection, permit, _)), _) => (connection, permit),
         (None, Ok(permit)) => match http::connect(host, address, within).await {
             Ok(connection) => (connection, permit),
-            Err(_) => return Ended::with(Status::ConnectFailed),
+            Err(_) => return Err(Status::ConnectFailed),
         },
-        (None, Err(_)) => return Ended::with(Status::ConnectFailed),
+        (None, Err(_)) => return Err(Status::ConnectFailed),
     };
     // It may have begun to drain while the connection was made: nothing new goes there then.
     if !pool.ready.get() {
-        return Ended::with(Status::NotSent);
+        return Err(Status::NotSent);
     }
     begins();
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         // Given back: the connection had ended before any of it was written.
-        Err(e) if e.message().is_some() => return Ended::with(Status::ConnectFailed),
-        Err(_) => return Ended::with(Status::Reset),
+        Err(e) if e.message().is_some() => return Err(Status::ConnectFailed),
+        Err(_) => return Err(Status::Reset),
     };
     let header = |name: &str| {
         response.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
@@ -241,12 +250,49 @@
         503 | 504 if header("X-Not-Run") == "1" => Status::Full,
         _ => Status::Error,
     };
-    // A body that doesn't end, or is too long, is no answer; its connection goes with it.
-    let Ok(Ok(value)) = timeout(BEGUN, http::body(response.into_body(), MAX_VALUE)).await else {
-        return Ended::with(Status::Reset);
-    };
+    let length = response.body().size_hint().exact().and_then(|n| usize::try_from(n).ok());
+    if status == Status::Served
+        && let Some(length) = length.filter(|n| (WHOLE + 1..=MAX_VALUE).contains(n))
+    {
+        let (into, stream) = Stream::new(length);
+        let large = Large { body: response.into_body(), into, connection, permit };
+        return Ok((Ended { status, value: Some(Answer::Stream(stream)), load }, Some(large)));
+    }
+    // A body that stands still, or is too long for one whose length was not told, is no answer; its connection goes
+    // with it.
+    let value = http::body(response.into_body(), WHOLE, Some(BEGUN)).await.map_err(|_| Status::Reset)?;
+    keep(pool, connection, permit);
+    Ok((Ended { status, value: Some(Answer::Value(value)), load }, None))
+}
+
+fn keep(pool: &Pool, connection: Connection, permit: OwnedSemaphorePermit) {
     if pool.ready.get() {
         pool.idle.borrow_mut().push(Idle(connection, permit, Instant::now()));
     }
-    Ended { status, value, load }
+}
+
+/// A large value that has begun to come.
+struct Large {
+    body: Incoming,
+    into: mpsc::Sender<Bytes>,
+    connection: Connection,
+    permit: OwnedSemaphorePermit,
+}
+
+impl Large {
+    /// Passes it on as fast as its client takes it. The connection is used again once all of it has gone.
+    async fn pass_on(mut self, pool: &Pool) {
+        while let Ok(Some(Ok(frame))) = timeout(STANDSTILL, self.body.frame()).await {
+            let Ok(mut data) = frame.into_data() else { continue };
+            while !data.is_empty() {
+                let piece = data.split_to(data.len().min(PIECE));
+                if self.into.send(piece).await.is_err() {
+                    return;
+                }
+            }
+        }
+        if self.body.is_end_stream() {
+            keep(pool, self.connection, self.permit);
+        }
+    }
 }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -19,7 +19,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::command::AttemptId;
+use crate::command::{AttemptId, PIECE, STANDSTILL, Stream as LargeValue};
 use crate::input::Input;
 
 /// Connections of the whole tier to one server that are aimed at: servers hold few, each takes some of its
@@ -31,8 +31,8 @@
 /// After a refused connection none beside those that work is opened for this long.
 const REFUSED_PAUSE: Duration = Duration::from_secs(2);
 
-/// An answer that has begun comes whole within this time: values are small and the servers near. One that does
-/// not is spoilt, and what waits behind it waits in vain.
+/// An answer that has begun goes on within this time, however small its pieces are. One that does not is spoilt, and
+/// what waits behind it waits in vain.
 const BEGUN: Duration = Duration::from_millis(250);
 
 /// Read from a connection at once.
@@ -42,6 +42,8 @@
 pub enum Ended {
     /// A frame of the agreed form came back for it.
     Answered(BytesFrame),
+    /// A large value has begun to come.
+    Began(LargeValue),
     /// What came back can't be an answer to it. It has run; the connection is closed.
     Spoilt,
     /// The connection ended after its last byte was written.
@@ -54,6 +56,7 @@
 pub enum Event {
     Up,
     Answer(AttemptId, BytesFrame),
+    Began(AttemptId, LargeValue),
     /// What came for this attempt can't be its answer; the end of the connection follows.
     Spoilt(AttemptId),
     /// The connection is no more; the attempts written whole, and those not.
@@ -96,6 +99,8 @@
     up: bool,
     /// What came last makes it useless: it is about to end.
     ending: bool,
+    /// A large value is passing: how long that takes is up to its client.
+    streaming: bool,
     unsent: VecDeque<Command>,
     /// Begun to be written.
     writing: Option<AttemptId>,
@@ -318,6 +323,7 @@
                 }
                 ended.push((attempt, Ended::Answered(frame)));
             }
+            Event::Began(attempt, value) => ended.push((attempt, Ended::Began(value))),
             Event::Spoilt(attempt) => ended.push((attempt, Ended::Spoilt)),
             Event::Down { refused, written, unwritten } => {
                 self.connects.refused = self.connects.refused.saturating_add(u32::from(refused));
@@ -397,7 +403,12 @@
     fn append(&mut self, command: Command, multiplex: usize) -> bool {
         let line = |c: &Connection| {
             let line = c.shared.line.borrow();
-            (line.up && !line.ending && !c.retired && !line.stalled() && line.load() < multiplex)
+            (line.up
+                && !line.ending
+                && !line.streaming
+                && !c.retired
+                && !line.stalled()
+                && line.load() < multiplex)
                 .then(|| line.load())
         };
         if let Some(c) = self.connections.iter_mut().filter(|c| line(c).is_some()).min_by_key(|c| line(c)) {
@@ -465,39 +476,31 @@
     let (reading, mut writing) = stream.into_halves();
     let reader = async {
         let mut buffer = BytesMut::new();
-        // When the answer that has not all come yet began to.
-        let mut begun = None;
         loop {
             // What lies behind an answer that nothing waits behind belongs to no command, and would be taken for the
             // beginning of the next answer: the connection is closed before anything more is written.
             if !buffer.is_empty() && shared.line.borrow().sent.is_empty() {
                 return host.log(format_args!("{address}: more than was asked for"));
             }
-            let taken = resp::take_frame(&mut buffer);
+            if let Some(large) = resp::large_answer(&buffer) {
+                let tell = |event| events.send(Input::Server { server, number, event });
+                if !pass_on(large, &reading, &mut buffer, shared, tell).await {
+                    return;
+                }
+                continue;
+            }
+            let taken = resp::take_frame(&mut buffer, resp::WHOLE);
             if let Ok(None) = taken {
                 if buffer.is_empty() {
-                    (buffer, begun) = (BytesMut::new(), None);
+                    buffer = BytesMut::new();
                 }
-                let until = (!buffer.is_empty()).then(|| *begun.get_or_insert_with(Instant::now) + BEGUN);
-                let read = async {
-                    reading.readable().await?;
-                    buffer.reserve(READ);
-                    reading.try_read_buf(&mut buffer)
-                };
-                let read = match until {
-                    None => read.await,
-                    Some(until) => {
-                        timeout_at(until, read).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
-                    }
-                };
-                match read {
-                    Ok(n) if n > 0 => continue,
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
+                let until = (!buffer.is_empty()).then(|| Instant::now() + BEGUN);
+                match more(&reading, &mut buffer, READ, until).await {
+                    Ok(()) => continue,
                     Err(e) if e.kind() == ErrorKind::TimedOut && until.is_some() => {}
-                    _ => return,
+                    Err(_) => return,
                 }
             }
-            begun = None;
             let Some(sent) = shared.line.borrow_mut().sent.pop_front() else { return };
             let (event, good) = match taken {
                 Ok(Some(frame)) if fits(&frame, sent.probe) => (Event::Answer(sent.attempt, frame), true),
@@ -539,6 +542,92 @@
     false
 }
 
+/// Reads what has come; an error at the end of the connection, and where nothing has come in time.
+async fn more(
+    reading: &impl Reading,
+    buffer: &mut BytesMut,
+    room: usize,
+    until: Option<Instant>,
+) -> std::io::Result<()> {
+    let read = async {
+        loop {
+            reading.readable().await?;
+            buffer.reserve(room);
+            match reading.try_read_buf(buffer) {
+                Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+                Ok(_) => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+    };
+    match until {
+        None => read.await,
+        Some(until) => timeout_at(until, read).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())),
+    }
+}
+
+/// Passes a large value on as it comes, as fast as its client takes it, and takes what stands behind it off the buffer;
+/// whether the connection can be used again. The attempt stays among those sent until then, so that a connection that
+/// ends meanwhile ends it.
+async fn pass_on<T: Future<Output = Result<(), mpsc::error::SendError<Input>>>>(
+    large: resp::Large,
+    reading: &impl Reading,
+    buffer: &mut BytesMut,
+    shared: &Shared,
+    tell: impl Fn(Event) -> T,
+) -> bool {
+    let Some(attempt) = shared.line.borrow().sent.front().filter(|s| !s.probe).map(|s| s.attempt) else {
+        return false;
+    };
+    let (into, value) = LargeValue::new(large.length);
+    shared.line.borrow_mut().streaming = true;
+    if tell(Event::Began(attempt, value)).await.is_err() {
+        return false;
+    }
+    let _ = buffer.split_to(large.head);
+    let mut left = large.length;
+    let mut wanted = true;
+    while left > 0 {
+        if buffer.is_empty() {
+            *buffer = BytesMut::new();
+            if more(reading, buffer, PIECE, Some(Instant::now() + STANDSTILL)).await.is_err() {
+                return false;
+            }
+        }
+        let piece = buffer.split_to(buffer.len().min(left).min(PIECE)).freeze();
+        left -= piece.len();
+        wanted = wanted && into.send(piece).await.is_ok();
+        // Its client has gone. The rest is read for the sake of those behind it alone.
+        if !wanted && shared.line.borrow().load() <= 1 {
+            return false;
+        }
+    }
+    drop(into);
+    // The end of the value, how it went, and the load report: none of it is owed to anyone any more, but it must come
+    // for the next answer to be found.
+    let mut behind = 0;
+    while behind < 3 {
+        let taken = match behind {
+            0 => resp::take_line_end(buffer).map(|end| end.is_some()),
+            _ => resp::take_frame(buffer, resp::WHOLE).map(|frame| frame.is_some()),
+        };
+        match taken {
+            Ok(true) => behind += 1,
+            Ok(false) => {
+                if more(reading, buffer, READ, Some(Instant::now() + STANDSTILL)).await.is_err() {
+                    return false;
+                }
+            }
+            Err(_) => return false,
+        }
+    }
+    let mut line = shared.line.borrow_mut();
+    line.sent.pop_front();
+    line.streaming = false;
+    true
+}
+
 #[cfg(test)]
 mod tests {
     use std::io::Read;
--- a/crates/world/src/cache.rs
+++ b/crates/world/src/cache.rs
@@ -190,7 +190,7 @@
         };
         loop {
             while pending.len() < PIPELINE {
-                match resp::take_frame(&mut buffer) {
+                match resp::take_frame(&mut buffer, resp::MAX_VALUE) {
                     Ok(None) => break,
                     Ok(Some(frame)) => match self.asked(frame) {
                         Ok(Some(asked)) => {
--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -412,7 +412,7 @@
                 sleep(patience.mul_f64(rng.random::<f64>() * 0.8)).await;
             }
             let frame = loop {
-                match resp::take_frame(&mut kept.buffer) {
+                match resp::take_frame(&mut kept.buffer, resp::MAX_VALUE) {
                     Ok(Some(frame)) => break Some(frame),
                     Ok(None) => {}
                     Err(_) => {
