Hand the module's state, the list and what is still out to the process that takes over

Seen: after each upgrade the new process refused 160 to 303 requests of its first 5 s as no server left (level and paces at their start), and two processes had twice the caps at the origin and the cold budgets. Change: mothpier-handover (frames with version, length and checksum), a Unix socket in TMPDIR, Policy::succeeded, Event::Sharing: while two processes live each has half of the caps and budgets, and of what the other has out the half that keeps the sum; at its end the other's last word counts whole. Descriptors are divided by what the old one holds, memory by half. The share of processes is not part of the saved state (layout 2 stays): a record begun within an upgrade replays without it.

--- a/crates/brassrouter/src/interface.rs
+++ b/crates/brassrouter/src/interface.rs
@@ -409,8 +409,11 @@
     },
     /// The node judges that what fails comes back and makes more fail, or that this is over.
     Storm(bool),
-    /// What an earlier life of this balancer left behind, told at the start of the next.
+    /// What an earlier life of this balancer left behind, told at the start of the next, or at the end of one that went on
+    /// beside it.
     Legacy(Legacy),
+    /// So many processes are this balancer from now on, and share what it may do.
+    Sharing(u32),
     /// A message of another balancer.
     PeerMessage {
         /// Number of the sender.
--- a/crates/brassrouter/src/policy.rs
+++ b/crates/brassrouter/src/policy.rs
@@ -5,6 +5,7 @@
 //! outstanding cap and a windowed tally; a call that finds the gate shut is postponed by a random delay. All
 //! else here is a departure for a failure that the code names.
 
+mod succession;
 pub mod view;
 
 use std::collections::BTreeMap;
@@ -117,6 +118,9 @@
     subscribe_tries: u32,
     ask_at: Micros,
     unserved: Unserved,
+    /// Processes that are this balancer at present; 0 before anyone has said.
+    #[serde(skip)]
+    sharers: u32,
 }
 
 impl Policy {
@@ -162,6 +166,7 @@
             Event::PeerMessage { from, bytes } => self.peers.told(now, from, &bytes, self.senders.len()),
             Event::Storm(on) => self.storm = on,
             Event::Legacy(left) => self.inherit(left),
+            Event::Sharing(processes) => self.sharers = processes,
             Event::Probed { .. } => {}
         }
         while let Some(wake) = self.wakes.due(now, out) {
@@ -178,10 +183,13 @@
         }
     }
 
-    /// Calls of an earlier life count until they have ended at the latest; a keyed write stays known.
+    /// Calls of an earlier life count until they have ended at the latest; a keyed write stays known. One that
+    /// goes on counts its own against its half: here half of them keep the sum, were all it may have out.
     fn inherit(&mut self, left: Legacy) {
-        self.gate.inherit(&left);
-        for (fetch, until) in left.calls.into_iter().filter(|(_, until)| *until > self.now) {
+        let both = self.sharers.max(1);
+        self.gate.inherit(&left, both);
+        let run = left.calls.into_iter().filter(|(_, until)| *until > self.now);
+        for (fetch, until) in run.step_by(both as usize) {
             let call = if fetch { Call::Fetch } else { Call::Write };
             self.gate.carry(call);
             self.wakes.at(until, Wake::Inherited(call));
@@ -344,7 +352,7 @@
         let total = self.weights_lately[class].max(0.01);
         let part = s.warmth(self.now, &self.settings) * self.weight(s) / total;
         let multiple = COLD_RATE.0.min(self.settings.fall_multiple.max(1.0) * COLD_RATE.1);
-        let rate = multiple * part * self.admitted.per_s / 1e6;
+        let rate = multiple * part * self.admitted.per_s / 1e6 / f64::from(self.sharers.max(1));
         let level = s.cold_level - rate * (self.now - s.used) as f64;
         (level.max(0.0), (rate * self.settings.fall_after as f64 / 2.0).max(COLD_LEAST))
     }
@@ -369,7 +377,9 @@
         let window = self.aim as f64 * GATE_RATE.2;
         let tally = (share * GATE_RATE.0).max(GATE_RATE.1) * window / 1e6;
         self.gate.roll(self.now, window as Micros);
-        self.gate.open(0, 1.0, tally) && (call == Call::Write || self.gate.open(1, GATE_FETCHES, tally))
+        // Two processes that are one balancer must not have twice its calls: each has an equal part.
+        let own = 1.0 / f64::from(self.sharers.max(1));
+        self.gate.open(0, own, tally) && (call == Call::Write || self.gate.open(1, own * GATE_FETCHES, tally))
     }
 
     /// Parks a request that a shut gate stops, for a random delay, while its answer can still earn.
--- a/crates/inquest/src/tell.rs
+++ b/crates/inquest/src/tell.rs
@@ -70,6 +70,7 @@
             format!("probe of server {server}: {} after {}", if *ok { "well" } else { "not well" }, ms(*took))
         }
         Event::Storm(on) => if *on { "a storm begins" } else { "the storm is over" }.into(),
+        Event::Sharing(processes) => format!("{processes} processes are this node now"),
         Event::Legacy(left) => format!(
             "left by an earlier life: {} calls at the origin, {} keyed writes",
             left.calls.len(),
--- a/crates/mothpier/src/main.rs
+++ b/crates/mothpier/src/main.rs
@@ -1,6 +1,9 @@
 //! `mothpier`, a load-balancing node for a fleet of cache servers: environment, runtime and signals.
 
+mod handover;
+
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -154,7 +157,14 @@
     }
     let listener =
         listener.map(|l| HOST.adopt(l)).transpose().map_err(|e| format!("inherited listener: {e}"))?;
-    let start = Start { recorder: recorder(&config), listener };
+    // Only where processes share a listener do they follow each other.
+    let folder =
+        std::env::var_os("TMPDIR").map(PathBuf::from).filter(|f| listener.is_some() && f.is_absolute());
+    let handover = match folder {
+        Some(folder) => Some(handover::begin(folder, &config.name).await),
+        None => None,
+    };
+    let start = Start { recorder: recorder(&config), listener, handover };
     let mut node = std::pin::pin!(run(HOST, config, desk, told, start));
     loop {
         let tell = tokio::select! {
--- a/crates/mothpier/tests/upgrade.rs
+++ b/crates/mothpier/tests/upgrade.rs
@@ -215,3 +215,111 @@
     assert!(old.ended().success());
     assert_eq!(new.status("GET /ready"), 200);
 }
+
+/// The socket at which processes of a node find each other.
+fn socket(platform: &Platform) -> String {
+    format!("{}/mothpier-handover.sock", platform.folder)
+}
+
+#[test]
+fn a_new_process_goes_on_from_the_old_one_without_discovery_and_is_alone_after_it() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let platform = Platform::new("warm");
+    let mut old = platform.start(&discovery);
+    let mut client = old.client();
+    assert_eq!(client.ask(&["CACHE.GET", "k", "i1", "c=read,t=acme,d=9000"]), "$i1");
+    // A discovery that says nothing: the list comes from the old process alone.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut command = platform.command(&discovery);
+    command.env("ROUTER_DISCOVERY", silent.local_addr().unwrap().to_string());
+    let new = Node::spawn(command);
+    new.ready();
+    old.signal("TERM");
+    assert!(old.ended().success());
+    new.logged("the process before this one has ended");
+    let mut client = Client::connect(old.address);
+    assert_eq!(client.ask(&["CACHE.GET", "k", "i2", "c=read,t=acme,d=9000"]), "$i2");
+    new.figure_becomes("edge_router_cache_servers_known", 1);
+    // It is asked next.
+    let third = platform.start(&discovery);
+    new.logged("a new process takes over");
+    drop(third);
+    new.logged("this one goes on");
+    assert_eq!(Client::connect(old.address).ask(&["PING"]), "+PONG");
+}
+
+#[test]
+fn an_old_process_that_is_killed_leaves_the_new_one_whole() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let platform = Platform::new("killed");
+    let mut old = platform.start(&discovery);
+    let address = old.address;
+    let new = platform.start(&discovery);
+    old.signal("KILL");
+    assert!(!old.ended().success());
+    new.logged("the process before this one has ended");
+    assert_eq!(Client::connect(address).ask(&["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"]), "$i");
+    // Killed itself, it leaves its socket behind, which the next one clears away.
+    drop(new);
+    assert!(std::fs::exists(socket(&platform)).unwrap());
+    let next = platform.start(&discovery);
+    assert_eq!(Client::connect(address).ask(&["PING"]), "+PONG");
+    let after = platform.start(&discovery);
+    next.logged("a new process takes over");
+    drop(after);
+}
+
+#[test]
+fn a_second_new_process_and_one_of_another_node_begin_from_nothing() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let platform = Platform::new("twice");
+    let old = platform.start(&discovery);
+    let mut stranger = platform.command(&discovery);
+    stranger.env("ROUTER_NAME", "another");
+    let stranger = Node::spawn(stranger);
+    stranger.ready();
+    drop(stranger);
+    let first = platform.start(&discovery);
+    let second = platform.start(&discovery);
+    assert_eq!(second.status("GET /ready"), 200);
+    drop((first, second));
+    old.logged("this one goes on");
+    assert_eq!(old.client().ask(&["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"]), "$i");
+}
+
+#[test]
+fn a_partner_that_is_none_means_a_plain_start() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let head =
+        |version: u8, length: u32| [&b"mpho"[..], &[version, 0], &length.to_le_bytes(), &[0; 4]].concat();
+    let answers: [(&'static str, Option<Vec<u8>>); 6] = [
+        ("silent", None),
+        ("closes", Some(Vec::new())),
+        ("random", Some((0..200u8).map(|i| i.wrapping_mul(37)).collect())),
+        ("version", Some(head(99, 10))),
+        ("oversized", Some(head(1, u32::MAX))),
+        ("truncated", Some([head(1, 1000), vec![1; 500]].concat())),
+    ];
+    for (name, answer) in answers {
+        let platform = Platform::new(name);
+        let partner = std::os::unix::net::UnixListener::bind(socket(&platform)).unwrap();
+        std::thread::spawn(move || {
+            let mut kept = Vec::new();
+            for mut stream in partner.incoming().map_while(Result::ok) {
+                if let Some(answer) = &answer {
+                    std::io::Write::write_all(&mut stream, answer).unwrap_or_default();
+                } else {
+                    kept.push(stream);
+                }
+            }
+        });
+        let begun = Instant::now();
+        let node = platform.start(&discovery);
+        assert!(begun.elapsed() < Duration::from_secs(6), "{name}: {:?}", begun.elapsed());
+        assert_eq!(node.client().ask(&["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"]), "$i", "{name}");
+    }
+}
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -141,7 +141,8 @@
     ids: Ids,
     /// Permits of a KB.
     memory: Arc<Semaphore>,
-    most: usize,
+    memory_kb: usize,
+    most: Cell<usize>,
     keys: Keys,
     door: RefCell<Door>,
     /// Open connections that have not sent a whole command yet.
@@ -183,7 +184,8 @@
             next_request: Cell::new(1),
             ids: Ids::default(),
             memory: Arc::new(Semaphore::new(bounds.memory / 1024)),
-            most: bounds.most,
+            memory_kb: bounds.memory / 1024,
+            most: Cell::new(bounds.most),
             door: RefCell::new(bounds.door),
             half_known: Cell::new(0),
             farewells: Arc::new(Semaphore::new((bounds.most / TURNED_AWAY).max(1))),
@@ -208,7 +210,18 @@
 
     /// Whether half of the connections that there may be are open.
     fn crowded(&self) -> bool {
-        self.count() * 2 >= self.most
+        self.count() * 2 >= self.most.get()
+    }
+
+    /// So many connections may be open from now on. Those beyond stay, and none is accepted until they are fewer.
+    pub fn set_most(&self, most: usize) {
+        self.most.set(most);
+    }
+
+    /// Holds half of the memory for requests, or what is left of that half, for another process of this node.
+    pub fn reserve_half(&self) -> Option<OwnedSemaphorePermit> {
+        let half = (self.memory_kb / 2).min(self.memory.available_permits());
+        self.memory.clone().try_acquire_many_owned(half as u32).ok()
     }
 
     /// Waits until a connection has closed.
@@ -220,7 +233,7 @@
     pub async fn accept(self: Rc<Self>, listener: H::Listener) {
         let mut number = 0u64;
         loop {
-            if self.count() >= self.most {
+            if self.count() >= self.most.get() {
                 // At the limit the connection that has been idle longest gives way; if none is, new ones wait.
                 self.evict();
                 tokio::select! {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use mothpier_host::Host;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -37,9 +37,9 @@
 }
 
 /// One server in a list.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Member {
-    id: String,
+    pub(crate) id: String,
     #[serde(default)]
     host_port: String,
     #[serde(default)]
@@ -48,7 +48,7 @@
     flavor: String,
     #[serde(default)]
     cell: u16,
-    phase: String,
+    pub(crate) phase: String,
     size: Option<f32>,
     #[serde(default)]
     up_since_ms: u64,
--- /dev/null
+++ b/crates/node/src/handover.rs
@@ -0,0 +1,196 @@
+//! Two processes that are one node for a while. The links between them are made outside; here is what goes over them and
+//! what either process makes of it: caps and budgets shared, descriptors and memory divided, and one list, one memory of
+//! what was learned, handed on.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use brassrouter::STATE;
+use mothpier_handover::{Left, Message, State};
+use mothpier_host::Host;
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+
+use crate::clients::Clients;
+use crate::discovery::List;
+use crate::input::Input;
+
+/// Between two words of what the old process would leave behind.
+const WORD: Duration = Duration::from_millis(100);
+/// A new process says who it is within this time, and the node's own parts answer.
+const HELLO: Duration = Duration::from_secs(1);
+/// The last word gets this long to leave before the process ends.
+const FLUSH: Duration = Duration::from_millis(20);
+/// What a process may still open of a kind when the other holds nearly all.
+const LEAST: usize = 8;
+
+/// A connection to another process of this node. Either end closing it ends the other's inbox.
+pub struct Link {
+    /// What the other says; its end is the other's.
+    pub inbox: mpsc::Receiver<Message>,
+    /// What is said to the other.
+    pub outbox: mpsc::Sender<Message>,
+}
+
+/// The other processes of this node.
+pub struct Handover {
+    /// The one whose place this one takes, and what it knew.
+    pub before: Option<(State, Link)>,
+    /// Those that would take this one's place.
+    pub successors: mpsc::Receiver<Link>,
+}
+
+/// The descriptors of one process.
+#[derive(Clone, Copy)]
+pub(crate) struct Budget {
+    /// All that it may hold.
+    pub(crate) limit: usize,
+    /// Those for clients and servers, of each kind alike.
+    pub(crate) each: usize,
+    /// Those that it always needs.
+    pub(crate) own: usize,
+}
+
+/// What both sides of a handover work on.
+pub(crate) struct Side<H: Host> {
+    pub(crate) host: H,
+    pub(crate) name: String,
+    pub(crate) clients: Rc<Clients<H>>,
+    pub(crate) node: mpsc::Sender<Input>,
+    pub(crate) budget: Budget,
+    /// What is said to the new process, while there is one.
+    pub(crate) successor: Rc<RefCell<Option<mpsc::Sender<Message>>>>,
+}
+
+impl<H: Host> Clone for Side<H> {
+    fn clone(&self) -> Self {
+        let Side { host, name, clients, node, budget, successor } = self;
+        Side {
+            host: host.clone(),
+            name: name.clone(),
+            clients: clients.clone(),
+            node: node.clone(),
+            budget: *budget,
+            successor: successor.clone(),
+        }
+    }
+}
+
+/// What the old process holds for as long as the new one lives: half of the memory for requests.
+type Reserve = Option<OwnedSemaphorePermit>;
+
+impl<H: Host> Side<H> {
+    async fn tell(&self, input: Input) {
+        let _ = self.node.send(input).await;
+    }
+
+    /// From now on two processes share what this node may have; `each` descriptors of a kind are this one's.
+    async fn share(&self, each: usize) -> Reserve {
+        self.tell(Input::Sharing(2)).await;
+        self.divide(each).await;
+        self.clients.reserve_half()
+    }
+
+    async fn divide(&self, each: usize) {
+        self.clients.set_most(each);
+        self.tell(Input::Descriptors(each)).await;
+    }
+
+    /// This process is the whole node.
+    async fn alone(&self, reserve: Reserve) {
+        drop(reserve);
+        self.tell(Input::Sharing(1)).await;
+        self.divide(self.budget.each).await;
+    }
+
+    /// What the node would leave behind, and with `whole` all that it knows.
+    async fn ask(&self, whole: bool) -> Option<State> {
+        let (reply, told) = oneshot::channel();
+        self.tell(Input::Known { whole, reply }).await;
+        let mut state = timeout(HELLO, told).await.ok()?.ok()?;
+        state.left.descriptors += (self.clients.count() + self.budget.own) as u32;
+        Some(state)
+    }
+
+    /// Before this process ends: tells the new one what is left behind now, where there is one.
+    pub(crate) async fn last_word(&self) {
+        let Some(successor) = self.successor.borrow_mut().take() else { return };
+        let Some(state) = self.ask(false).await else { return };
+        if successor.send(Message::Left(state.left)).await.is_ok() {
+            sleep(FLUSH).await;
+        }
+    }
+
+    /// Beside the old process until that ends.
+    pub(crate) async fn beside_predecessor(self, first: Left, mut link: Link) {
+        let room = |held: u32| {
+            let taken = held as usize + self.budget.own;
+            (self.budget.limit.saturating_sub(taken) / 2).clamp(LEAST, self.budget.each)
+        };
+        let reserve = self.share(room(first.descriptors)).await;
+        let mut last = first;
+        let mut news = false;
+        while let Some(message) = link.inbox.recv().await {
+            if let Message::Left(left) = message {
+                self.divide(room(left.descriptors)).await;
+                (last, news) = (left, true);
+            }
+        }
+        self.alone(reserve).await;
+        // What it had out when it was last heard of may still run; what came before this one was told of at the start.
+        if news {
+            self.tell(Input::Inherit(last.legacy)).await;
+        }
+        self.host.log(format_args!("the process before this one has ended"));
+    }
+
+    /// Serves those that would take this process' place, one at a time, for as long as it lives.
+    pub(crate) async fn beside_successors(self, mut successors: mpsc::Receiver<Link>) {
+        while let Some(mut link) = successors.recv().await {
+            let hello = timeout(HELLO, link.inbox.recv()).await;
+            let layout = match hello {
+                Ok(Some(Message::Hello { name, layout })) if name == self.name => layout,
+                Ok(Some(Message::Hello { name, .. })) => {
+                    let why = format!("this is node {:?}, not {name:?}", self.name);
+                    let _ = link.outbox.send(Message::Declined(why)).await;
+                    continue;
+                }
+                _ => continue,
+            };
+            // What it holds it keeps, and gets little more.
+            let held = self.clients.count().max(LEAST);
+            let reserve = self.share(held).await;
+            let Some(mut state) = self.ask(true).await else { return };
+            if layout != STATE {
+                state.module.clear();
+            }
+            self.host.log(format_args!("a new process takes over: {} bytes of state", state.module.len()));
+            let mut told = link.outbox.send(Message::State(state)).await.is_ok();
+            *self.successor.borrow_mut() = Some(link.outbox.clone());
+            while told {
+                tokio::select! {
+                    biased;
+                    // It has nothing more to say: this is its end.
+                    _ = link.inbox.recv() => told = false,
+                    () = sleep(WORD) => {
+                        let Some(state) = self.ask(false).await else { return };
+                        told = link.outbox.send(Message::Left(state.left)).await.is_ok();
+                    }
+                }
+            }
+            self.successor.borrow_mut().take();
+            self.alone(reserve).await;
+            self.host.log(format_args!("the new process has ended; this one goes on"));
+        }
+    }
+}
+
+/// The list of a handed-over state.
+///
+/// # Errors
+/// It can't be read.
+pub(crate) fn list(state: &State) -> Result<List, String> {
+    let members = serde_json::from_slice(&state.list).map_err(|e| format!("unreadable list: {e}"))?;
+    Ok(List { revision: state.revision, complete: true, members })
+}
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -1,6 +1,7 @@
 //! What comes to the node from its other parts. They know this module, not the node nor each other.
 
-use brassrouter::{Request, RequestId, ServerId};
+use brassrouter::{Legacy, Request, RequestId, ServerId};
+use mothpier_handover::State;
 use tokio::sync::oneshot;
 
 use crate::command::{Answer, AttemptId, Command};
@@ -24,6 +25,17 @@
         from: u32,
         bytes: Vec<u8>,
     },
+    /// So many processes are this node.
+    Sharing(u32),
+    /// So many connections to servers may be open.
+    Descriptors(usize),
+    /// What another process of this node has left behind.
+    Inherit(Legacy),
+    /// What would be left behind, and with `whole` all that is known.
+    Known {
+        whole: bool,
+        reply: oneshot::Sender<State>,
+    },
     /// Another process of this node hears its peers from now on.
     LeavePeers,
     /// Recording goes on or off.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 mod counters;
 mod discovery;
+pub mod handover;
 mod http;
 mod input;
 pub mod keys;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,16 +1,17 @@
 //! The node: the one owner of the decision module. Events go in, actions become I/O; nothing is decided here.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use brassrouter::settings::Site;
 use brassrouter::{
-    Action, Condition, Event, ListKind, Load, LoadField, Micros, Note, Outcome, Policy, RequestId, ServerId,
-    Status,
+    Action, Condition, Event, Legacy, ListKind, Load, LoadField, Micros, Note, Outcome, Policy, RequestId,
+    ServerId, Status,
 };
+use mothpier_handover::{Left, State};
 use mothpier_host::Host;
 use mothpier_ops::{Desk, Step};
 use mothpier_record::{Recorder, entry};
@@ -21,7 +22,7 @@
 
 use crate::command::{Answer, AttemptId, Command};
 use crate::counters::Counters;
-use crate::discovery::{List, Numbers, Wanted};
+use crate::discovery::{List, Member, Numbers, Wanted};
 use crate::input::{Asked, Heard, Input};
 use crate::origin::Origins;
 use crate::peers::Peers;
@@ -33,6 +34,8 @@
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 /// Between two looks at the gauges that staff read: what they tell may be half a second old.
 const GAUGES: Duration = Duration::from_millis(200);
+/// The part of the descriptors of a kind that connections to cache servers may have; the rest is for the origin.
+pub const SERVERS: (usize, usize) = (3, 4);
 /// Between two lines of the log that tell what was done meanwhile.
 const REPORT: Duration = Duration::from_secs(5);
 
@@ -86,6 +89,12 @@
     Gauges,
 }
 
+/// What another process of this node has handed on.
+pub struct Inherited {
+    pub policy: Option<Policy>,
+    pub legacy: Legacy,
+}
+
 /// The parts that the node drives.
 pub struct Parts<H: Host> {
     pub servers: Servers<H>,
@@ -96,6 +105,10 @@
     /// Whether anyone can read the gauges.
     pub staffed: bool,
     pub weather: Option<Weather>,
+    /// What another process of this node has handed on; the module goes on from it.
+    pub inherited: Option<Inherited>,
+    /// Whether one may ask for what is known.
+    pub hands_over: bool,
     pub recorder: Option<Recorder>,
 }
 
@@ -118,13 +131,18 @@
     counters: Counters,
     /// When discovery last answered.
     listed: Option<Instant>,
+    /// The list as discovery has it, where another process may ask for it.
+    revision: u64,
+    members: BTreeMap<String, Member>,
 }
 
 impl<H: Host> Node<H> {
-    pub fn new(host: H, site: Site, seed: u64, clock: Clock, parts: Parts<H>) -> Self {
+    pub fn new(host: H, site: Site, seed: u64, clock: Clock, mut parts: Parts<H>) -> Self {
+        let warm = parts.inherited.as_mut().and_then(|i| i.policy.take());
+        let warm = warm.filter(|p| *p.settings() == site.decisions).map(|p| p.succeeded(seed));
         Node {
             host,
-            policy: Policy::new(site.decisions.clone(), seed),
+            policy: warm.unwrap_or_else(|| Policy::new(site.decisions.clone(), seed)),
             site,
             clock,
             parts,
@@ -138,6 +156,8 @@
             actions: Vec::new(),
             counters: Counters::default(),
             listed: None,
+            revision: 0,
+            members: BTreeMap::new(),
         }
     }
 
@@ -147,6 +167,10 @@
         if let Some(left) = self.parts.recorder.as_mut().and_then(Recorder::legacy) {
             self.events.push_back(Event::Legacy(left));
         }
+        if let Some(inherited) = self.parts.inherited.take() {
+            self.events.push_back(Event::Sharing(2));
+            self.events.push_back(Event::Legacy(inherited.legacy));
+        }
         let known = known.unwrap_or(List { revision: 0, complete: true, members: Vec::new() });
         self.list(known, ListKind::Cached);
         self.settle();
@@ -256,6 +280,12 @@
                 let notice = self.parts.recorder.as_mut().and_then(|r| r.switch(on, now));
                 self.notice(notice);
             }
+            Input::Sharing(processes) => self.events.push_back(Event::Sharing(processes)),
+            Input::Inherit(left) => self.events.push_back(Event::Legacy(left)),
+            Input::Descriptors(most) => self.parts.servers.set_descriptors(most * SERVERS.0 / SERVERS.1),
+            Input::Known { whole, reply } => {
+                let _ = reply.send(self.known(whole));
+            }
             Input::LeavePeers => {
                 if let Some(peers) = &mut self.parts.peers {
                     peers.close();
@@ -311,8 +341,27 @@
         }
     }
 
+    /// What another process of this node would go on from.
+    fn known(&self, whole: bool) -> State {
+        let (servers, origins) = (self.parts.servers.open(), self.parts.origins.open());
+        let left = Left { legacy: self.policy.legacy(), descriptors: (servers + origins) as u32 };
+        if !whole {
+            return State { left, ..State::default() };
+        }
+        let members: Vec<&Member> = self.members.values().collect();
+        State {
+            revision: self.revision,
+            list: serde_json::to_vec(&members).unwrap_or_default(),
+            module: postcard::to_allocvec(&self.policy).unwrap_or_default(),
+            left,
+        }
+    }
+
     fn list(&mut self, mut list: List, kind: ListKind) {
         let lines = self.numbers.lines(&self.host, &mut list, &self.site);
+        if self.parts.hands_over {
+            self.remember(list, kind);
+        }
         let named: HashSet<ServerId> = lines.iter().map(|(line, _)| line.id).collect();
         let gone = lines.iter().map(|(line, _)| line).filter(|line| line.condition == Condition::Gone);
         let gone: HashSet<ServerId> = gone.map(|line| line.id).collect();
@@ -347,6 +396,21 @@
         }
     }
 
+    /// Keeps the list in the form in which it came.
+    fn remember(&mut self, list: List, kind: ListKind) {
+        if kind != ListKind::Delta {
+            self.members.clear();
+        }
+        self.revision = list.revision;
+        for member in list.members {
+            if matches!(member.phase.as_str(), "ready" | "draining") {
+                self.members.insert(member.id.clone(), member);
+            } else {
+                self.members.remove(&member.id);
+            }
+        }
+    }
+
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { request, server, give_up_after } => self.send(request, server, give_up_after),
@@ -621,6 +685,8 @@
                 desk,
                 staffed: false,
                 weather: None,
+                inherited: None,
+                hands_over: false,
                 recorder: None,
             };
             let site = brassrouter::settings::read(SITE.as_bytes()).unwrap();
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -19,9 +19,11 @@
 use crate::stream::{part, read};
 
 /// Connections at once, as a part of all descriptors, and at most: a handful of callers and those that never finish.
-const CONNECTIONS: (usize, usize) = (12, 64);
+const CONNECTIONS: (usize, usize) = (24, 32);
 /// Descriptors of the listener and of the runtime.
 const OWN_DESCRIPTORS: usize = 8;
+/// Descriptors that it holds while nobody but a few callers is there.
+pub const IN_USE: usize = OWN_DESCRIPTORS + 4;
 /// A head must come whole within this time, and an answer be taken.
 const HEAD: Duration = Duration::from_secs(2);
 const TAKEN: Duration = Duration::from_secs(1);
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -93,6 +93,7 @@
     connect_timeout: Duration,
     /// Connections that may be open to all together.
     descriptors: Arc<Semaphore>,
+    most: usize,
     figures: Arc<Figures>,
     events: mpsc::Sender<Input>,
 }
@@ -106,9 +107,19 @@
         figures: Arc<Figures>,
         events: mpsc::Sender<Input>,
     ) -> Self {
-        let descriptors = Arc::new(Semaphore::new(descriptors.max(1)));
+        let most = descriptors.max(1);
+        let descriptors = Arc::new(Semaphore::new(most));
         let idle_close = idle_close.mul_f64(FRESH);
-        Origins { host, pools: BTreeMap::new(), idle_close, connect_timeout, descriptors, figures, events }
+        Origins {
+            host,
+            pools: BTreeMap::new(),
+            idle_close,
+            connect_timeout,
+            descriptors,
+            most,
+            figures,
+            events,
+        }
     }
 
     /// Takes a line of the list of one that is not gone.
@@ -127,6 +138,11 @@
         }
     }
 
+    /// How many connections there are.
+    pub fn open(&self) -> usize {
+        self.most.saturating_sub(self.descriptors.available_permits())
+    }
+
     /// How many are kept.
     #[cfg(test)]
     pub fn len(&self) -> usize {
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -242,6 +242,16 @@
         unsent
     }
 
+    /// How many connections to all of them there may be.
+    pub fn set_descriptors(&mut self, most: usize) {
+        self.limits.descriptors = most;
+    }
+
+    /// How many connections there are.
+    pub fn open(&self) -> usize {
+        self.all.get()
+    }
+
     /// The connects since the last call.
     pub fn connects(&mut self) -> Connects {
         std::mem::take(&mut self.connects)
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -16,8 +16,9 @@
 
 use crate::clients::{Bounds, Clients, Grammar, Leaving, Listening, Retiring};
 use crate::config::Config;
+use crate::handover::{self, Budget, Handover, Side};
 use crate::input::Input;
-use crate::node::{Clock, Node, Parts};
+use crate::node::{Clock, Inherited, Node, Parts, SERVERS};
 use crate::weather::Weather;
 use crate::{discovery, ops, origin, peers, servers};
 
@@ -58,11 +59,13 @@
     pub recorder: Option<Recorder>,
     /// The listener for clients, where it is one that other processes hold, too; else one is opened.
     pub listener: Option<H::Listener>,
+    /// The other processes of this node, where there can be any.
+    pub handover: Option<Handover>,
 }
 
 impl<H: Host> Default for Start<H> {
     fn default() -> Self {
-        Start { recorder: None, listener: None }
+        Start { recorder: None, listener: None, handover: None }
     }
 }
 
@@ -80,7 +83,7 @@
     start: Start<H>,
 ) -> Result<(), String> {
     let clock = Clock::start(&host);
-    let Start { mut recorder, listener } = start;
+    let Start { mut recorder, listener, handover } = start;
     let shared = listener.is_some();
     let (events, inputs) = mpsc::channel(QUEUE);
     let mut site = config.site;
@@ -98,7 +101,7 @@
         multiplex: if site.decisions.may_duplicate { site.multiplex } else { 1 },
         idle_close,
         connect_timeout,
-        descriptors: descriptors * 3 / 4,
+        descriptors: descriptors * SERVERS.0 / SERVERS.1,
     };
     let peers = match config.peer_listen.filter(|_| site.decisions.may_tell_peers) {
         Some(listen) => {
@@ -129,9 +132,25 @@
         desk: desk.clone(),
         staffed: config.ops.is_some(),
         weather: None,
+        inherited: None,
+        hands_over: handover.is_some(),
         recorder: None,
     };
-    let revision = config.known.as_ref().map(|l| l.revision);
+    let (before, successors) = handover.map_or((None, None), |h| (h.before, Some(h.successors)));
+    let mut known = config.known;
+    if let Some((state, _)) = &before {
+        match handover::list(state) {
+            Ok(list) => known = Some(list),
+            Err(e) => host.log(format_args!("handover: {e}")),
+        }
+        let policy = postcard::from_bytes(&state.module).ok();
+        let warm = if policy.is_some() { "its state" } else { "no state of the module" };
+        host.log(format_args!("this process takes over: revision {}, {warm}", state.revision));
+        parts.inherited = Some(Inherited { policy, legacy: state.left.legacy.clone() });
+        // The list that the other acted on is as good here.
+        desk.lifecycle.step(Step::Ready);
+    }
+    let revision = known.as_ref().map(|l| l.revision);
     let listener = match listener {
         Some(listener) => listener,
         None => {
@@ -161,9 +180,25 @@
     let ends = events.clone();
     let recorded = parts.recorder.is_some();
     let node = Node::new(host.clone(), site, config.seed, clock, parts);
-    let mut node = spawn_local(node.run(config.known, inputs));
+    let mut node = spawn_local(node.run(known, inputs));
     let (discovery, addresses) = watch::channel(config.discovery);
     spawn_local(discovery::run(host.clone(), addresses, revision, wishes, events));
+    let own = OWN_DESCRIPTORS + config.ops.map_or(0, |_| ops::IN_USE);
+    let budget = Budget { limit: config.sockets, each: descriptors, own };
+    let side = Side {
+        host: host.clone(),
+        name: config.name.clone(),
+        clients: clients.clone(),
+        node: ends.clone(),
+        budget,
+        successor: Rc::default(),
+    };
+    if let Some((state, link)) = before {
+        spawn_local(side.clone().beside_predecessor(state.left, link));
+    }
+    if let Some(successors) = successors {
+        spawn_local(side.clone().beside_successors(successors));
+    }
     let (accepts, waits) = (clients.clone(), desk.clone());
     let accepting = spawn_local(async move {
         while shared && waits.lifecycle.phase() == Phase::Starting {
@@ -230,6 +265,7 @@
     if timeout_at(kill, all_closed).await.is_err() {
         host.log(format_args!("{} client connections still open at the end", clients.count()));
     }
+    side.last_word().await;
     if recorded && ends.send(Input::End).await.is_ok() {
         // It writes the record's last entry and is gone.
         let _ = node.await;
--- a/crates/record/src/entry.rs
+++ b/crates/record/src/entry.rs
@@ -172,6 +172,7 @@
 const PROBED: u8 = 10;
 const STORM: u8 = 11;
 const LEGACY: u8 = 12;
+const SHARING: u8 = 13;
 
 /// What both sides remember from entry to entry of a segment.
 #[derive(Default)]
@@ -281,6 +282,7 @@
             Event::Probed { .. } => PROBED,
             Event::Storm(_) => STORM,
             Event::Legacy(_) => LEGACY,
+            Event::Sharing(_) => SHARING,
         };
         out.push(kind);
         self.time(out, at);
@@ -345,6 +347,7 @@
                 load(out, report);
             }
             Event::Storm(on) => out.push(u8::from(*on)),
+            Event::Sharing(processes) => put(out, u64::from(*processes)),
             Event::Legacy(left) => {
                 put(out, left.calls.len() as u64);
                 for (fetch, until) in &left.calls {
@@ -533,6 +536,7 @@
                 load: read_load(input)?,
             },
             STORM => Event::Storm(input.byte()? != 0),
+            SHARING => Event::Sharing(input.below()?),
             LEGACY => {
                 let mut left = Legacy::default();
                 for _ in 0..input.count()? {
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -327,12 +327,12 @@
         let (runs, log) = (host.clone(), host.clone());
         let running = match self.mutant {
             None => {
-                let start = Start { recorder, listener: None };
+                let start = Start { recorder, ..Start::default() };
                 local.spawn_local(mothpier_node::run(runs, config, desk, told, start))
             }
             Some(mutant) => {
                 let runs = MutantHost::new(runs, mutant);
-                let start = Start { recorder, listener: None };
+                let start = Start { recorder, ..Start::default() };
                 local.spawn_local(mothpier_node::run(runs, config, desk, told, start))
             }
         };
