--- a/crates/simnet/src/net.rs
+++ b/crates/simnet/src/net.rs
@@ -129,9 +129,16 @@
 }
 
 pub(crate) struct Listening {
-    pub process: ProcessId,
+    /// The processes that accept from it, each with its waker; never empty.
+    pub holders: Vec<(ProcessId, Option<Waker>)>,
     pub queue: VecDeque<ConnId>,
-    pub waker: Option<Waker>,
+}
+
+impl Listening {
+    /// The place of a process among those that accept.
+    pub fn place(&self, process: ProcessId) -> Option<usize> {
+        self.holders.iter().position(|(p, _)| *p == process)
+    }
 }
 
 pub(crate) struct Mailbox {
@@ -347,7 +354,9 @@
     fn end_process(&self, process: ProcessId, told: bool) {
         let mut s = self.state.borrow_mut();
         s.dead.insert(process);
-        s.listeners.retain(|_, l| l.process != process);
+        let held: Vec<SocketAddr> =
+            s.listeners.iter().filter(|(_, l)| l.place(process).is_some()).map(|(at, _)| *at).collect();
+        held.into_iter().for_each(|at| drop(s.let_go(at, process)));
         s.mailboxes.retain(|_, m| m.process != process);
         s.sockets.remove(&process);
         let mine = |c: &Conn| (0..2).find(|side| c.ends[*side].process == process && !c.ends[*side].closed);
@@ -483,12 +492,11 @@
                 let (from, to) = (c.ends[0].address, c.ends[1].address);
                 match self.listeners.get_mut(&to) {
                     Some(l) if l.queue.len() < BACKLOG => {
-                        c.ends[1].process = l.process;
+                        let first = l.holders[0].0;
+                        c.ends[1].process = first;
                         l.queue.push_back(id);
-                        *self.sockets.entry(l.process).or_default() += 1;
-                        if let Some(w) = l.waker.take() {
-                            w.wake();
-                        }
+                        *self.sockets.entry(first).or_default() += 1;
+                        l.holders.iter_mut().for_each(|(_, waker)| wake(waker));
                         self.send(to.ip(), from.ip(), Packet::SynAck(id));
                     }
                     Some(_) => {}
@@ -554,6 +562,33 @@
         }
     }
 
+    /// The connections, and how many sockets each process has.
+    pub fn conns_and_sockets(&mut self) -> (&mut BTreeMap<ConnId, Conn>, &mut BTreeMap<ProcessId, usize>) {
+        (&mut self.conns, &mut self.sockets)
+    }
+
+    /// A process accepts from an address no more. What waits there goes to the others that do, or is given back where
+    /// there is none.
+    pub fn let_go(&mut self, at: SocketAddr, process: ProcessId) -> VecDeque<ConnId> {
+        let Some(l) = self.listeners.get_mut(&at) else { return VecDeque::new() };
+        l.holders.retain(|(p, _)| *p != process);
+        let Some((next, waker)) = l.holders.first_mut() else {
+            return self.listeners.remove(&at).map(|l| l.queue).unwrap_or_default();
+        };
+        wake(waker);
+        let next = *next;
+        for id in &l.queue {
+            if let Some(c) = self.conns.get_mut(id).filter(|c| c.ends[1].process == process) {
+                c.ends[1].process = next;
+                *self.sockets.entry(next).or_default() += 1;
+                if let Some(count) = self.sockets.get_mut(&process) {
+                    *count = count.saturating_sub(1);
+                }
+            }
+        }
+        VecDeque::new()
+    }
+
     fn break_end(&mut self, id: ConnId, side: usize, error: ErrorKind) {
         let Some(c) = self.conns.get_mut(&id) else { return };
         c.ends[side].error.get_or_insert(error);
--- a/crates/simnet/src/socket.rs
+++ b/crates/simnet/src/socket.rs
@@ -35,6 +35,19 @@
     pub fn ip(&self) -> IpAddr {
         self.ip
     }
+
+    /// A listener that another process opened on this machine, as one that inherits it has it: each accepts what the
+    /// others have not, and it lives for as long as one of them does.
+    ///
+    /// # Errors
+    /// Nothing listens there.
+    pub fn inherit(&self, at: SocketAddr) -> io::Result<SimListener> {
+        let mut s = self.net.state.borrow_mut();
+        let l = s.listeners.get_mut(&at).ok_or(ErrorKind::NotFound)?;
+        l.holders.push((self.process, None));
+        *s.sockets.entry(self.process).or_default() += 1;
+        Ok(SimListener { host: self.clone(), address: at })
+    }
 }
 
 impl Host for SimHost {
@@ -74,7 +87,7 @@
         if s.listeners.contains_key(&at) {
             return Err(ErrorKind::AddrInUse.into());
         }
-        s.listeners.insert(at, Listening { process: self.process, queue: Default::default(), waker: None });
+        s.listeners.insert(at, Listening { holders: vec![(self.process, None)], queue: Default::default() });
         *s.sockets.entry(self.process).or_default() += 1;
         Ok(SimListener { host: self.clone(), address: at })
     }
@@ -327,16 +340,24 @@
     fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<(SimStream, SocketAddr)>> {
         let (id, from) = {
             let mut s = self.host.net.state.borrow_mut();
-            let Some(l) = s.listeners.get_mut(&self.address).filter(|l| l.process == self.host.process)
-            else {
-                return Poll::Pending; // Killed: its tasks are about to end.
-            };
+            let mine = self.host.process;
+            let Some(l) = s.listeners.get_mut(&self.address) else { return Poll::Pending };
+            // Without a place it was killed: its tasks are about to end.
+            let Some(place) = l.place(mine) else { return Poll::Pending };
             let Some(id) = l.queue.pop_front() else {
-                l.waker = Some(cx.waker().clone());
+                l.holders[place].1 = Some(cx.waker().clone());
                 return Poll::Pending;
             };
-            match s.conns.get(&id) {
-                Some(c) => (id, c.ends[0].address),
+            let (conns, sockets) = s.conns_and_sockets();
+            match conns.get_mut(&id) {
+                Some(c) => {
+                    let before = std::mem::replace(&mut c.ends[1].process, mine);
+                    if before != mine {
+                        *sockets.entry(mine).or_default() += 1;
+                        sockets.entry(before).and_modify(|count| *count = count.saturating_sub(1));
+                    }
+                    (id, c.ends[0].address)
+                }
                 None => return Poll::Ready(Err(ErrorKind::ConnectionAborted.into())),
             }
         };
@@ -353,13 +374,14 @@
     fn drop(&mut self) {
         let waiting = {
             let mut s = self.host.net.state.borrow_mut();
-            if s.listeners.get(&self.address).is_none_or(|l| l.process != self.host.process) {
+            let mine = self.host.process;
+            if s.listeners.get(&self.address).is_none_or(|l| l.place(mine).is_none()) {
                 return;
             }
-            if let Some(count) = s.sockets.get_mut(&self.host.process) {
+            if let Some(count) = s.sockets.get_mut(&mine) {
                 *count = count.saturating_sub(1);
             }
-            s.listeners.remove(&self.address).map(|l| l.queue).unwrap_or_default()
+            s.let_go(self.address, mine)
         };
         for id in waiting {
             let to = self.host.net.state.borrow_mut().conns.get_mut(&id).map(|c| {
--- a/crates/simnet/tests/network.rs
+++ b/crates/simnet/tests/network.rs
@@ -206,3 +206,31 @@
     assert_ne!(digest(1, b"same"), digest(1, b"some"));
     assert_ne!(digest(1, b"same"), digest(2, b"same"));
 }
+
+#[test]
+fn a_listener_that_two_processes_hold_outlives_either_and_gives_each_connection_to_one() {
+    run(|| async {
+        let two = two();
+        let first = two.b.listen(AT).await.unwrap();
+        let other = two.net.process(B, 0, "b again");
+        assert!(other.listen(AT).await.is_err(), "bound a second time");
+        let second = other.inherit(AT).unwrap();
+        let _near = two.a.connect(AT).await.unwrap();
+        let (_far, _) = second.accept().await.unwrap();
+        assert!(timeout(SOON, first.accept()).await.is_err(), "accepted twice");
+        // What waits when one lets go, or is killed, is the other's.
+        let _waits = two.a.connect(AT).await.unwrap();
+        drop(first);
+        let (_taken, _) = timeout(SOON, second.accept()).await.expect("lost with the first").unwrap();
+        let third = two.net.process(B, 0, "b for the third time");
+        let last = third.inherit(AT).unwrap();
+        let mut kept = two.a.connect(AT).await.unwrap();
+        two.net.kill(other.process());
+        let (mut far, _) = timeout(SOON, last.accept()).await.expect("lost with the second").unwrap();
+        far.write_all(b"x").await.unwrap();
+        let mut byte = [0];
+        kept.read_exact(&mut byte).await.unwrap();
+        drop(last);
+        assert!(two.a.connect(AT).await.is_err(), "listens without a holder");
+    });
+}
--- a/crates/world/src/faults.rs
+++ b/crates/world/src/faults.rs
@@ -48,11 +48,15 @@
     OriginResets,
     /// A box's power goes and it comes back cold.
     PowerLoss,
+    /// Staff drain a node and bring it back.
+    Drain,
+    /// A new process takes over a node beside the old one.
+    Upgrade,
 }
 
 impl Kind {
     /// All kinds, in the order in which the documents name them.
-    pub const ALL: [Kind; 18] = [
+    pub const ALL: [Kind; 20] = [
         Kind::Crash,
         Kind::Deploy,
         Kind::NodeKill,
@@ -71,9 +75,23 @@
         Kind::Leavers,
         Kind::OriginResets,
         Kind::PowerLoss,
+        Kind::Drain,
+        Kind::Upgrade,
     ];
 }
 
+/// How an upgrade ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ends {
+    /// The old process is told to stop once the new one can serve.
+    InOrder,
+    /// The old one is killed at that moment.
+    OldKilled,
+    /// The new one is killed soon after it can serve; the old one goes on.
+    NewKilled,
+}
+
 /// What goes wrong. Times are milliseconds.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
@@ -193,6 +211,20 @@
         /// After how long.
         down_ms: u64,
     },
+    /// Staff drain a node.
+    Drain {
+        /// Which.
+        node: NodeNo,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// A new process takes over from the one that runs.
+    Upgrade {
+        /// Which node.
+        node: NodeNo,
+        /// What happens to the two.
+        ends: Ends,
+    },
     /// A box is declared gone, and listed so at once, when so many packets have been carried.
     GoneAtPacket {
         /// Which.
@@ -225,7 +257,7 @@
         let part = |p: f64| if (0.0..=1.0).contains(&p) { Ok(()) } else { Err(format!("{p} is no part")) };
         match &self.what {
             What::Crash { boxes, .. } => boxes.iter().try_for_each(|b| is_box(*b)),
-            What::Node { node, .. } => is_node(*node),
+            What::Node { node, .. } | What::Drain { node, .. } | What::Upgrade { node, .. } => is_node(*node),
             What::Burst { factor, .. } if !(0.01..=1000.0).contains(factor) => {
                 Err(format!("a burst of {factor} times the load"))
             }
@@ -292,5 +324,10 @@
         Kind::Leavers => What::Clients { leavers: rng.random_range(0.05..0.5), slow: 0.0, for_ms },
         Kind::OriginResets => What::OriginResets { part: rng.random_range(0.05..0.6), for_ms },
         Kind::PowerLoss => What::PowerLoss { at, down_ms },
+        Kind::Drain => What::Drain { node, for_ms },
+        Kind::Upgrade => What::Upgrade {
+            node,
+            ends: [Ends::InOrder, Ends::InOrder, Ends::OldKilled, Ends::NewKilled][rng.random_range(0..4)],
+        },
     }
 }
--- a/crates/world/src/mutant.rs
+++ b/crates/world/src/mutant.rs
@@ -96,6 +96,13 @@
     }
 }
 
+impl MutantHost {
+    /// A listener that this machine's program inherits.
+    pub fn listener(&self, listener: SimListener) -> MutantListener {
+        MutantListener { listener, host: self.clone() }
+    }
+}
+
 impl Host for MutantHost {
     type Stream = MutantStream;
     type Listener = MutantListener;
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -4,13 +4,16 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chalksill_simnet::{Links, Net, SimHost};
+use mothpier_handover::{Decoder, Message, State, encode};
 use mothpier_host::Host;
 use mothpier_node::config::{self, Config};
+use mothpier_node::handover::{Handover, Link};
 use mothpier_node::{Control, Start, operator};
-use mothpier_ops::Desk;
+use mothpier_ops::{Desk, Step};
 use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinHandle, LocalSet, spawn_local};
@@ -19,7 +22,7 @@
 use crate::cache::Cache;
 use crate::clients::Clients;
 use crate::discovery::Discovery;
-use crate::faults::{self, Fault, What};
+use crate::faults::{self, Ends, Fault, Kind, What};
 use crate::fleet::{Fleet, Member};
 use crate::mutant::{Mutant, MutantHost};
 use crate::observe::{BoxNo, NodeNo, Observation, Phase, Seen, Witness};
@@ -84,6 +87,9 @@
     control: mpsc::Sender<Control>,
     ended: JoinHandle<()>,
     number: u64,
+    desk: Arc<Desk>,
+    /// To those that would take its place; nobody in a world without upgrades.
+    successors: Option<mpsc::Sender<Link>>,
 }
 
 struct BoxRun {
@@ -102,6 +108,8 @@
     origin: BoxNo,
     mutant: Option<Mutant>,
     tapes: Option<Tapes>,
+    /// The platform holds the nodes' sockets.
+    sockets: bool,
 }
 
 fn node_ip(node: NodeNo) -> IpAddr {
@@ -112,9 +120,41 @@
     IpAddr::V4(Ipv4Addr::new(10, 2, (number / 250) as u8, (number % 250) as u8 + 1))
 }
 
+/// Until the front has noticed that a node says no, or yes again.
+const FRONT_LOOKS: Duration = Duration::from_millis(300);
+
 const DISCOVERY: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 3, 0, 1));
 const CLIENTS: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 4, 0, 1));
 
+/// Two ends between which messages go through their bytes, as between two processes.
+fn linked() -> (Link, Link) {
+    let side = || (mpsc::channel::<Message>(4), mpsc::channel::<Message>(4));
+    let ((a_says, a_said), (b_hears, b_inbox)) = side();
+    let ((b_says, b_said), (a_hears, a_inbox)) = side();
+    let carry = |mut said: mpsc::Receiver<Message>, hears: mpsc::Sender<Message>| {
+        spawn_local(async move {
+            let mut decoder = Decoder::default();
+            loop {
+                // The end of the one that listens ends it, too.
+                let message = tokio::select! {
+                    said = said.recv() => said,
+                    () = hears.closed() => None,
+                };
+                let Some(frame) = message.and_then(|m| encode(&m).ok()) else { return };
+                decoder.push(&frame);
+                while let Ok(Some(message)) = decoder.message() {
+                    if hears.send(message).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        });
+    };
+    carry(a_said, b_hears);
+    carry(b_said, a_hears);
+    (Link { inbox: a_inbox, outbox: a_says }, Link { inbox: b_inbox, outbox: b_says })
+}
+
 /// The node that has an address.
 fn node_of(from: SocketAddr) -> NodeNo {
     match from.ip() {
@@ -191,6 +231,8 @@
         origin,
         mutant: plan.mutant,
         tapes,
+        sockets: scenario.faults.kinds.contains(&Kind::Upgrade)
+            || plan.script().iter().any(|f| matches!(f.what, What::Upgrade { .. })),
     });
     for number in 0..origin {
         world.start_box(number, scenario.boxes.start_cold).await;
@@ -201,7 +243,12 @@
     if let Ok(listener) = host.listen(SocketAddr::new(DISCOVERY, 8500)).await {
         spawn_local(discovery.serve::<SimHost>(listener, node_of));
     }
+    let mut platform = Vec::new();
     for node in 0..scenario.nodes.count {
+        if world.sockets {
+            let host = net.process(node_ip(node), (node % zones) as u8, &format!("platform of node {node}"));
+            platform.extend(host.listen(SocketAddr::new(node_ip(node), 6379)).await);
+        }
         world.start_node(node);
     }
     sleep(WARM_UP).await;
@@ -290,9 +337,18 @@
 
     /// A node starts with the list that it last held, as the platform would start it.
     fn start_node(self: &Rc<Self>, node: NodeNo) {
+        if let Some(run) = self.run_node(node, None) {
+            self.nodes.borrow_mut().insert(node, run);
+        }
+    }
+
+    /// A process of a node begins, beside another where it is given what that one knows.
+    fn run_node(self: &Rc<Self>, node: NodeNo, before: Option<(State, Link)>) -> Option<NodeRun> {
         let scenario = &self.fleet.scenario;
         let life = self.life();
-        self.fleet.witness.saw(Seen::NodeUp { node });
+        if before.is_none() {
+            self.fleet.witness.saw(Seen::NodeUp { node });
+        }
         let zone = node % scenario.zones.len();
         let host = self.net.process(node_ip(node), zone as u8, &format!("node {node}"));
         let at = |n: NodeNo, port: u16| SocketAddr::new(node_ip(n), port).to_string();
@@ -311,7 +367,10 @@
         let operator = operator::read(&scenario.nodes.operator);
         let config = match read.and_then(|c| operator.map(|operator| Config { operator, ..c })) {
             Ok(config) => config,
-            Err(e) => return host.log(format_args!("unreadable configuration: {e}")),
+            Err(e) => {
+                host.log(format_args!("unreadable configuration: {e}"));
+                return None;
+            }
         };
         let mut recorder = None;
         if let Some(tapes) = &self.tapes {
@@ -325,15 +384,21 @@
         let desk = Desk::new(&config.site.classes);
         let local = LocalSet::new();
         let (runs, log) = (host.clone(), host.clone());
+        // Where nodes are upgraded the platform holds their sockets, and they are handed over.
+        let listener = self.sockets.then(|| host.inherit(config.listen).ok()).flatten();
+        let (found, successors) = mpsc::channel(1);
+        let handover = self.sockets.then_some(Handover { before, successors });
+        let lives = desk.clone();
         let running = match self.mutant {
             None => {
-                let start = Start { recorder, ..Start::default() };
-                local.spawn_local(mothpier_node::run(runs, config, desk, told, start))
+                let start = Start { recorder, listener, handover };
+                local.spawn_local(mothpier_node::run(runs, config, lives, told, start))
             }
             Some(mutant) => {
                 let runs = MutantHost::new(runs, mutant);
-                let start = Start { recorder, ..Start::default() };
-                local.spawn_local(mothpier_node::run(runs, config, desk, told, start))
+                let listener = listener.map(|l| runs.listener(l));
+                let start = Start { recorder, listener, handover };
+                local.spawn_local(mothpier_node::run(runs, config, lives, told, start))
             }
         };
         // The set lives as long as the node does; dropping it with its task ends all of the node's tasks.
@@ -344,7 +409,72 @@
             }
         });
         let task = ended.abort_handle();
-        self.nodes.borrow_mut().insert(node, NodeRun { host, task, control, ended, number: life });
+        let successors = self.sockets.then_some(found);
+        Some(NodeRun { host, task, control, ended, number: life, desk, successors })
+    }
+
+    /// Staff drain a node and bring it back: the front sees it within moments.
+    async fn drain_node(self: &Rc<Self>, node: NodeNo, span: Duration) {
+        let tell = |step: Step| {
+            if let Some(run) = self.nodes.borrow().get(&node) {
+                run.desk.lifecycle.step(step);
+                let _ = run.control.try_send(Control::Lifecycle);
+            }
+        };
+        tell(Step::Drain);
+        sleep(FRONT_LOOKS).await;
+        if let Some(clients) = &*self.clients.borrow() {
+            clients.stop_using(node);
+        }
+        sleep(span).await;
+        tell(Step::Undrain);
+        sleep(FRONT_LOOKS).await;
+        let there = self.nodes.borrow().contains_key(&node);
+        if let Some(clients) = self.clients.borrow().as_ref().filter(|_| there) {
+            clients.believe(node, true);
+        }
+    }
+
+    /// A new process of a node begins beside the old one, which stops once the new one can serve.
+    async fn upgrade_node(self: &Rc<Self>, node: NodeNo, ends: Ends) {
+        let found = self.nodes.borrow().get(&node).and_then(|run| run.successors.clone());
+        let Some(found) = found else { return };
+        let (mine, others) = linked();
+        let mut mine = mine;
+        let hello = Message::Hello { name: format!("n{node}"), layout: brassrouter::STATE };
+        if found.try_send(others).is_err() || mine.outbox.send(hello).await.is_err() {
+            return;
+        }
+        let answer = tokio::time::timeout(Duration::from_secs(1), mine.inbox.recv()).await;
+        let Ok(Some(Message::State(state))) = answer else { return };
+        let Some(new) = self.run_node(node, Some((state, mine))) else { return };
+        while new.desk.lifecycle.phase() == mothpier_ops::Phase::Starting {
+            sleep(Duration::from_millis(10)).await;
+        }
+        // What a killed process had taken is lost with it, as at any kill.
+        let end = |run: &NodeRun, killed: bool| {
+            if killed {
+                self.fleet.witness.saw(Seen::NodeDown { node, planned: false });
+            }
+            self.net.kill(run.host.process());
+            run.task.abort();
+            if killed {
+                self.fleet.witness.saw(Seen::NodeUp { node });
+            }
+        };
+        if ends == Ends::NewKilled {
+            sleep(Duration::from_millis(50)).await;
+            return end(&new, true);
+        }
+        // It may have been killed or stopped meanwhile; the new one is the node then as well.
+        let Some(mut old) = self.nodes.borrow_mut().insert(node, new) else { return };
+        if ends == Ends::InOrder {
+            let _ = old.control.try_send(Control::Stop);
+            let patience =
+                self.fleet.scenario.longest().min(Duration::from_secs(3)) + Duration::from_millis(700);
+            let _ = tokio::time::timeout(patience, &mut old.ended).await;
+        }
+        end(&old, ends == Ends::OldKilled);
     }
 
     async fn count_sockets(self: Rc<Self>) {
@@ -512,6 +642,8 @@
             What::Node { node, planned, down_ms } => {
                 self.restart_node(node, planned, Duration::from_millis(down_ms)).await;
             }
+            What::Drain { node, for_ms } => self.drain_node(node, Duration::from_millis(for_ms)).await,
+            What::Upgrade { node, ends } => self.upgrade_node(node, ends).await,
             What::Burst { factor, for_ms } => {
                 knobs.burst.set(factor);
                 wait(for_ms).await;
