Let resting connections give way before heads that a slow client is still writing

Once half of the places are taken two connections go for each that comes, unfinished ones first, at 20 ms of age. Change: first go those of which nothing has come for 1.2 s, then those that rest, and only where there is no room at all those that may be about to ask. At the end of listening what the machine has accepted is taken at the limit, too.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -37,6 +37,8 @@
 /// A first command, and the rest of one that has begun, must come within this time: true clients may take 2 s, bad
 /// ones are owed an error or a close within 3 s. A value need only go on.
 const HALF: Duration = Duration::from_millis(2600);
+/// A command that has begun and of which nothing has come for so long is no slow writer's: it gives way to others first.
+const STALLED: Duration = Duration::from_millis(1200);
 /// The longest time that a value may take in all.
 const VALUE: Duration = Duration::from_secs(30);
 /// A connection that asks nothing for so long is closed: some clients keep theirs for good. The shorter time holds
@@ -160,8 +162,8 @@
 struct Entry {
     /// When it last sent something or was answered; `None` while an answer is owed to it.
     idle: Option<Instant>,
-    /// It has sent a command in the agreed form.
-    known: bool,
+    /// It has sent a command in the agreed form, and nothing of another: a close crosses nothing.
+    rests: bool,
     evict: Rc<Notify>,
 }
 
@@ -234,13 +236,13 @@
         let mut number = 0u64;
         loop {
             if self.count() >= self.most.get() {
-                // At the limit the connection that has been idle longest gives way; if none is, new ones wait.
-                self.evict();
+                // At the limit one connection gives way; if none can, new ones wait.
+                self.evict(true);
                 tokio::select! {
                     biased;
                     () = self.closed.notified() => {}
                     () = sleep(ACCEPT_PAUSE) => {}
-                    () = self.retiring.listening_ended() => return,
+                    () = self.retiring.listening_ended() => break,
                 }
                 continue;
             }
@@ -265,14 +267,14 @@
                     // are fewer: clients may hold fewer than the node could, and those who find all theirs kept by
                     // others can't even ask.
                     if self.crowded() {
-                        self.evict();
-                        self.evict();
+                        self.evict(false);
+                        self.evict(false);
                     }
                 }
                 Err(e) => {
                     // Out of descriptors (EMFILE) or the like: it passes, and the listener must outlive it.
                     self.host.log(format_args!("accepting failed: {e}"));
-                    self.evict();
+                    self.evict(true);
                     sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -289,13 +291,25 @@
         }
     }
 
-    /// Those that sent no whole command go first, or clients that never end one, or never begin, would keep all
-    /// others out; not one that has only just come: where all others are busy it would go before it could ask.
-    fn evict(&self) {
+    /// Lets one connection give way. First those of which nothing has come for longer than a true client leaves between
+    /// two pieces of a command, or clients that never end one would keep all others out; then the one that has rested
+    /// longest. One that may be about to ask goes only where there is `no_room`, and never one that has only just come:
+    /// where all others are busy it would go before it could ask.
+    fn evict(&self, no_room: bool) {
         let mut open = self.open.borrow_mut();
-        let rests = |e: &&mut Entry| e.idle.is_some_and(|since| since.elapsed() >= ACCEPT_PAUSE);
-        let longest = open.values_mut().filter(rests).min_by_key(|e| (e.known, e.idle));
-        if let Some(entry) = longest {
+        let place = |e: &mut Entry| {
+            let idle = e.idle?.elapsed();
+            let rank = match () {
+                () if idle < ACCEPT_PAUSE => return None,
+                () if !e.rests && idle >= STALLED => 0,
+                () if e.rests => 1,
+                () if no_room => 2,
+                () => return None,
+            };
+            Some((rank, e.idle))
+        };
+        let ranked = open.values_mut().filter_map(|e| place(e).map(|at| (at, e)));
+        if let Some((_, entry)) = ranked.min_by_key(|(at, _)| *at) {
             // Not chosen again while it closes: the next one that comes needs another's place.
             entry.idle = None;
             entry.evict.notify_one();
@@ -320,7 +334,7 @@
         self.connections.set(self.connections.get() + 1);
         self.half_known.set(self.half_known.get() + 1);
         let evict = Rc::new(Notify::new());
-        let entry = Entry { idle: Some(Instant::now()), known: false, evict: evict.clone() };
+        let entry = Entry { idle: Some(Instant::now()), rests: false, evict: evict.clone() };
         self.open.borrow_mut().insert(number, entry);
         tokio::task::spawn_local(async move {
             let pending = VecDeque::new();
@@ -543,7 +557,7 @@
             let idle = self.pending.is_empty();
             let now = Instant::now();
             if let Some(entry) = clients.open.borrow_mut().get_mut(&self.number) {
-                (entry.idle, entry.known) = (idle.then_some(rests), self.known);
+                (entry.idle, entry.rests) = (idle.then_some(rests), self.known && begun.is_none());
             }
             if self.ended && idle {
                 return Parting::HalfClose;
