Begin without assuming strain, and let calls out at the origin follow the quotas

Change: the level begins at its highest; the cap of one is 20 or a call's usual time of its quotas, if that is more. Random numbers have a file of their own. Tests of strain now bring it about by a peer's word; those of the cap of twenty have such quotas.

--- a/crates/brassrouter/src/lib.rs
+++ b/crates/brassrouter/src/lib.rs
@@ -26,6 +26,7 @@
 mod estimate;
 pub mod interface;
 mod policy;
+mod random;
 pub mod settings;
 mod state;
 
--- a/crates/brassrouter/src/policy.rs
+++ b/crates/brassrouter/src/policy.rs
@@ -14,6 +14,7 @@
 
 use crate::estimate::{Heat, Pace, Rate, Ratio};
 use crate::interface::*;
+use crate::random::Random;
 use crate::state::*;
 
 /// Load bound, a multiple of a server's part of this balancer's attempts in flight; never below this
@@ -130,7 +131,10 @@
         let quotas: f64 = settings.tenants.iter().map(|t| t.quota_per_s).sum();
         let quota_share = quotas / f64::from(settings.balancers.max(1));
         let all_out = GATE_OUT.1.max(quotas * GATE_OUT.2);
-        let most_out = (all_out / f64::from(settings.balancers.max(1))).clamp(2.0, GATE_OUT.0);
+        // The note's cap holds calls of seconds; where quotas let so many through that those out in a call's
+        // usual time are more, it would hold them below what both limits are meant to admit.
+        let one = GATE_OUT.0.max(quota_share * GATE_OUT.2);
+        let most_out = (all_out / f64::from(settings.balancers.max(1))).clamp(2.0, one);
         let mut policy = Policy {
             aim: aims.clone().max().unwrap_or(1_000_000).max(1),
             origin_aim: aims.min().unwrap_or(1_000_000),
@@ -140,7 +144,7 @@
             weights_lately: vec![0.0; settings.classes.len()],
             rng: Random::new(seed),
             last_told: seed as u32 >> 1,
-            level: LEVEL.1,
+            level: LEVEL.2,
             retry_budget: RETRY.1,
             // Calls of an earlier life of this balancer may still run: the gate opens gradually.
             gate: Gate { limit: most_out / 2.0, most_out, quota_share, ..Gate::default() },
--- a/crates/brassrouter/src/state.rs
+++ b/crates/brassrouter/src/state.rs
@@ -3,12 +3,12 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
-use oorandom::Rand64;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::estimate::{Pace, Rate, Ratio};
 use crate::interface::{Action, Key, Legacy, Micros, RequestId, ServerId, ServerLine, Settings};
+use crate::random::Random;
 
 /// Why an attempt is out.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -494,33 +494,3 @@
     bytes[8..].copy_from_slice(&server.to_le_bytes());
     ((xxh3_64_with_seed(&bytes, purpose) >> 11) as f64 + 0.5) / (1u64 << 53) as f64
 }
-
-/// Random numbers that depend on the seed alone.
-#[derive(Serialize, Deserialize)]
-pub struct Random((u128, u128));
-
-impl Random {
-    /// A source with a seed.
-    pub fn new(seed: u64) -> Self {
-        Random(Rand64::new(seed.into()).state())
-    }
-
-    /// A number from 0 to below 1.
-    pub fn unit(&mut self) -> f64 {
-        let mut source = Rand64::from_state(self.0);
-        let unit = source.rand_float();
-        self.0 = source.state();
-        unit
-    }
-
-    /// A number between two.
-    pub fn between(&mut self, (low, high): (f64, f64)) -> f64 {
-        low + (high - low) * self.unit()
-    }
-}
-
-impl Default for Random {
-    fn default() -> Self {
-        Random::new(0)
-    }
-}
--- a/crates/brassrouter/tests/common/mod.rs
+++ b/crates/brassrouter/tests/common/mod.rs
@@ -64,6 +64,20 @@
         node
     }
 
+    /// A node that knows nothing of its servers yet and is told of strain by a peer, until it holds tenants to their quotas.
+    pub fn strained(settings: Settings, servers: u32) -> Self {
+        let bytes = told_of_strain();
+        let mut node = Node::just_started(settings, servers);
+        for _ in 0..20 {
+            node.event(Event::PeerMessage { from: 1, bytes: bytes.clone() });
+            node.pass(95 * MS);
+        }
+        let level = node.policy.view(None).level;
+        assert!(level <= 1.0, "no strain at a level of {level}");
+        node.actions.clear();
+        node
+    }
+
     /// Passes an event on and returns what the policy answered to it.
     pub fn event(&mut self, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
@@ -121,6 +135,24 @@
     }
 }
 
+/// What a peer tells of which every fourth attempt is turned away.
+fn told_of_strain() -> Vec<u8> {
+    let settings = Settings { balancers: 2, me: 1, may_tell_peers: true, ..settings() };
+    let mut peer = Node::just_started(settings, 2);
+    for id in 1..=200 {
+        if let Some(server) = sent_to(&peer.request(read(id, id))) {
+            let status = if id % 4 == 0 { Status::Full } else { Status::Served };
+            peer.outcome(id, 0, server, status);
+        }
+        peer.pass(5 * MS);
+    }
+    let told = peer.actions.iter().rev().find_map(|a| match a {
+        Action::Tell { bytes, .. } => Some(bytes.clone()),
+        _ => None,
+    });
+    told.expect("a message")
+}
+
 /// Where the first attempt among these actions goes.
 pub fn sent_to(actions: &[Action]) -> Option<ServerId> {
     actions.iter().find_map(|a| match a {
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -38,7 +38,7 @@
 /// ones are owed an error or a close within 3 s. A value need only go on.
 const HALF: Duration = Duration::from_millis(2600);
 /// A command that has begun and of which nothing has come for so long is no slow writer's: it gives way to others first.
-const STALLED: Duration = Duration::from_millis(1200);
+const STALLED: Duration = Duration::from_millis(600);
 /// The longest time that a value may take in all.
 const VALUE: Duration = Duration::from_secs(30);
 /// A connection that asks nothing for so long is closed: some clients keep theirs for good. The shorter time holds
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -46,8 +46,10 @@
 pub(crate) struct Budget {
     /// All that it may hold.
     pub(crate) limit: usize,
-    /// Those for clients and servers, of each kind alike.
-    pub(crate) each: usize,
+    /// Those for clients.
+    pub(crate) clients: usize,
+    /// Those for servers.
+    pub(crate) servers: usize,
     /// Those that it always needs.
     pub(crate) own: usize,
 }
@@ -85,23 +87,24 @@
         let _ = self.node.send(input).await;
     }
 
-    /// From now on two processes share what this node may have; `each` descriptors of a kind are this one's.
-    async fn share(&self, each: usize) -> Reserve {
+    /// From now on two processes share what this node may have; so many descriptors are this one's.
+    async fn share(&self, descriptors: (usize, usize)) -> Reserve {
         self.tell(Input::Sharing(2)).await;
-        self.divide(each).await;
+        self.divide(descriptors).await;
         self.clients.reserve_half()
     }
 
-    async fn divide(&self, each: usize) {
-        self.clients.set_most(each);
-        self.tell(Input::Descriptors(each)).await;
+    /// So many connections of clients and to servers may be open.
+    async fn divide(&self, (clients, servers): (usize, usize)) {
+        self.clients.set_most(clients);
+        self.tell(Input::Descriptors(servers)).await;
     }
 
     /// This process is the whole node.
     async fn alone(&self, reserve: Reserve) {
         drop(reserve);
         self.tell(Input::Sharing(1)).await;
-        self.divide(self.budget.each).await;
+        self.divide((self.budget.clients, self.budget.servers)).await;
     }
 
     /// What the node would leave behind, and with `whole` all that it knows.
@@ -126,7 +129,10 @@
     pub(crate) async fn beside_predecessor(self, first: Left, mut link: Link) {
         let room = |held: u32| {
             let taken = held as usize + self.budget.own;
-            (self.budget.limit.saturating_sub(taken) / 2).clamp(LEAST, self.budget.each)
+            let free = self.budget.limit.saturating_sub(taken);
+            let Budget { clients, servers, .. } = self.budget;
+            let part = |of: usize| (free * of / (clients + servers).max(1)).clamp(LEAST.min(of), of);
+            (part(clients), part(servers))
         };
         let reserve = self.share(room(first.descriptors)).await;
         let mut last = first;
@@ -160,7 +166,7 @@
             };
             // What it holds it keeps, and gets little more.
             let held = self.clients.count().max(LEAST);
-            let reserve = self.share(held).await;
+            let reserve = self.share((held, self.budget.servers / 2)).await;
             let Some(mut state) = self.ask(true).await else { return };
             if layout != STATE {
                 state.module.clear();
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -40,6 +40,17 @@
 /// Descriptors for the listener, the peers, discovery, the runtime and the standard streams.
 const OWN_DESCRIPTORS: usize = 16;
 
+/// Connections to each server that the node can do with, and to all origins.
+const NEEDED: (usize, usize) = (4, 12);
+/// The least part of the descriptors that is kept for servers; half of them is the most.
+const FOR_SERVERS: (usize, usize) = (3, 8);
+
+/// How many of the descriptors are for servers: as many as those that are known need, but neither may leave the other side
+/// without.
+fn for_servers(pool: usize, known: usize) -> usize {
+    (known * NEEDED.0 + NEEDED.1).clamp((pool * FOR_SERVERS.0 / FOR_SERVERS.1).max(1), (pool / 2).max(1))
+}
+
 /// What the one who started a node tells it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Control {
@@ -91,9 +102,10 @@
     site.decisions.damping = storm.damping();
     let idle_close = Duration::from_micros(site.idle_close);
     let connect_timeout = Duration::from_micros(site.decisions.connect_timeout);
-    // Half for clients, half for servers: neither can leave the other without.
     let staff = config.ops.map_or(0, |_| ops::descriptors(config.sockets));
-    let descriptors = (config.sockets - OWN_DESCRIPTORS).saturating_sub(staff).max(2) / 2;
+    let pool = (config.sockets - OWN_DESCRIPTORS).saturating_sub(staff).max(2);
+    let servers = for_servers(pool, config.known.as_ref().map_or(0, |list| list.members.len()));
+    let descriptors = pool - servers;
     let limits = servers::Limits {
         balancers: site.decisions.balancers as usize,
         // A request that may have one attempt out must close the connection of one given up, so that no other
@@ -101,7 +113,7 @@
         multiplex: if site.decisions.may_duplicate { site.multiplex } else { 1 },
         idle_close,
         connect_timeout,
-        descriptors: descriptors * SERVERS.0 / SERVERS.1,
+        descriptors: servers * SERVERS.0 / SERVERS.1,
     };
     let peers = match config.peer_listen.filter(|_| site.decisions.may_tell_peers) {
         Some(listen) => {
@@ -123,7 +135,7 @@
             host.clone(),
             idle_close,
             connect_timeout,
-            descriptors / 4,
+            servers - servers * SERVERS.0 / SERVERS.1,
             desk.figures.clone(),
             events.clone(),
         ),
@@ -184,7 +196,7 @@
     let (discovery, addresses) = watch::channel(config.discovery);
     spawn_local(discovery::run(host.clone(), addresses, revision, wishes, events));
     let own = OWN_DESCRIPTORS + config.ops.map_or(0, |_| ops::IN_USE);
-    let budget = Budget { limit: config.sockets, each: descriptors, own };
+    let budget = Budget { limit: config.sockets, clients: descriptors, servers, own };
     let side = Side {
         host: host.clone(),
         name: config.name.clone(),
