--- a/crates/brassrouter/src/state.rs
+++ b/crates/brassrouter/src/state.rs
@@ -160,8 +160,8 @@
         }
     }
 
-    /// Goes on from another life's window and limit, a lower one only: a start is careful anyhow. The calls of
-    /// both lives count in it.
+    /// Goes on from another life's window and limit, a lower one only: a start is careful anyhow. The calls
+    /// of both lives count in it.
     pub fn inherit(&mut self, left: &Legacy, sharers: u32) {
         self.window = self.window.max(left.window);
         self.tally.iter_mut().zip(left.tally).for_each(|(own, left)| *own += left.div_ceil(sharers));
