--- a/crates/brassrouter/src/policy.rs
+++ b/crates/brassrouter/src/policy.rs
@@ -187,8 +187,8 @@
         }
     }
 
-    /// Calls of an earlier life count until they have ended at the latest; a keyed write stays known. One that
-    /// goes on counts its own by its half: here half of them keep the sum, were all it may have out.
+    /// Calls of an earlier life count until they have ended at the latest; a keyed write stays known. A life
+    /// that goes on counts its own by its half: half of them here keep the sum, were all it may have out.
     fn inherit(&mut self, left: Legacy) {
         let both = self.sharers.max(1);
         self.gate.inherit(&left, both);
