Drop a refused value wherever it is read, and read connections by one loop

A large write without room was skipped only where the session read on its own: bytes that the look before a close or an eviction read were taken for a command. The skip stands at the head of the loop now, and how long a value stands still follows from the last read instead of a second time kept beside it. The loop that reads a connection stood twice, and a drain that had let go of resting connections was taken back a step by SIGTERM for 0.3 s.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -115,7 +115,8 @@
         self.changed.notify_waiters();
     }
 
-    fn leaving(&self) -> Leaving {
+    /// Which connections go now.
+    pub fn leaving(&self) -> Leaving {
         self.leaving.get()
     }
 
@@ -483,7 +484,7 @@
     Head,
     /// Its value, which must go on.
     Value,
-    /// So many bytes of a value that there is no room for: they are dropped, and then it is refused.
+    /// So many bytes of a value that there is no room for: its request is refused, and they are dropped.
     Dropped(usize),
 }
 
@@ -523,13 +524,15 @@
         let mut buffer = BytesMut::new();
         let mut came = (clients.now)();
         let connected = Instant::now();
-        // When the command that has not all come yet began to, and when its value last went on.
-        let mut begun: Option<(Instant, Instant)> = None;
+        // When the command that has not all come yet began to.
+        let mut begun = None;
         // Since when nothing was asked and nothing owed.
         let mut rests = connected;
         // Its last answer went out while connections were leaving behind theirs.
         let mut answered = false;
         loop {
+            // Wherever it was read: none of it is a command.
+            self.skip(&mut buffer);
             while !self.ended && !buffer.is_empty() {
                 match resp::take_frame(&mut buffer, MAX_VALUE) {
                     Ok(Some(frame)) => {
@@ -552,7 +555,7 @@
                 // An idle connection must not keep the room that its largest command took.
                 (buffer, begun) = (BytesMut::new(), None);
             } else {
-                begun.get_or_insert_with(|| (Instant::now(), Instant::now()));
+                begun.get_or_insert_with(Instant::now);
             }
             let idle = self.pending.is_empty();
             let now = Instant::now();
@@ -570,7 +573,11 @@
             };
             let asks_nothing = idle && begun.is_none();
             let first = (!self.known && asks_nothing).then_some(connected + HALF);
-            let half = begun.filter(|_| !self.ended).map(|(first, last)| (last + HALF).min(first + VALUE));
+            let half = begun.filter(|_| !self.ended).map(|begun| match self.coming {
+                Coming::Head => begun + HALF,
+                // It need only go on.
+                Coming::Value | Coming::Dropped(_) => (rests + HALF).min(begun + VALUE),
+            });
             let rest = asks_nothing.then_some(if leaving {
                 now
             } else if rests + IDLE.1 > now || clients.crowded() {
@@ -599,10 +606,6 @@
                         return Parting::Close;
                     }
                     (came, rests) = ((clients.now)(), Instant::now());
-                    if let Some((_, last)) = begun.as_mut().filter(|_| self.coming != Coming::Head) {
-                        *last = rests;
-                    }
-                    self.skip(&mut buffer);
                 }
                 () = evict.notified(), if idle => {
                     if quiet(reading, &mut buffer).await {
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -17,10 +17,11 @@
 use tokio::io::AsyncWriteExt;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 
 use crate::command::{AttemptId, PIECE, STANDSTILL, Stream as LargeValue};
 use crate::input::Input;
+use crate::stream::{READ, more};
 
 /// Connections of the whole tier to one server that are aimed at: servers hold few, each takes some of its
 /// capacity, and the nodes share them. A node uses its whole part before it puts a command behind another: answers
@@ -35,9 +36,6 @@
 /// what waits behind it waits in vain.
 const BEGUN: Duration = Duration::from_millis(250);
 
-/// Read from a connection at once.
-const READ: usize = 4096;
-
 /// How an attempt at a cache server ended.
 pub enum Ended {
     /// A frame of the agreed form came back for it.
@@ -504,10 +502,14 @@
                 if buffer.is_empty() {
                     buffer = BytesMut::new();
                 }
-                let until = (!buffer.is_empty()).then(|| Instant::now() + BEGUN);
-                match more(&reading, &mut buffer, READ, until).await {
+                let begun = !buffer.is_empty();
+                let read = match begun {
+                    true => more_within(&reading, &mut buffer, READ, BEGUN).await,
+                    false => more(&reading, &mut buffer, READ).await,
+                };
+                match read {
                     Ok(()) => continue,
-                    Err(e) if e.kind() == ErrorKind::TimedOut && until.is_some() => {}
+                    Err(e) if e.kind() == ErrorKind::TimedOut && begun => {}
                     Err(_) => return,
                 }
             }
@@ -552,29 +554,14 @@
     false
 }
 
-/// Reads what has come; an error at the end of the connection, and where nothing has come in time.
-async fn more(
+/// As [`more`]; an error, too, where nothing has come within a time.
+async fn more_within(
     reading: &impl Reading,
     buffer: &mut BytesMut,
     room: usize,
-    until: Option<Instant>,
+    within: Duration,
 ) -> std::io::Result<()> {
-    let read = async {
-        loop {
-            reading.readable().await?;
-            buffer.reserve(room);
-            match reading.try_read_buf(buffer) {
-                Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
-                Ok(_) => return Ok(()),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
-            }
-        }
-    };
-    match until {
-        None => read.await,
-        Some(until) => timeout_at(until, read).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())),
-    }
+    timeout(within, more(reading, buffer, room)).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
 }
 
 /// Passes a large value on as it comes, as fast as its client takes it, and takes what stands behind it off the buffer;
@@ -601,7 +588,7 @@
     while left > 0 {
         if buffer.is_empty() {
             *buffer = BytesMut::new();
-            if more(reading, buffer, PIECE, Some(Instant::now() + STANDSTILL)).await.is_err() {
+            if more_within(reading, buffer, PIECE, STANDSTILL).await.is_err() {
                 return false;
             }
         }
@@ -625,7 +612,7 @@
         match taken {
             Ok(true) => behind += 1,
             Ok(false) => {
-                if more(reading, buffer, READ, Some(Instant::now() + STANDSTILL)).await.is_err() {
+                if more_within(reading, buffer, READ, STANDSTILL).await.is_err() {
                     return false;
                 }
             }
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -290,7 +290,8 @@
     let retiring = retiring.clone();
     let task = spawn_local(async move {
         sleep(answered).await;
-        retiring.set(Leaving::Answered);
+        // A drain may have come further: the end of the node takes nothing back.
+        retiring.set(retiring.leaving().max(Leaving::Answered));
         sleep(resting.saturating_sub(answered)).await;
         retiring.set(Leaving::Resting);
     });
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -1,6 +1,6 @@
 //! Reading from a connection, and ending one in order.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -13,22 +13,29 @@
 /// The other side gets this long to read what it was told last and to close.
 pub const FAREWELL: Duration = Duration::from_millis(200);
 
-/// Reads what has come; whether the other side is still there. Room is made only once something is there. Safe to drop
-/// and call again.
-pub async fn read(reading: &impl Reading, buffer: &mut BytesMut) -> bool {
+/// Reads what has come, up to the room made for it; that is made only once something is there. Safe to drop and call
+/// again.
+///
+/// # Errors
+/// `UnexpectedEof` at the end of the connection, or what ended it.
+pub async fn more(reading: &impl Reading, buffer: &mut BytesMut, room: usize) -> io::Result<()> {
     loop {
-        if reading.readable().await.is_err() {
-            return false;
-        }
-        buffer.reserve(READ);
+        reading.readable().await?;
+        buffer.reserve(room);
         match reading.try_read_buf(buffer) {
-            Ok(read) => return read > 0,
+            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(_) => return Ok(()),
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return false,
+            Err(e) => return Err(e),
         }
     }
 }
 
+/// Reads what has come; whether the other side is still there. Safe to drop and call again.
+pub async fn read(reading: &impl Reading, buffer: &mut BytesMut) -> bool {
+    more(reading, buffer, READ).await.is_ok()
+}
+
 /// Ends a connection in order: the end of the stream goes out, and what still comes is read and dropped for a little
 /// while. A close over bytes that were not read would be a reset, which can overtake an answer, and which a client that
 /// has just asked takes for a failure.
