--- a/crates/mothpier/tests/node.rs
+++ b/crates/mothpier/tests/node.rs
@@ -4,35 +4,13 @@
 mod world;
 
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{TcpListener, UdpSocket};
 use std::process::Stdio;
 use std::sync::Mutex;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::channel;
 
 use world::*;
 
-/// Something asked of a server, given on to the test.
-fn report(to: std::sync::mpsc::Sender<Vec<String>>) -> impl Fn(&[String]) + Send + Sync {
-    let to = Mutex::new(to);
-    move |asked| to.lock().unwrap().send(asked.to_vec()).unwrap_or_default()
-}
-
-/// A cache server that answers a command only when the test lets it: its address, the commands that have come, and
-/// the word to go on.
-fn held(
-    value: impl Fn(&[String]) -> String + Send + Sync + 'static,
-) -> (SocketAddr, Receiver<Vec<String>>, Sender<()>) {
-    let (arrived, commands) = channel();
-    let (go, wait) = channel::<()>();
-    let (arrived, wait) = (report(arrived), Mutex::new(wait));
-    let server = serve(command, move |asked| {
-        arrived(asked);
-        let _ = wait.lock().unwrap().recv();
-        array(&value(asked))
-    });
-    (server, commands, go)
-}
-
 #[test]
 fn a_miss_is_fetched_and_the_command_goes_on_unchanged_but_for_the_wait() {
     let (seen, commands) = channel();
--- a/crates/mothpier/tests/staff.rs
+++ b/crates/mothpier/tests/staff.rs
@@ -98,14 +98,7 @@
 
 #[test]
 fn a_drained_node_answers_what_it_took_lets_go_of_its_clients_and_comes_back() {
-    let (arrived, commands) = channel();
-    let (go, wait) = channel::<()>();
-    let (arrived, wait) = (Mutex::new(arrived), Mutex::new(wait));
-    let server = serve(command, move |asked| {
-        arrived.lock().unwrap().send(()).unwrap();
-        let _ = wait.lock().unwrap().recv();
-        array(&asked[2])
-    });
+    let (server, commands, go) = held(|asked| asked[2].clone());
     let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
     let node = staffed("drain", &discovery);
     assert_eq!(node.status("GET /ready"), 200);
--- a/crates/mothpier/tests/upgrade.rs
+++ b/crates/mothpier/tests/upgrade.rs
@@ -6,8 +6,6 @@
 use std::net::{TcpListener, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::process::{Command, Stdio};
-use std::sync::Mutex;
-use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
 use world::*;
@@ -28,12 +26,10 @@
     }
 
     fn command(&self, discovery: &Discovery) -> Command {
-        inheriting(
-            node_command(self.name, discovery.address, 1024, "exec 4<&0 0</dev/null;"),
-            &self.listener,
-            "4",
-        )
-        .with_folder(&self.folder)
+        let command = node_command(self.name, discovery.address, 1024, "exec 4<&0 0</dev/null;");
+        let mut command = inheriting(command, &self.listener, "4");
+        command.env("TMPDIR", &self.folder);
+        command
     }
 
     /// Starts a process and waits until it says yes.
@@ -44,17 +40,6 @@
     }
 }
 
-trait Folder {
-    fn with_folder(self, folder: &str) -> Self;
-}
-
-impl Folder for Command {
-    fn with_folder(mut self, folder: &str) -> Self {
-        self.env("TMPDIR", folder);
-        self
-    }
-}
-
 fn inheriting(mut command: Command, socket: &TcpListener, number: &str) -> Command {
     command.stdin(Stdio::from(OwnedFd::from(socket.try_clone().unwrap())));
     command.env("ROUTER_SOCKET_FD", number).env("ROUTER_OPS", "127.0.0.1:0");
@@ -190,14 +175,7 @@
 
 #[test]
 fn what_the_old_process_took_it_answers() {
-    let (arrived, commands) = channel();
-    let (go, wait) = channel::<()>();
-    let (arrived, wait) = (Mutex::new(arrived), Mutex::new(wait));
-    let server = serve(command, move |asked| {
-        arrived.lock().unwrap().send(()).unwrap();
-        let _ = wait.lock().unwrap().recv();
-        array(&asked[2])
-    });
+    let (server, commands, go) = held(|asked| asked[2].clone());
     let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
     let platform = Platform::new("answers");
     let mut old = platform.start(&discovery);
--- a/crates/mothpier/tests/world/mod.rs
+++ b/crates/mothpier/tests/world/mod.rs
@@ -119,6 +119,28 @@
     address
 }
 
+/// Something asked of a server, given on to the test.
+pub fn report(to: Sender<Vec<String>>) -> impl Fn(&[String]) + Send + Sync {
+    let to = Mutex::new(to);
+    move |asked| to.lock().unwrap().send(asked.to_vec()).unwrap_or_default()
+}
+
+/// A cache server that answers a command only when the test lets it: its address, the commands that have come, and
+/// the word to go on.
+pub fn held(
+    value: impl Fn(&[String]) -> String + Send + Sync + 'static,
+) -> (SocketAddr, Receiver<Vec<String>>, Sender<()>) {
+    let (arrived, commands) = channel();
+    let (go, wait) = channel::<()>();
+    let (arrived, wait) = (report(arrived), Mutex::new(wait));
+    let server = serve(command, move |asked| {
+        arrived(asked);
+        let _ = wait.lock().unwrap().recv();
+        array(&value(asked))
+    });
+    (server, commands, go)
+}
+
 /// A list of servers that can be changed, and word of the calls that the node makes for it.
 pub struct Discovery {
     pub address: SocketAddr,
