Let connections in a crowd wait by what they have shown of their command

Lines of the log with the time of each piece tell why: true slow clients write at once and leave up to 0.6 s and more before their last bytes, while those that never end a command send nothing or one piece and kept their places for 0.6 s, too. Ruled out: the limit of places (100, never more than 77 taken), and connections that waited to be accepted (none).

The patience is now 0.3 s for a connection that has shown nothing or a first piece and 1 s for one that goes on; who gives way is told by a module of its own without I/O. The new test fails without the change.

--- a/crates/mothpier/tests/node.rs
+++ b/crates/mothpier/tests/node.rs
@@ -8,6 +8,7 @@
 use std::process::Stdio;
 use std::sync::Mutex;
 use std::sync::mpsc::channel;
+use std::time::Duration;
 
 use world::*;
 
@@ -251,6 +252,26 @@
     assert!(said == "end" || said.starts_with("-ERR"), "{said}");
 }
 
+/// Slow clients write a head in pieces and leave the longest pause before the last.
+#[test]
+fn a_head_that_goes_on_outlives_a_crowd_that_shows_nothing() {
+    let node = Node::start_with("slow-head", &Discovery::start(""), 64, "");
+    let mut slow = node.client();
+    for piece in ["*1\r\n", "$4\r\n", "PI", "NG"] {
+        slow.write(piece);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    // Half of the places and more are taken all the time, by those that came last.
+    let mut held = Vec::new();
+    for _ in 0..38 {
+        held.push(node.client());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    slow.write("\r\n");
+    assert_eq!(slow.answer(), "+PONG");
+    assert_eq!(held[0].answer(), "end");
+}
+
 #[test]
 fn peers_are_told_and_garbage_from_them_is_harmless() {
     let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -22,6 +22,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::command::{Answer, Claim, Command, Ids, STANDSTILL, Stream as LargeValue};
+use crate::crowd::{Doing, turn};
 use crate::input::{Asked, Input};
 use crate::keys::Keys;
 use crate::stream::{FAREWELL, READ, part, read};
@@ -37,8 +38,6 @@
 /// A first command, and the rest of one that has begun, must come within this time: true clients may take 2 s, bad
 /// ones are owed an error or a close within 3 s. A value need only go on.
 const HALF: Duration = Duration::from_millis(2600);
-/// A command that has begun and of which nothing has come for so long is no slow writer's: it gives way to others first.
-const STALLED: Duration = Duration::from_millis(600);
 /// The longest time that a value may take in all.
 const VALUE: Duration = Duration::from_secs(30);
 /// A connection that asks nothing for so long is closed: some clients keep theirs for good. The shorter time holds
@@ -47,7 +46,7 @@
 const IDLE: (Duration, Duration) = (Duration::from_secs(10), Duration::from_millis(2100));
 /// How often an idle connection looks whether many have become open meanwhile.
 const IDLE_LOOK: Duration = Duration::from_millis(250);
-/// Between tries to accept while there is no room; a connection has rested when it was idle for so long.
+/// Between tries to accept while there is no room.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// When a request that finds the node's memory full may come back, milliseconds.
 const FULL_RETRY_MS: u64 = 100;
@@ -163,8 +162,7 @@
 struct Entry {
     /// When it last sent something or was answered; `None` while an answer is owed to it.
     idle: Option<Instant>,
-    /// It has sent a command in the agreed form, and nothing of another: a close crosses nothing.
-    rests: bool,
+    doing: Doing,
     evict: Rc<Notify>,
 }
 
@@ -292,25 +290,12 @@
         }
     }
 
-    /// Lets one connection give way. First those of which nothing has come for longer than a true client leaves between
-    /// two pieces of a command, or clients that never end one would keep all others out; then the one that has rested
-    /// longest. One that may be about to ask goes only where there is `no_room`, and never one that has only just come:
-    /// where all others are busy it would go before it could ask.
+    /// Lets the connection give way whose turn it is, if there is one.
     fn evict(&self, no_room: bool) {
         let mut open = self.open.borrow_mut();
-        let place = |e: &mut Entry| {
-            let idle = e.idle?.elapsed();
-            let rank = match () {
-                () if idle < ACCEPT_PAUSE => return None,
-                () if !e.rests && idle >= STALLED => 0,
-                () if e.rests => 1,
-                () if no_room => 2,
-                () => return None,
-            };
-            Some((rank, e.idle))
-        };
-        let ranked = open.values_mut().filter_map(|e| place(e).map(|at| (at, e)));
-        if let Some((_, entry)) = ranked.min_by_key(|(at, _)| *at) {
+        let place = |e: &Entry| Some((turn(e.doing, e.idle?.elapsed(), no_room)?, e.idle));
+        let turns = open.values_mut().filter_map(|e| place(e).map(|at| (at, e)));
+        if let Some((_, entry)) = turns.min_by_key(|(at, _)| *at) {
             // Not chosen again while it closes: the next one that comes needs another's place.
             entry.idle = None;
             entry.evict.notify_one();
@@ -335,7 +320,7 @@
         self.connections.set(self.connections.get() + 1);
         self.half_known.set(self.half_known.get() + 1);
         let evict = Rc::new(Notify::new());
-        let entry = Entry { idle: Some(Instant::now()), rests: false, evict: evict.clone() };
+        let entry = Entry { idle: Some(Instant::now()), doing: Doing::Begins, evict: evict.clone() };
         self.open.borrow_mut().insert(number, entry);
         tokio::task::spawn_local(async move {
             let pending = VecDeque::new();
@@ -526,6 +511,8 @@
         let connected = Instant::now();
         // When the command that has not all come yet began to.
         let mut begun = None;
+        // In how many pieces it has come so far.
+        let mut pieces = 0;
         // Since when nothing was asked and nothing owed.
         let mut rests = connected;
         // Its last answer went out while connections were leaving behind theirs.
@@ -536,7 +523,7 @@
             while !self.ended && !buffer.is_empty() {
                 match resp::take_frame(&mut buffer, MAX_VALUE) {
                     Ok(Some(frame)) => {
-                        begun = None;
+                        (begun, pieces) = (None, 0);
                         self.command(frame, came).await;
                         // What was reserved went with the request, or was for none.
                         (self.coming, self.room) = (Coming::Head, None);
@@ -557,10 +544,15 @@
             } else {
                 begun.get_or_insert_with(Instant::now);
             }
+            let doing = match begun {
+                None if self.known => Doing::Rests,
+                Some(_) if pieces > 1 => Doing::Writes,
+                _ => Doing::Begins,
+            };
             let idle = self.pending.is_empty();
             let now = Instant::now();
             if let Some(entry) = clients.open.borrow_mut().get_mut(&self.number) {
-                (entry.idle, entry.rests) = (idle.then_some(rests), self.known && begun.is_none());
+                (entry.idle, entry.doing) = (idle.then_some(rests), doing);
             }
             if self.ended && idle {
                 return Parting::HalfClose;
@@ -606,6 +598,7 @@
                         return Parting::Close;
                     }
                     (came, rests) = ((clients.now)(), Instant::now());
+                    pieces += 1;
                 }
                 () = evict.notified(), if idle => {
                     if quiet(reading, &mut buffer).await {
--- /dev/null
+++ b/crates/node/src/crowd.rs
@@ -0,0 +1,71 @@
+//! Which connection of a client gives way where there are many. No I/O.
+
+use std::time::Duration;
+
+/// A connection that has only just come stays: where all others are busy it would go before it could ask.
+const JUST_COME: Duration = Duration::from_millis(20);
+/// So long nothing has come of a command that has begun, or is to, before its connection gives way as one that will never
+/// end it. The first is for one that has sent nothing or a first piece, as those that only hold a place do; a true client
+/// begins at once. The second is for one that has gone on writing: slow ones leave up to 0.6 s before their last bytes.
+const STALLED: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(1000));
+
+/// What a connection does that is owed no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doing {
+    /// It has sent nothing, or the first piece of a command.
+    Begins,
+    /// It has sent several pieces of a command that is not whole.
+    Writes,
+    /// It has sent a command in the agreed form, and nothing of another: a close crosses nothing.
+    Rests,
+}
+
+/// When a connection's turn to give way comes: the least goes first, and of those alike the one that was idle longest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Turn {
+    /// It will hardly end its command; if these stayed they would keep all others out.
+    Stalled,
+    Rests,
+    /// It may be about to ask: it goes only where there is no room.
+    MayAsk,
+}
+
+/// The turn of a connection that has done this since it was last heard or answered; `None` for one that stays.
+pub fn turn(doing: Doing, idle: Duration, no_room: bool) -> Option<Turn> {
+    if idle < JUST_COME {
+        return None;
+    }
+    match doing {
+        Doing::Rests => Some(Turn::Rests),
+        Doing::Begins if idle >= STALLED.0 => Some(Turn::Stalled),
+        Doing::Writes if idle >= STALLED.1 => Some(Turn::Stalled),
+        Doing::Begins | Doing::Writes => no_room.then_some(Turn::MayAsk),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_shows_nothing_goes_first_then_who_rests_and_slow_writers_only_for_want_of_room() {
+        use Doing::*;
+        let ms = Duration::from_millis;
+        for (doing, idle, no_room, expected) in [
+            (Begins, ms(19), true, None),
+            (Rests, ms(19), true, None),
+            (Begins, ms(20), false, None),
+            (Begins, ms(20), true, Some(Turn::MayAsk)),
+            (Begins, ms(299), false, None),
+            (Begins, ms(300), false, Some(Turn::Stalled)),
+            (Writes, ms(999), false, None),
+            (Writes, ms(999), true, Some(Turn::MayAsk)),
+            (Writes, ms(1000), false, Some(Turn::Stalled)),
+            (Rests, ms(20), false, Some(Turn::Rests)),
+            (Rests, ms(5000), false, Some(Turn::Rests)),
+        ] {
+            assert_eq!(turn(doing, idle, no_room), expected, "{doing:?} for {idle:?}, no room: {no_room}");
+        }
+        assert!(Turn::Stalled < Turn::Rests && Turn::Rests < Turn::MayAsk);
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod command;
 pub mod config;
 mod counters;
+mod crowd;
 mod discovery;
 pub mod handover;
 mod http;
