--- a/crates/mothpier/tests/staff.rs
+++ b/crates/mothpier/tests/staff.rs
@@ -191,6 +191,30 @@
     assert!(told.starts_with("HTTP/1.1 408 "), "{told:?}");
 }
 
+#[test]
+fn a_node_with_more_to_do_than_it_can_answers_staff_in_time() {
+    let server = serve(command, |_| array("v"));
+    let node = staffed("saturated", &Discovery::start(&member("s-1", server, "m", "ready")));
+    let flood: Vec<_> = (0..3)
+        .map(|_| {
+            let stream = TcpStream::connect(node.address).unwrap();
+            let mut answers = stream.try_clone().unwrap();
+            std::thread::spawn(move || std::io::copy(&mut answers, &mut std::io::sink()));
+            let mut writing = stream.try_clone().unwrap();
+            let asks = "*1\r\n$4\r\nPING\r\n".repeat(500);
+            std::thread::spawn(move || while writing.write_all(asks.as_bytes()).is_ok() {});
+            stream
+        })
+        .collect();
+    for _ in 0..20 {
+        let begun = Instant::now();
+        assert_eq!(node.status("GET /ready"), 200);
+        assert!(node.figure("edge_router_in_flight").is_some());
+        assert!(begun.elapsed() < Duration::from_secs(2), "two calls took {:?}", begun.elapsed());
+    }
+    flood.iter().for_each(|stream| drop(stream.shutdown(std::net::Shutdown::Both)));
+}
+
 #[test]
 fn without_a_second_address_nothing_listens_and_one_that_is_taken_ends_the_start() {
     let server = serve(command, |_| array("v"));
--- a/crates/mothpier/tests/upgrade.rs
+++ b/crates/mothpier/tests/upgrade.rs
@@ -15,6 +15,8 @@
     name: &'static str,
     listener: TcpListener,
     folder: String,
+    /// Descriptors of both processes together.
+    sockets: usize,
 }
 
 impl Platform {
@@ -22,11 +24,11 @@
         let folder = format!("{}/{name}", env!("CARGO_TARGET_TMPDIR"));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir(&folder).unwrap();
-        Platform { name, listener: TcpListener::bind("127.0.0.1:0").unwrap(), folder }
+        Platform { name, listener: TcpListener::bind("127.0.0.1:0").unwrap(), folder, sockets: 1024 }
     }
 
     fn command(&self, discovery: &Discovery) -> Command {
-        let command = node_command(self.name, discovery.address, 1024, "exec 4<&0 0</dev/null;");
+        let command = node_command(self.name, discovery.address, self.sockets, "exec 4<&0 0</dev/null;");
         let mut command = inheriting(command, &self.listener, "4");
         command.env("TMPDIR", &self.folder);
         command
@@ -194,6 +196,80 @@
     assert_eq!(new.status("GET /ready"), 200);
 }
 
+#[test]
+fn a_drain_holds_for_the_process_that_was_told_and_not_for_the_one_after_it() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let platform = Platform::new("drained");
+    let mut old = platform.start(&discovery);
+    let address = old.address;
+    let mut client = old.client();
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+    assert_eq!(old.status("PUT /drain"), 200);
+    let new = platform.start(&discovery);
+    assert_eq!(client.answer(), "end", "a drain goes on beside a new process");
+    assert_eq!((old.status("GET /ready"), new.status("GET /ready")), (503, 200));
+    old.signal("TERM");
+    assert!(old.ended().success());
+    assert_eq!(Client::connect(address).ask(&["PING"]), "+PONG");
+    assert_eq!(new.status("PUT /drain"), 200);
+    assert_eq!(Client::connect(address).ask(&["PING"]), "-ERR drained");
+    // One more process: what staff said to the one before it was not said to it.
+    let third = platform.start(&discovery);
+    assert_eq!(third.status("GET /ready"), 200);
+    assert_eq!(new.status("PUT /undrain"), 200);
+    drop(third);
+    new.logged("this one goes on");
+    assert_eq!(Client::connect(address).ask(&["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"]), "$i");
+}
+
+#[test]
+fn a_crowd_that_never_asks_keeps_no_client_out_while_processes_change() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let platform = Platform { sockets: 64, ..Platform::new("crowd") };
+    let mut old = platform.start(&discovery);
+    let address = old.address;
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let stopped = |stop: &std::sync::atomic::AtomicBool| stop.load(std::sync::atomic::Ordering::Relaxed);
+    let crowd = {
+        let stop = stop.clone();
+        std::thread::spawn(move || {
+            let mut held = Vec::new();
+            while !stopped(&stop) {
+                let mut client = Client::connect(address);
+                client.write("*4\r\n$9\r\nCACHE");
+                held.push(client);
+                std::thread::sleep(Duration::from_millis(10));
+            }
+        })
+    };
+    // Until every place has been taken once.
+    std::thread::sleep(Duration::from_millis(600));
+    let client = {
+        let stop = stop.clone();
+        std::thread::spawn(move || {
+            let mut asked = 0;
+            while !stopped(&stop) {
+                let id = format!("i{asked}");
+                let answer = Client::connect(address).ask(&["CACHE.GET", &id, &id, "c=read,t=acme,d=9000"]);
+                assert!(answer == format!("${id}") || answer.starts_with("-BUSY"), "{id}: {answer}");
+                asked += 1;
+            }
+            asked
+        })
+    };
+    std::thread::sleep(Duration::from_millis(700));
+    let new = platform.start(&discovery);
+    old.signal("TERM");
+    assert!(old.ended().success());
+    assert_eq!(new.status("GET /ready"), 200);
+    std::thread::sleep(Duration::from_millis(300));
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    crowd.join().unwrap();
+    assert!(client.join().unwrap() > 50);
+}
+
 /// The socket at which processes of a node find each other.
 fn socket(platform: &Platform) -> String {
     format!("{}/mothpier-handover.sock", platform.folder)
