Wait for calls that a discovery of all nodes takes in turn, and ask it first for changes only

A line of the log for each call told why. Discovery fails a call at once where its queue is full (14 ms) and takes five others a second in turn; each of those waited up to 2 s, and the node gave it up after 1.5 s. The work was done, the answer thrown away, and the call made again. Ruled out: the address (all called the new one), the number of calls alone (those refused at once cost it nothing).

Besides, a node whose module had asked before the watch began took discovery for an agent and asked for the whole list, at twice the cost of what changed: which of the two ran first decided it. Now the kind of discovery does.

Calls to a service for all nodes are given up 2.5 s after their wait; those to an agent as before. Both tests fail without the change.

--- a/crates/mothpier/tests/node.rs
+++ b/crates/mothpier/tests/node.rs
@@ -238,6 +238,62 @@
     child.wait().unwrap();
 }
 
+/// A node that must ask one discovery for all nodes, at an address, and was given a list of revision 7.
+fn asking(name: &str, discovery: std::net::SocketAddr, known: &str) -> Node {
+    let path = format!("{}/{name}-asks.json", env!("CARGO_TARGET_TMPDIR"));
+    let list = format!(r#""known":{{"revision":7,"complete":true,"members":[{known}]}},"settings""#);
+    let config = config(name, discovery, 1024)
+        .replace(r#""settings""#, &list)
+        .replace(r#""discovery":"push""#, r#""discovery":"ask""#)
+        .replace(r#""coldUs""#, r#""askWithinUs":5000000,"coldUs""#);
+    std::fs::write(&path, config).unwrap();
+    let mut command = node_command(name, discovery, 1024, "");
+    command.env("ROUTER_CONFIG", path);
+    Node::spawn(command)
+}
+
+/// Where calls are many each waits its turn. A node that gave up before would cost the service a call for nothing.
+#[test]
+fn a_call_that_discovery_takes_in_turn_is_waited_for_and_asks_for_changes_only() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let (told, calls) = channel();
+    let told = report(told);
+    let members = member("s-1", server, "m", "ready");
+    let discovery = serve(call, move |asked| {
+        told(asked);
+        std::thread::sleep(Duration::from_millis(1900));
+        http("200 OK", &format!(r#"{{"revision":8,"complete":true,"members":[{members}]}}"#))
+    });
+    let node = asking("in-turn", discovery, "");
+    assert!(calls.recv_timeout(HUNG).unwrap()[0].contains("after=7&"), "what is held need not come again");
+    // The next one goes on from the answer to the first; none has come between them.
+    assert!(calls.recv_timeout(HUNG).unwrap()[0].contains("after=8&"));
+    assert_eq!(node.client().ask(&["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"]), "$i");
+}
+
+/// After a move the whole list is asked for, which takes its turn as well.
+#[test]
+fn a_whole_list_that_comes_in_its_turn_is_waited_for_after_a_move() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let (told, calls) = channel();
+    let told = report(told);
+    let members = member("s-1", server, "m", "ready");
+    let busy = serve(call, move |asked| {
+        told(asked);
+        std::thread::sleep(Duration::from_millis(1900));
+        http("200 OK", &format!(r#"{{"revision":3,"complete":true,"members":[{members}]}}"#))
+    });
+    let first = serve(call, |_| Reaction::Silence);
+    let node = asking("moved-in-turn", first, "");
+    let path = format!("{}/moved-in-turn-asks.json", env!("CARGO_TARGET_TMPDIR"));
+    let config = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, config.replace(&first.to_string(), &busy.to_string())).unwrap();
+    node.signal("HUP");
+    assert_eq!(calls.recv_timeout(HUNG).unwrap()[0], "GET /api/targets HTTP/1.1");
+    assert!(calls.recv_timeout(HUNG).unwrap()[0].contains("after=3&"), "the first call was waited for");
+    assert_eq!(node.client().ask(&["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"]), "$i");
+}
+
 #[test]
 fn clients_that_never_end_a_command_do_not_keep_others_out() {
     let node = Node::start_with("partial", &Discovery::start(""), 64, "");
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -19,8 +19,11 @@
 
 /// How long a watch waits at the other side: short, so that a silent agent is noticed soon.
 const WAIT: Duration = Duration::from_millis(2000);
-/// An answer that is this late after the wait will not come.
-const LATE: Duration = Duration::from_millis(1500);
+/// An answer of an agent that is this late after the wait will not come.
+const AGENT_LATE: Duration = Duration::from_millis(1500);
+/// A service for all nodes takes calls in turn and fails those that have waited 2 s. Who gives up before loses what it has
+/// waited for and costs the service the call all the same: where many do, nobody gets an answer any more.
+const SERVICE_LATE: Duration = Duration::from_millis(2500);
 /// Between calls after a failure; a watch goes on if the next call comes within 200 ms.
 const PAUSE: Duration = Duration::from_millis(100);
 const MAX_LIST: usize = 4 << 20;
@@ -144,9 +147,29 @@
     names.iter().position(|n| n == name).map_or_else(hashed, |at| at as u64)
 }
 
+/// Who tells of the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Teller {
+    /// An agent of this node's own, which is asked as often as one likes.
+    Agent,
+    /// One service of little capacity for all nodes.
+    Service,
+}
+
+impl Teller {
+    /// How long after its wait a call is given up.
+    fn late(self) -> Duration {
+        match self {
+            Teller::Agent => AGENT_LATE,
+            Teller::Service => SERVICE_LATE,
+        }
+    }
+}
+
 /// Watches the list for as long as the node wants it, at the address that holds at the time.
 pub async fn run<H: Host>(
     host: H,
+    teller: Teller,
     mut addresses: watch::Receiver<SocketAddr>,
     known: Option<u64>,
     mut wanted: watch::Receiver<Wanted>,
@@ -155,7 +178,7 @@
     let (mut connection, mut revision, mut calls, mut failing) = (None, known, 0, false);
     // What was held at the start may be old. An agent gives the whole list at no cost; where discovery is one
     // service for all, only what changed since is asked for.
-    let mut first = wanted.borrow().watch;
+    let mut first = teller == Teller::Agent;
     let mut moved = false;
     loop {
         let now = *wanted.borrow_and_update();
@@ -184,7 +207,7 @@
                 moved = true;
                 continue;
             }
-            answer = call(&host, &mut connection, address, revision.filter(|_| !whole)) => answer,
+            answer = call(&host, teller.late(), &mut connection, address, revision.filter(|_| !whole)) => answer,
         };
         moved = false;
         let heard = match answer {
@@ -214,6 +237,7 @@
 
 async fn call<H: Host>(
     host: &H,
+    late: Duration,
     open: &mut Option<Connection>,
     address: SocketAddr,
     after: Option<u64>,
@@ -223,14 +247,14 @@
         None => "/api/targets".into(),
     };
     if open.as_ref().is_none_or(|c| !c.sender.is_ready()) {
-        *open = Some(http::connect(host, address, LATE).await.map_err(|e| format!("no connection: {e}"))?);
+        *open = Some(http::connect(host, address, late).await.map_err(|e| format!("no connection: {e}"))?);
     }
     let Some(connection) = open else { return Err("no connection".into()) };
     let request =
         hyper::Request::get(path).header("Host", address.to_string()).body(Full::<Bytes>::default());
     let request = request.map_err(|e| e.to_string())?;
-    // A whole list is owed at once: to wait longer for it would take up the time in which a move must be done.
-    let within = if after.is_some() { WAIT + LATE } else { LATE };
+    // No call for a whole list waits at the other side: a longer one would take up the time in which a move must be done.
+    let within = if after.is_some() { WAIT + late } else { late };
     let answer = timeout(within, async {
         let response = connection.sender.send_request(request).await.map_err(|e| e.to_string())?;
         if response.status() != 200 {
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -16,6 +16,7 @@
 
 use crate::clients::{Bounds, Clients, Grammar, Leaving, Listening, Retiring};
 use crate::config::Config;
+use crate::discovery::Teller;
 use crate::handover::{self, Budget, Handover, Side};
 use crate::input::Input;
 use crate::node::{Clock, Inherited, Node, Parts, SERVERS};
@@ -127,7 +128,8 @@
     let aims = site.classes.iter().zip(&site.decisions.classes);
     let aims = aims.map(|(name, c)| format!("{name} {} of {} ms", c.aim / 1000, c.deadline / 1000));
     let aims = format!("aims: {}; {} nodes", aims.collect::<Vec<_>>().join(", "), site.decisions.balancers);
-    let watched = discovery::Wanted { watch: !site.decisions.ask_discovery, calls: 0 };
+    let teller = if site.decisions.ask_discovery { Teller::Service } else { Teller::Agent };
+    let watched = discovery::Wanted { watch: teller == Teller::Agent, calls: 0 };
     let (wanted, wishes) = watch::channel(watched);
     let mut parts = Parts {
         servers: servers::Servers::new(host.clone(), limits, desk.figures.clone(), events.clone()),
@@ -194,7 +196,7 @@
     let node = Node::new(host.clone(), site, config.seed, clock, parts);
     let mut node = spawn_local(node.run(known, inputs));
     let (discovery, addresses) = watch::channel(config.discovery);
-    spawn_local(discovery::run(host.clone(), addresses, revision, wishes, events));
+    spawn_local(discovery::run(host.clone(), teller, addresses, revision, wishes, events));
     let own = OWN_DESCRIPTORS + config.ops.map_or(0, |_| ops::IN_USE);
     let budget = Budget { limit: config.sockets, clients: descriptors, servers, own };
     let side = Side {
