Say yes from the start where the configuration names a server

Now it says yes at once where that list has a cache server that may be asked.

In the crowd nothing changed, as the front there comes to a new process 0.5 s after that could serve, whichever it is. The new test fails without the change.

--- a/crates/mothpier/tests/node.rs
+++ b/crates/mothpier/tests/node.rs
@@ -252,6 +252,23 @@
     Node::spawn(command)
 }
 
+/// Whoever asks it before discovery has answered is served from the list that it was given.
+#[test]
+fn a_node_with_a_list_from_before_serves_from_its_start() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let silent = serve(call, |_| Reaction::Silence);
+    let node = asking("from-before", silent, &member("s-1", server, "m", "ready"));
+    assert_eq!(node.client().ask(&["PING"]), "+PONG");
+    assert_eq!(node.client().ask(&["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"]), "$i");
+    // One that was given none, or only what may not be asked, has nothing to serve from yet.
+    for known in
+        [String::new(), member("s-1", server, "m", "draining"), member("s-1", server, "origin", "ready")]
+    {
+        let node = asking("none-before", silent, &known);
+        assert_eq!(node.client().ask(&["PING"]), "-ERR not ready: no list of servers yet");
+    }
+}
+
 /// Where calls are many each waits its turn. A node that gave up before would cost the service a call for nothing.
 #[test]
 fn a_call_that_discovery_takes_in_turn_is_waited_for_and_asks_for_changes_only() {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -39,6 +39,13 @@
     pub members: Vec<Member>,
 }
 
+impl List {
+    /// Whether it has a server that may be asked, beside those of the origin's kind.
+    pub(crate) fn names_a_server(&self, origin: Option<&String>) -> bool {
+        self.members.iter().any(|member| member.phase == "ready" && Some(&member.flavor) != origin)
+    }
+}
+
 /// One server in a list.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Member {
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -36,7 +36,7 @@
 const HAND_OVER: (Duration, Duration) = (Duration::ZERO, Duration::from_millis(650));
 /// Between two looks whether a node that shares its listener can serve: until then it accepts nothing.
 const READY_LOOK: Duration = Duration::from_millis(5);
-/// A restarted node is used even when discovery is silent, with the list it last had.
+/// A node that was given no server is used all the same after this time, when discovery is silent.
 const WITHOUT_DISCOVERY: Duration = Duration::from_secs(1);
 /// Descriptors for the listener, the peers, discovery, the runtime and the standard streams.
 const OWN_DESCRIPTORS: usize = 16;
@@ -161,7 +161,10 @@
         let warm = if policy.is_some() { "its state" } else { "no state of the module" };
         host.log(format_args!("this process takes over: revision {}, {warm}", state.revision));
         parts.inherited = Some(Inherited { policy, legacy: state.left.legacy.clone() });
-        // The list that the other acted on is as good here.
+    }
+    // A list from before is a start: discovery, where many call it, may take seconds to tell what has changed since.
+    let origin = site.decisions.origin_kind.and_then(|kind| site.kinds.get(usize::from(kind)));
+    if known.as_ref().is_some_and(|list| list.names_a_server(origin)) {
         desk.lifecycle.step(Step::Ready);
     }
     let revision = known.as_ref().map(|l| l.revision);
