--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -116,6 +116,11 @@
         Some(state)
     }
 
+    /// Whether another process has taken over what this one knew, and lives.
+    pub(crate) fn succeeded(&self) -> bool {
+        self.successor.borrow().is_some()
+    }
+
     /// Before this process ends: tells the new one what is left behind now, where there is one.
     pub(crate) async fn last_word(&self) {
         let Some(successor) = self.successor.borrow_mut().take() else { return };
