--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -48,6 +48,10 @@
     pub leavers: Cell<f64>,
     /// Part of the clients that read their answer slowly.
     pub slow_readers: Cell<f64>,
+    /// Part of the clients that write their heads in pieces.
+    pub slow_heads: Cell<f64>,
+    /// Part of the keys that have large values, and the bytes of these.
+    pub large: Cell<(f64, usize)>,
     /// Answers of discovery come so much later, milliseconds.
     pub list_late_ms: Cell<u64>,
     /// Discovery answers nothing but 503.
@@ -66,6 +70,8 @@
             burst: Cell::new(1.0),
             leavers: Cell::new(0.0),
             slow_readers: Cell::new(0.0),
+            slow_heads: Cell::new(0.0),
+            large: Cell::new((0.0, 0)),
             list_late_ms: Cell::new(0),
             list_down: Cell::new(false),
             list_old: Cell::new(None),
@@ -96,6 +102,14 @@
 }
 
 impl Fleet {
+    /// How many bytes the value of a key has, wherever it comes from.
+    pub fn filling(&self, key: u64) -> usize {
+        let (part, bytes) = self.knobs.large.get();
+        // Keys are hashes: their upper bits are a draw of their own.
+        let draw = (key >> 11) as f64 / (1u64 << 53) as f64;
+        if draw < part { bytes } else { self.scenario.load.value_bytes }
+    }
+
     /// A fleet without boxes yet; everything that is drawn at random in it follows from the seed.
     pub fn new(scenario: Scenario, seed: u64, witness: Witness) -> Rc<Fleet> {
         Rc::new(Fleet {
--- a/crates/world/src/observe.rs
+++ b/crates/world/src/observe.rs
@@ -106,6 +106,18 @@
         /// The request.
         request: RequestNo,
     },
+    /// A value had begun and ended before it was whole, where the client could tell.
+    Cut {
+        /// The request.
+        request: RequestNo,
+    },
+    /// A connection on which no command was finished has met neither an answer nor a close in its time.
+    Hanging {
+        /// The node.
+        node: NodeNo,
+        /// When it was made, counted from the beginning.
+        made: Duration,
+    },
     /// The close of an idle connection crossed the request: it was not read, and goes out once more.
     Crossed {
         /// The request.
@@ -195,6 +207,11 @@
         /// Whether it is away.
         away: bool,
     },
+    /// A box has ended: what it was writing is cut.
+    BoxDown {
+        /// The box.
+        at: BoxNo,
+    },
     /// A cold box was pushed over.
     BoxFell {
         /// The box.
--- a/crates/world/src/origin.rs
+++ b/crates/world/src/origin.rs
@@ -163,7 +163,7 @@
             self.fleet.fetched(id, key);
         }
         ended(&mut out, How::Value);
-        answer(200, value(id, self.number, self.fleet.scenario.load.value_bytes))
+        answer(200, value(id, self.number, self.fleet.filling(key)))
     }
 }
 
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -542,6 +542,7 @@
     fn end_box(&self, number: BoxNo, told: bool) {
         let Some(run) = self.boxes.borrow_mut().remove(&number) else { return };
         self.fleet.remove(number);
+        self.fleet.witness.saw(Seen::BoxDown { at: number });
         if told {
             self.net.kill(run.host.process());
         } else {
@@ -711,6 +712,19 @@
                 knobs.leavers.set(0.0);
                 knobs.slow_readers.set(0.0);
             }
+            What::Crowd { per_s, slow, for_ms } => {
+                knobs.slow_heads.set(slow);
+                let clients = self.clients.borrow().clone();
+                if let Some(clients) = clients {
+                    clients.crowd(per_s, Duration::from_millis(for_ms)).await;
+                }
+                knobs.slow_heads.set(0.0);
+            }
+            What::Large { part, bytes, for_ms } => {
+                knobs.large.set((part, bytes));
+                wait(for_ms).await;
+                knobs.large.set((0.0, 0));
+            }
             What::OriginResets { part, for_ms } => {
                 knobs.origin_resets.set(part);
                 wait(for_ms).await;
--- a/crates/world/tests/hard_cases.rs
+++ b/crates/world/tests/hard_cases.rs
@@ -4,8 +4,11 @@
 #[path = "common/mod.rs"]
 mod common;
 
-use chalksill_world::faults::What;
-use chalksill_world::rules::Rule;
+use std::time::Duration;
+
+use chalksill_world::faults::{Ends, What};
+use chalksill_world::observe::{How, Observation, Seen};
+use chalksill_world::rules::{Checker, Rule};
 use chalksill_world::scenario::Effect;
 use common::{kept, play, scenario};
 
@@ -164,3 +167,47 @@
         assert!(report.violations.iter().all(|v| v.rule != Rule::OneAnswer));
     }
 }
+
+/// Connections that finish no command, more than there are places, true clients that write for two seconds, large values,
+/// and a new version in the middle of it.
+#[test]
+fn crowds_and_large_values_during_an_upgrade_cost_few_answers() {
+    let scenario = scenario("crowded");
+    for seed in 0..4 {
+        let crowd = What::Crowd { per_s: 60.0, slow: 0.1, for_ms: 8_000 };
+        let large = What::Large { part: 0.2, bytes: 1_000_000, for_ms: 9_000 };
+        let upgrade = What::Upgrade { node: 0, ends: Ends::InOrder };
+        let report = play(&scenario, seed, &[(2_000, crowd), (2_500, large), (5_000, upgrade)]);
+        kept(&report);
+        assert!(report.all.share() > 0.9, "seed {seed}: {:?}", report.all);
+    }
+}
+
+#[test]
+fn a_value_cut_by_nobody_and_a_connection_that_is_kept_for_nothing_break_a_rule() {
+    let scenario = scenario("crowded");
+    let (origin, ms) = (90, Duration::from_millis);
+    let patience = ms(900);
+    let asked = Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience };
+    let arrived = Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0 };
+    let cut = Seen::Cut { request: 1 };
+    let silent = Seen::Ended { at: 2, node: 0, request: 1, how: How::Silent { begun: true } };
+    let whole = Seen::Ended { at: 2, node: 0, request: 1, how: How::Value };
+    let away = Seen::BoxAway { at: 2, away: true };
+    let hanging = |made| Seen::Hanging { node: 0, made: ms(made) };
+    for (seen, broken) in [
+        (vec![asked.clone(), arrived.clone(), whole.clone(), cut.clone()], Some(Rule::OneAnswer)),
+        (vec![asked.clone(), arrived.clone(), silent, cut.clone()], None),
+        (vec![asked, arrived, whole, away, cut], None),
+        (vec![hanging(50)], Some(Rule::Bounds)),
+        // It waited in the queue of the machine until the process was there.
+        (vec![hanging(5)], None),
+    ] {
+        let mut checker = Checker::new(&scenario, origin);
+        let up = Observation { at: ms(10), seen: Seen::NodeUp { node: 0 } };
+        let seen = seen.into_iter().enumerate();
+        let seen = seen.map(|(n, seen)| Observation { at: ms(100 + n as u64), seen });
+        std::iter::once(up).chain(seen).for_each(|o| checker.saw(&o));
+        assert_eq!(checker.violations().first().map(|v| v.rule), broken);
+    }
+}
--- a/crates/world/tests/seeds.rs
+++ b/crates/world/tests/seeds.rs
@@ -57,6 +57,10 @@
     for seed in [170, 185] {
         kept(&drawn(&scenario("site"), seed, None));
     }
+    // A node told to stop left all that came in the queue of a shared listener, though nobody else accepted from it.
+    for seed in [98, 115, 160] {
+        kept(&drawn(&scenario("crowded"), seed, None));
+    }
 }
 
 /// What each planted fault needs to show itself.
