--- a/crates/brassrouter/tests/policy.rs
+++ b/crates/brassrouter/tests/policy.rs
@@ -132,6 +132,22 @@
     assert_eq!(sent_to(&node.request(write(50, 1))), Some(ORIGIN));
 }
 
+/// On days at size a node's part of the calls out is two. Their part for fetches was rounded down to one, and fetches waited for
+/// each other though half of the cap was free.
+#[test]
+fn one_of_a_hundred_balancers_may_have_both_of_its_two_calls_out_for_fetches() {
+    let mut node = Node::new(Settings { balancers: 100, ..settings() }, 3);
+    // The gate of one that has just begun opens gradually.
+    node.request(write(1, 1));
+    node.outcome(1, 0, ORIGIN, Status::Served);
+    let fetched = (2..=4).map(|id| {
+        let first = sent_to(&node.request(read(id, 100 + id))).unwrap();
+        sends(&node.outcome(id, 0, first, Status::Miss))
+    });
+    assert_eq!(fetched.collect::<Vec<_>>(), [1, 1, 0], "two, and never three");
+    assert_eq!(sends(&node.request(write(5, 1))), 0, "the cap is of all kinds");
+}
+
 #[test]
 fn an_origin_that_refuses_lowers_the_gate_and_good_answers_restore_it() {
     let lowered = || {
