Tell staff of calls at the origin, the age of the list, failed calls to discovery and connects

Need: at size these were counted by the log's line only, and the causes found there (lists that never came, fetches that waited for a gate half open) would have been seen at once at the second address. Tests: the text of each, and the figures of a real node.

--- a/crates/brassrouter/src/policy/view.rs
+++ b/crates/brassrouter/src/policy/view.rs
@@ -94,6 +94,12 @@
         })
     }
 
+    /// Calls that are out at the origin, and as many as may be now: its part, where two processes are one balancer.
+    pub fn origin_calls(&self) -> (u32, u32) {
+        let part = self.gate.limit / f64::from(self.sharers.max(1));
+        (self.gate.out[0], part.max(1.0) as u32)
+    }
+
     /// What it would leave behind if it ended now: what a next life should count.
     pub fn legacy(&self) -> Legacy {
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
--- a/crates/mothpier/tests/staff.rs
+++ b/crates/mothpier/tests/staff.rs
@@ -94,6 +94,10 @@
     node.figure_becomes("edge_router_in_flight", 0);
     assert_eq!(["served", "refused", "failed"].map(sum), account);
     assert!(node.figure("edge_router_attempts_total").unwrap() >= 6);
+    assert!(node.figure("edge_router_connects_total").unwrap() >= 1);
+    node.figure_becomes("edge_router_origin_calls_out", 0);
+    assert!(node.figure("edge_router_origin_calls_limit").unwrap() >= 1);
+    assert_eq!(node.figure("edge_router_list_calls_failed_total"), Some(0));
 }
 
 #[test]
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,7 @@
 };
 use mothpier_handover::{Left, State};
 use mothpier_host::Host;
-use mothpier_ops::{Desk, Step};
+use mothpier_ops::{Desk, Holds, Step};
 use mothpier_record::{Recorder, entry};
 use mothpier_resp as resp;
 use redis_protocol::resp2::types::BytesFrame;
@@ -223,8 +223,10 @@
     /// Tells staff what the module holds and avoids.
     fn gauges(&mut self) {
         self.wake(GAUGES, Due::Gauges);
-        let (known, avoided) = self.policy.avoided();
-        self.parts.desk.figures.servers(known, avoided);
+        let (known, excluded) = self.policy.avoided();
+        let (origin_out, origin_most) = self.policy.origin_calls();
+        let list_age = self.listed.unwrap_or(self.clock.start).elapsed();
+        self.parts.desk.figures.holds(Holds { known, excluded, origin_out, origin_most, list_age });
     }
 
     /// Reads the signs of a storm.
@@ -325,6 +327,7 @@
             }
             Input::Discovery(Heard::Failed) => {
                 self.counters.list_failures += 1;
+                self.parts.desk.figures.list_call_failed();
                 // Only one that asks is told so; what is pushed goes on by itself.
                 if self.site.decisions.ask_discovery {
                     self.parts.wanted.send_modify(|w| w.watch = false);
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -300,6 +300,7 @@
         {
             self.numbers += 1;
             self.connects.begun = self.connects.begun.saturating_add(1);
+            self.figures.connect();
             self.all.set(self.all.get() + 1);
             pool.open(
                 &self.host,
@@ -335,6 +336,9 @@
             Event::Spoilt(attempt) => ended.push((attempt, Ended::Spoilt)),
             Event::Down { refused, written, unwritten } => {
                 self.connects.refused = self.connects.refused.saturating_add(u32::from(refused));
+                if refused {
+                    self.figures.connect_refused();
+                }
                 ended.extend(written.into_iter().map(|id| (id, Ended::Reset)));
                 ended.extend(unwritten.into_iter().map(|id| (id, Ended::NotConnected)));
                 if let Some(pool) = self.pools.get_mut(&server) {
--- a/crates/ops/src/figures.rs
+++ b/crates/ops/src/figures.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::Duration;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +31,27 @@
     pub(crate) attempts: AtomicU64,
     pub(crate) known: AtomicU64,
     pub(crate) excluded: AtomicU64,
+    pub(crate) origin_out: AtomicU64,
+    pub(crate) origin_most: AtomicU64,
+    pub(crate) list_age_ms: AtomicU64,
+    pub(crate) list_calls_failed: AtomicU64,
+    pub(crate) connects: AtomicU64,
+    pub(crate) connects_refused: AtomicU64,
+}
+
+/// What a node holds at a moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Holds {
+    /// Cache servers in the list.
+    pub known: usize,
+    /// Of these, the ones that it avoids.
+    pub excluded: usize,
+    /// Calls out at the origin.
+    pub origin_out: u32,
+    /// As many as it may have out there now.
+    pub origin_most: u32,
+    /// Time since discovery last answered, or since the start.
+    pub list_age: Duration,
 }
 
 impl Figures {
@@ -41,6 +63,12 @@
             attempts: AtomicU64::new(0),
             known: AtomicU64::new(0),
             excluded: AtomicU64::new(0),
+            origin_out: AtomicU64::new(0),
+            origin_most: AtomicU64::new(0),
+            list_age_ms: AtomicU64::new(0),
+            list_calls_failed: AtomicU64::new(0),
+            connects: AtomicU64::new(0),
+            connects_refused: AtomicU64::new(0),
         }
     }
 
@@ -55,10 +83,28 @@
         self.attempts.fetch_add(1, Relaxed);
     }
 
-    /// How many cache servers the list has, and how many of them the node avoids.
-    pub fn servers(&self, known: usize, excluded: usize) {
-        self.known.store(known as u64, Relaxed);
-        self.excluded.store(excluded.min(known) as u64, Relaxed);
+    /// A call to discovery failed.
+    pub fn list_call_failed(&self) {
+        self.list_calls_failed.fetch_add(1, Relaxed);
+    }
+
+    /// A connection to a cache server was begun.
+    pub fn connect(&self) {
+        self.connects.fetch_add(1, Relaxed);
+    }
+
+    /// One of them was refused.
+    pub fn connect_refused(&self) {
+        self.connects_refused.fetch_add(1, Relaxed);
+    }
+
+    /// What the node holds now.
+    pub fn holds(&self, now: Holds) {
+        self.known.store(now.known as u64, Relaxed);
+        self.excluded.store(now.excluded.min(now.known) as u64, Relaxed);
+        self.origin_out.store(now.origin_out.into(), Relaxed);
+        self.origin_most.store(now.origin_most.into(), Relaxed);
+        self.list_age_ms.store(now.list_age.as_millis() as u64, Relaxed);
     }
 
     /// Requests taken and not ended.
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 pub use call::{Called, MAX_HEAD};
-pub use figures::{End, Figures, Ticket};
+pub use figures::{End, Figures, Holds, Ticket};
 pub use lifecycle::{Lifecycle, Phase, Step};
 
 /// What the node shares with those who ask.
--- a/crates/ops/src/text.rs
+++ b/crates/ops/src/text.rs
@@ -37,11 +37,24 @@
             ("in_flight", "Requests taken and not ended.", "gauge", &self.in_flight),
             ("cache_servers_known", "Cache servers in the list, without the origin.", "gauge", &self.known),
             ("cache_servers_excluded", "Listed cache servers that are avoided now.", "gauge", &self.excluded),
+            ("origin_calls_out", "Calls out at the origin.", "gauge", &self.origin_out),
+            ("origin_calls_limit", "Calls that may be out at the origin now.", "gauge", &self.origin_most),
+            (
+                "list_calls_failed_total",
+                "Calls to discovery that failed.",
+                "counter",
+                &self.list_calls_failed,
+            ),
+            ("connects_total", "Connections to cache servers begun.", "counter", &self.connects),
+            ("connects_refused_total", "Of these, refused.", "counter", &self.connects_refused),
         ];
         for (name, help, kind, value) in single {
             head(&mut out, name, help, kind);
             let _ = writeln!(out, "{PREFIX}{name} {}", value.load(Relaxed));
         }
+        let (name, help) = ("list_age_seconds", "Since discovery last answered, or since the start.");
+        head(&mut out, name, help, "gauge");
+        let _ = writeln!(out, "{PREFIX}{name} {:.1}", self.list_age_ms.load(Relaxed) as f64 / 1e3);
         out
     }
 }
@@ -58,9 +71,10 @@
 #[cfg(test)]
 mod tests {
     use std::sync::Arc;
+    use std::time::Duration;
 
     use super::*;
-    use crate::End;
+    use crate::{End, Holds};
 
     #[test]
     fn every_class_is_there_from_the_start_and_each_end_counts_once() {
@@ -72,7 +86,11 @@
         drop(figures.taken(1));
         let open = figures.taken(1);
         figures.attempt();
-        figures.servers(9, 12);
+        let (origin_out, origin_most, list_age) = (3, 20, Duration::from_millis(2_340));
+        figures.holds(Holds { known: 9, excluded: 12, origin_out, origin_most, list_age });
+        figures.list_call_failed();
+        (0..4).for_each(|_| figures.connect());
+        (0..2).for_each(|_| figures.connect_refused());
         let text = figures.text();
         for line in [
             "# TYPE edge_router_served_total counter",
@@ -85,6 +103,13 @@
             "edge_router_in_flight 1",
             "edge_router_cache_servers_known 9",
             "edge_router_cache_servers_excluded 9",
+            "edge_router_origin_calls_out 3",
+            "edge_router_origin_calls_limit 20",
+            "edge_router_list_age_seconds 2.3",
+            "# TYPE edge_router_list_calls_failed_total counter",
+            "edge_router_list_calls_failed_total 1",
+            "edge_router_connects_total 4",
+            "edge_router_connects_refused_total 2",
         ] {
             assert!(text.lines().any(|l| l == line), "{line}\n{text}");
         }
