--- a/crates/mothpier/tests/node.rs
+++ b/crates/mothpier/tests/node.rs
@@ -7,7 +7,7 @@
 use std::net::{TcpListener, UdpSocket};
 use std::process::Stdio;
 use std::sync::Mutex;
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
 use world::*;
@@ -269,18 +269,24 @@
     }
 }
 
-/// Where calls are many each waits its turn. A node that gave up before would cost the service a call for nothing.
-#[test]
-fn a_call_that_discovery_takes_in_turn_is_waited_for_and_asks_for_changes_only() {
-    let server = serve(command, |asked| array(&asked[2]));
+/// A discovery at which each call has to wait nearly as long as calls may: where it is, and the calls made.
+fn answers_in_turn(revision: u64, members: &str) -> (std::net::SocketAddr, Receiver<Vec<String>>) {
     let (told, calls) = channel();
     let told = report(told);
-    let members = member("s-1", server, "m", "ready");
+    let list = format!(r#"{{"revision":{revision},"complete":true,"members":[{members}]}}"#);
     let discovery = serve(call, move |asked| {
         told(asked);
         std::thread::sleep(Duration::from_millis(1900));
-        http("200 OK", &format!(r#"{{"revision":8,"complete":true,"members":[{members}]}}"#))
+        http("200 OK", &list)
     });
+    (discovery, calls)
+}
+
+/// Where calls are many each waits its turn. A node that gave up before would cost the service a call for nothing.
+#[test]
+fn a_call_that_discovery_takes_in_turn_is_waited_for_and_asks_for_changes_only() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let (discovery, calls) = answers_in_turn(8, &member("s-1", server, "m", "ready"));
     let node = asking("in-turn", discovery, "");
     assert!(calls.recv_timeout(HUNG).unwrap()[0].contains("after=7&"), "what is held need not come again");
     // The next one goes on from the answer to the first; none has come between them.
@@ -292,14 +298,7 @@
 #[test]
 fn a_whole_list_that_comes_in_its_turn_is_waited_for_after_a_move() {
     let server = serve(command, |asked| array(&asked[2]));
-    let (told, calls) = channel();
-    let told = report(told);
-    let members = member("s-1", server, "m", "ready");
-    let busy = serve(call, move |asked| {
-        told(asked);
-        std::thread::sleep(Duration::from_millis(1900));
-        http("200 OK", &format!(r#"{{"revision":3,"complete":true,"members":[{members}]}}"#))
-    });
+    let (busy, calls) = answers_in_turn(3, &member("s-1", server, "m", "ready"));
     let first = serve(call, |_| Reaction::Silence);
     let node = asking("moved-in-turn", first, "");
     let path = format!("{}/moved-in-turn-asks.json", env!("CARGO_TARGET_TMPDIR"));
