--- a/crates/brassrouter/src/state.rs
+++ b/crates/brassrouter/src/state.rs
@@ -150,7 +150,7 @@
     /// Whether both limits let one more call through: of all kinds, or of fetches, which have a part of both.
     pub fn open(&self, kind: usize, part: f64, tally: f64) -> bool {
         let room = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
-        // The fetches' part of a few is rounded up, within the limit of all kinds: of two calls they would have one.
+        // The fetches' part is rounded up, within the limit of all kinds: of two calls they would have one.
         let out = if kind == 0 { self.limit * part } else { (self.limit * part).ceil() };
         room(self.out[kind], out) && room(self.tally[kind], tally * part)
     }
