World: excuse what crowds and large values bring only where there are any

The time from which a request may be said to be held back began with its first attempt in every scenario, though only in a crowd a connection waits to be accepted; and a value that was cut, or whose rest came late, was excused at any size, though nodes send those up to 64 KiB whole.

The new test tells both cases apart.

--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -469,14 +469,14 @@
                     Ok(false) => break None,
                     Err(_) => {
                         // A value that has begun was in time; how long the rest takes is its server's affair.
-                        let early = early || kept.buffer.first() == Some(&b'$');
+                        let early = early || passed_on(&kept.buffer);
                         saw(Seen::Left { request, early });
                         return Outcome::None;
                     }
                 }
             };
             let Some(frame) = frame else {
-                if kept.buffer.first() == Some(&b'$') {
+                if passed_on(&kept.buffer) {
                     saw(Seen::Cut { request });
                     return Outcome::Failed;
                 }
@@ -564,6 +564,13 @@
     }
 }
 
+/// Whether what has come begins a value that nodes pass on as it comes; a smaller one is sent whole or not at all.
+fn passed_on(come: &[u8]) -> bool {
+    let head = come.strip_prefix(b"$").and_then(|rest| rest.split(|b| *b == b'\r').next());
+    let length = head.and_then(|digits| std::str::from_utf8(digits).ok()?.parse::<usize>().ok());
+    length.is_some_and(|length| length > resp::WHOLE)
+}
+
 /// Writes a command in pieces, with pauses; whether the other side took all of it.
 async fn write_slowly(
     writing: &mut (impl tokio::io::AsyncWrite + Unpin),
--- a/crates/world/src/observe.rs
+++ b/crates/world/src/observe.rs
@@ -207,6 +207,11 @@
         /// Whether it is away.
         away: bool,
     },
+    /// A crowd begins, or is over: while there is one, connections wait before nodes accept them.
+    Crowd {
+        /// Whether it begins.
+        begins: bool,
+    },
     /// A box has ended: what it was writing is cut.
     BoxDown {
         /// The box.
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -33,6 +33,8 @@
 const WINDOW: (f64, f64) = (0.25, 30.0);
 /// A request that is parked is looked at again within this part of its aim.
 const PARKED: f64 = 3.0 / 60.0;
+/// The connections of a crowd are gone so long after it.
+const CROWD_GOES: Duration = Duration::from_secs(3);
 /// Requests that ended are remembered for attempts that come late.
 const REMEMBERED: Duration = Duration::from_secs(40);
 
@@ -141,6 +143,9 @@
     order: VecDeque<(Duration, RequestNo)>,
     nodes: Vec<Node>,
     cold: BTreeMap<BoxNo, Cold>,
+    /// Crowds that there are now, and when the last one was over.
+    crowds: u32,
+    crowd_over: Option<Duration>,
     /// When a box last ended or was cut off: what it was writing then is not whole.
     ended: BTreeMap<BoxNo, Duration>,
     /// When a box's links were last mended: what comes then may have been sent long before.
@@ -180,6 +185,8 @@
             order: VecDeque::new(),
             nodes: (0..scenario.nodes.count).map(|_| Node::default()).collect(),
             cold: BTreeMap::new(),
+            crowds: 0,
+            crowd_over: None,
             ended: BTreeMap::new(),
             mended: BTreeMap::new(),
             away: BTreeMap::new(),
@@ -321,6 +328,11 @@
                     self.clear_since = now;
                 }
             }
+            Seen::Crowd { begins: true } => self.crowds += 1,
+            Seen::Crowd { begins: false } => {
+                self.crowds = self.crowds.saturating_sub(1);
+                self.crowd_over = Some(now);
+            }
             Seen::BoxDown { at } => drop(self.ended.insert(*at, now)),
             Seen::BoxFell { at } => self.fell(now, *at),
             Seen::NodeUp { node } => {
@@ -366,7 +378,9 @@
         let (effect, _, aim) = self.classes[r.class];
         let asked = r.asked;
         // In a crowd a connection waits before it is accepted, and the node can't count that time.
-        let known = r.attempts.first().map_or(asked, |a| asked.max(a.arrived.saturating_sub(SLACK)));
+        let crowded = self.crowds > 0 || self.crowd_over.is_some_and(|over| over + CROWD_GOES >= asked);
+        let sent = r.attempts.first().filter(|_| crowded);
+        let known = sent.map_or(asked, |a| asked.max(a.arrived.saturating_sub(SLACK)));
         let aim_at = known + aim.min(r.patience);
         let still = now.saturating_sub(r.stirred);
         let out = r.attempts.iter().any(|a| a.fate == Fate::Out || a.unheard);
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -714,11 +714,13 @@
             }
             What::Crowd { per_s, slow, for_ms } => {
                 knobs.slow_heads.set(slow);
+                self.fleet.witness.saw(Seen::Crowd { begins: true });
                 let clients = self.clients.borrow().clone();
                 if let Some(clients) = clients {
                     clients.crowd(per_s, Duration::from_millis(for_ms)).await;
                 }
                 knobs.slow_heads.set(0.0);
+                self.fleet.witness.saw(Seen::Crowd { begins: false });
             }
             What::Large { part, bytes, for_ms } => {
                 knobs.large.set((part, bytes));
--- a/crates/world/tests/hard_cases.rs
+++ b/crates/world/tests/hard_cases.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use chalksill_world::faults::{Ends, What};
-use chalksill_world::observe::{How, Observation, Seen};
+use chalksill_world::observe::{How, Observation, Reply, Seen};
 use chalksill_world::rules::{Checker, Rule};
 use chalksill_world::scenario::Effect;
 use common::{kept, play, scenario};
@@ -183,6 +183,27 @@
     }
 }
 
+/// What a crowd excuses is excused in a crowd only.
+#[test]
+fn a_request_held_back_breaks_a_rule_unless_it_waited_in_a_crowd() {
+    let (scenario, ms) = (scenario("crowded"), Duration::from_millis);
+    for (crowd, broken) in [(false, Some(Rule::AtOnce)), (true, None)] {
+        let mut checker = Checker::new(&scenario, 90);
+        let mut saw = |at, seen| checker.saw(&Observation { at: ms(at), seen });
+        saw(0, Seen::NodeUp { node: 0 });
+        if crowd {
+            saw(50, Seen::Crowd { begins: true });
+        }
+        // The aim is 400 ms: over at 500 ms from when it was asked, at 750 ms from shortly before it was sent.
+        let patience = ms(900);
+        saw(100, Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience });
+        saw(400, Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0 });
+        saw(405, Seen::Ended { at: 2, node: 0, request: 1, how: How::Miss });
+        saw(700, Seen::Answered { request: 1, reply: Reply::Busy(20), slow: false });
+        assert_eq!(checker.violations().first().map(|v| v.rule), broken, "crowd: {crowd}");
+    }
+}
+
 #[test]
 fn a_value_cut_by_nobody_and_a_connection_that_is_kept_for_nothing_break_a_rule() {
     let scenario = scenario("crowded");
