Trials: how long a zone that is back goes without its keys, as a figure that may be bounded

Need: a return that is seen late showed in no figure of a trial: requests are served by the other zones meanwhile.

--- a/crates/trial/src/account.rs
+++ b/crates/trial/src/account.rs
@@ -25,6 +25,12 @@
 const BACK: f64 = 0.95;
 /// Seconds at the beginning that count as usual for nothing: connections are made then.
 const SETTLE: f64 = 1.0;
+/// What a zone gets in so many seconds from then on is usual for it; trials do nothing to it before.
+const USUAL: f64 = 1.5;
+/// A zone is back when it gets this part of what is usual, over two looks in a row: cold boxes are spared some.
+const RETURNED: f64 = 0.8;
+/// Between two looks at that.
+const LOOK: Duration = Duration::from_millis(250);
 
 /// One try of a client at a node.
 struct Try {
@@ -291,6 +297,7 @@
             Figure::ActsMostS => acting(0.9),
             Figure::Split => Some(self.split(zone?, from, until)),
             Figure::BackS => self.back(from, until),
+            Figure::ReturnedS => self.returned(zone?, from, until),
             Figure::Fallen => Some(self.fallen.iter().filter(|at| within(**at)).count() as f64),
         }
     }
@@ -317,6 +324,31 @@
         part.min(1.0 - part)
     }
 
+    /// The part of the attempts of a time that went to a zone; `None` where there were none.
+    fn share(&self, zone: usize, from: Duration, until: Duration) -> Option<f64> {
+        let sent = self.attempts.iter().filter(|a| a.at >= from && a.at < until && a.server != self.origin);
+        let (all, there) = sent.fold((0u64, 0u64), |(all, there), a| {
+            (all + 1, there + u64::from(self.map.zone_of(a.server) == zone))
+        });
+        (all > 0).then(|| there as f64 / all as f64)
+    }
+
+    /// Seconds until a zone gets most of its usual part, and goes on to.
+    fn returned(&self, zone: usize, from: Duration, until: Duration) -> Option<f64> {
+        let second = Duration::from_secs(1);
+        let settled = self.tries.values().next()?.asked + second.mul_f64(SETTLE);
+        let usual = self.share(zone, settled, settled + second.mul_f64(USUAL))?;
+        let good = |at: Duration| self.share(zone, at, at + second).is_some_and(|s| s >= RETURNED * usual);
+        let mut at = from;
+        while at + LOOK + second <= until {
+            if good(at) && good(at + LOOK) {
+                return Some((at - from).as_secs_f64());
+            }
+            at += LOOK;
+        }
+        None
+    }
+
     /// Seconds until two seconds in a row are as good as it was before.
     fn back(&self, from: Duration, until: Duration) -> Option<f64> {
         let usual = self.in_time(Duration::from_secs_f64(SETTLE), from)?;
@@ -409,4 +441,24 @@
         assert!((leaves - 0.5).abs() < 0.02, "{leaves}");
         assert_eq!(a.figure(Figure::LeavesRegion, None, ms(0), ms(2000)), Some(0.0));
     }
+
+    #[test]
+    fn a_zone_is_back_when_it_gets_most_of_what_it_got_at_first() {
+        let mut a = account();
+        for i in 0..1000u64 {
+            let at = i * 10;
+            asked(&mut a, at, i, 0);
+            // Half of all until 3 s, nothing until 6 s, a tenth until 8 s, then half again.
+            let there = match at {
+                3000..6000 => false,
+                6000..8000 => i % 10 == 0,
+                _ => i % 2 == 0,
+            };
+            arrived(&mut a, at + 1, i, 0, usize::from(there));
+        }
+        let returned = |until| a.figure(Figure::ReturnedS, Some(1), ms(6000), ms(until));
+        let after = returned(10_000).unwrap();
+        assert!((1.5..=2.0).contains(&after), "{after}");
+        assert_eq!(returned(8000), None, "it has not come back by then");
+    }
 }
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -266,6 +266,8 @@
     Split,
     /// Seconds after `from` until a second in which 95% of what is usual is served in time.
     BackS,
+    /// Seconds after `from` until `zone` gets most of what it got in the first seconds of the load.
+    ReturnedS,
     /// Boxes that were pushed over.
     Fallen,
 }
@@ -455,12 +457,13 @@
         for (key, value) in [("at_most", must.at_most), ("at_least", must.at_least)] {
             figure(&format!("{at}.{key}"), value.unwrap_or(0.0), 0.0, 1e9)?;
         }
-        if matches!(must.figure, Figure::ActsHalfS | Figure::ActsMostS | Figure::BackS) && must.from.is_none()
-        {
+        let from_a_step =
+            [Figure::ActsHalfS, Figure::ActsMostS, Figure::BackS, Figure::ReturnedS].contains(&must.figure);
+        if from_a_step && must.from.is_none() {
             return Err((format!("{at}.from"), "this figure counts from a step".into()));
         }
         let zone = |named: &String| self.world.zones.contains(named);
-        match (&must.zone, must.figure == Figure::Split) {
+        match (&must.zone, matches!(must.figure, Figure::Split | Figure::ReturnedS)) {
             (None, true) => Err((format!("{at}.zone"), "this figure is of a zone".into())),
             (Some(named), _) if !zone(named) => {
                 Err((format!("{at}.zone"), format!("there is no zone {named:?}")))
