Near: what is answered late is taken back from the evidence of steps before it, too

Its first answers take over 200 ms on new connections, count as silent, and were taken back only where they came within the same quarter of a second (Nearby::step): the next step had forgotten what to take them from. Ruled out: the list (its lag is at most 1 s), and the plan's hold (2 s).

Change: late answers are taken back from the faded count, as the machine's own count does.

--- a/crates/node/src/near.rs
+++ b/crates/node/src/near.rs
@@ -126,10 +126,13 @@
             self.tallies[out.zone].silent += 1;
         }
         for (zone, (seen, tally)) in self.seen.iter_mut().zip(&self.tallies).enumerate() {
-            let (all, silent) = (tally.came + tally.silent, tally.silent.saturating_sub(tally.late));
+            let all = f64::from(tally.came + tally.silent);
+            // What comes late after all was counted as silent steps ago: its server is far or cold, and not gone. Taken back only
+            // from what fell silent in the same step, a zone whose answers take long would look gone for as long as they do.
+            let silent = f64::from(tally.silent) - f64::from(tally.late);
             let scouts = self.open.get(zone).is_some_and(|open| *open <= SCOUTS);
             let keep = if scouts { SEEN.1 } else { SEEN.0 };
-            *seen = (seen.0 * keep + f64::from(all), seen.1 * keep + f64::from(silent));
+            *seen = (seen.0 * keep + all, (seen.1 * keep + silent).max(0.0));
         }
         // What a plan has dealt with is no reason to leave what is near beside it.
         for (tally, _) in self.tallies.iter_mut().zip(&self.open).filter(|(_, open)| **open < 1.0) {
@@ -185,4 +188,33 @@
         near.sent(500, 2);
         assert!(near.out.is_empty(), "what is out and what the list has lost leave nothing behind");
     }
+
+    #[tokio::test(start_paused = true)]
+    async fn answers_that_always_come_late_do_not_look_like_none() {
+        let text = br#"{"classes":[{"name":"read"}],"zones":["a","b"],"zone":0}"#;
+        let site = brassrouter::settings::read(text).unwrap();
+        let places = Places { on: true, ..Places::default() };
+        let silent_part = |late: bool| {
+            let (site, places) = (site.clone(), places.clone());
+            async move {
+                let mut near = Nearby::new(&places, &site, 1).unwrap().unwrap();
+                near.listed(&ServerLine { id: 1, zone: 1, ..ServerLine::default() });
+                for step in 0..40 {
+                    // Each attempt is answered after 300 ms, where it is answered: in the step after the one in which it fell silent.
+                    (0..4).for_each(|i| near.sent(step * 4 + i, 1));
+                    if late && step >= 3 {
+                        (0..4).for_each(|i| near.ended((step - 3) * 4 + i, Status::Served));
+                    }
+                    if step % 2 == 1 {
+                        near.step();
+                    }
+                    tokio::time::advance(Duration::from_millis(100)).await;
+                }
+                let (all, silent) = near.seen().nth(1).unwrap();
+                silent / all
+            }
+        };
+        assert!(silent_part(true).await < 0.25, "{}", silent_part(true).await);
+        assert!(silent_part(false).await > 0.9, "{}", silent_part(false).await);
+    }
 }
