Accord: only voters' answers count towards a majority, and only two mutants outlive a campaign

Seen on reading: promise and accepted counted an answer without looking whether its sender votes, as may_vote does for questions; a member that is no voter could complete a majority.

Change: both look; the mutant CountsAnybody leaves that out. The two mutants that need a campaign past its end are named.

--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -86,6 +86,8 @@
     NeverFallsBack,
     /// A new decider begins its tenure with the number of another life of its own.
     ReusesLife,
+    /// A campaign counts answers of members that are no voters.
+    CountsAnybody,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -325,7 +327,9 @@
         if self.granted.is_some_and(|(_, until)| self.now + hold >= until) {
             self.granted = None;
         }
-        if self.campaign.as_ref().is_some_and(|c| self.now >= c.until) && self.mutant.is_none() {
+        // Two mutants let a campaign go on past its end; `accepted` looks again for all others.
+        let goes_on = [Mutant::LeaseFromGrant, Mutant::LeaseFromPropose].into_iter().any(|m| self.lacks(m));
+        if self.campaign.as_ref().is_some_and(|c| self.now >= c.until) && !goes_on {
             self.campaign = None;
         }
         let life = self.config.timing.life;
@@ -474,7 +478,15 @@
         self.send(from, Message::Promise { ballot, held }, out);
     }
 
+    /// Only what voters answer counts towards a majority.
+    fn is_voter(&self, from: MemberId) -> bool {
+        self.config.voters.contains(&from) || self.lacks(Mutant::CountsAnybody)
+    }
+
     fn promise(&mut self, from: MemberId, ballot: Ballot, held: Option<Ballot>, out: &mut Vec<Effect>) {
+        if !self.is_voter(from) {
+            return;
+        }
         let majority = self.majority();
         let own = held.is_none_or(|held| self.is_own(held));
         let Some(campaign) = self.campaign.as_mut().filter(|c| c.ballot == ballot && !c.proposed) else {
@@ -511,6 +523,9 @@
     }
 
     fn accepted(&mut self, from: MemberId, ballot: Ballot, out: &mut Vec<Effect>) {
+        if !self.is_voter(from) {
+            return;
+        }
         let majority = self.majority();
         let late = self.lacks(Mutant::LeaseFromGrant);
         let Some(campaign) = self.campaign.as_mut().filter(|c| c.ballot == ballot && c.proposed) else {
--- a/crates/accord/tests/messages.rs
+++ b/crates/accord/tests/messages.rs
@@ -1,7 +1,7 @@
 //! Messages that are cut, spoilt, foreign, of another version or too long are told apart and never acted on.
 #![allow(missing_docs)]
 
-use mothpier_accord::{Ballot, Config, MOST, Member, Message, Number, Timing, Unreadable};
+use mothpier_accord::{Ballot, Config, Effect, MOST, Member, Message, Mutant, Number, Timing, Unreadable};
 use oorandom::Rand64;
 
 fn draw(rng: &mut Rand64, most: u64) -> u64 {
@@ -100,3 +100,29 @@
         assert_eq!(member.acts_on(), None);
     }
 }
+
+/// What a voter would answer to a campaign comes from members instead; whether the campaigner decides by it.
+fn decides_by(mutant: Option<Mutant>, from: [u16; 2]) -> bool {
+    let timing = Timing::default();
+    let config = Config { me: 1, voters: vec![0, 1, 2], timing };
+    let member = Member::start(config, 5, 0);
+    let mut member = mutant.map_or(member.clone(), |m| member.with_mutant(m));
+    let now = timing.hold + 1;
+    let mut out = Vec::new();
+    member.stand(now, &mut out);
+    let Some(Effect::Send(_, Message::Prepare { ballot })) = out.first().cloned() else {
+        panic!("it does not campaign: {out:?}")
+    };
+    member.handle(now, from[0], Message::Promise { ballot, held: None }, &mut out);
+    member.handle(now, from[1], Message::Accepted { ballot }, &mut out);
+    member.decides().is_some()
+}
+
+#[test]
+fn what_members_answer_that_are_no_voters_completes_no_majority() {
+    assert!(decides_by(None, [0, 0]), "one voter beside itself is a majority of three");
+    for from in [[7, 7], [0, 7], [7, 0]] {
+        assert!(!decides_by(None, from), "{from:?}");
+    }
+    assert!(decides_by(Some(Mutant::CountsAnybody), [7, 7]), "the guard is what holds them off");
+}
