Operator's file: a figure of the plan that makes no sense is told by its whole key

Seen: accord.plan.scouts was told as accord.scouts, a key that the file does not have.

Change: the check names plan.KEY; two tests expect it.

--- a/crates/mothpier/tests/off.rs
+++ b/crates/mothpier/tests/off.rs
@@ -82,7 +82,7 @@
         ),
         ("[places]\non = true\n[places.figures]\nlost = 7", "line 4: places.figures.lost: 7 is not between"),
         ("[accord]\non = true", "line 2: accord.on: accord.listen is missing"),
-        ("[accord.plan]\nscouts = 0", "line 2: accord.scouts: 0 is not between 1 and 20"),
+        ("[accord.plan]\nscouts = 0", "line 2: accord.plan.scouts: 0 is not between 1 and 20"),
     ];
     for (number, (text, told)) in cases.into_iter().enumerate() {
         let name = format!("off-bad-{number}");
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -41,8 +41,12 @@
 }
 
 impl Accord {
-    fn check(&self) -> Result<(), (&'static str, String)> {
-        self.plan.check()?;
+    fn check(&self) -> Result<(), (String, String)> {
+        self.plan.check().map_err(|(key, what)| (format!("plan.{key}"), what))?;
+        self.check_members().map_err(|(key, what)| (key.to_owned(), what))
+    }
+
+    fn check_members(&self) -> Result<(), (&'static str, String)> {
         if !self.on {
             return Ok(());
         }
@@ -163,7 +167,7 @@
     operator.storm.figures.check().map_err(|e| located("storm", e.key, format!("storm.figures.{e}")))?;
     operator.record.figures.check().map_err(|e| located("record", e.key, format!("record.figures.{e}")))?;
     operator.places.check().map_err(|e| located("places", &e.key, format!("places.{e}")))?;
-    operator.accord.check().map_err(|(key, e)| located("accord", key, format!("accord.{key}: {e}")))?;
+    operator.accord.check().map_err(|(key, e)| located("accord", &key, format!("accord.{key}: {e}")))?;
     if operator.record.on && operator.record.folder.is_none() {
         let told = "record.on: there is no record.folder to record to";
         return Err(located("record", "on", told.into()));
@@ -209,7 +213,7 @@
         );
         let one = accord("members = [\"127.0.0.1:9\"]\nvoters = [1]");
         assert_eq!(bad(&one), "line 5: accord.voters: there is no member 1; there are 1");
-        assert_eq!(bad("[accord.plan]\nmost = 3"), "line 2: accord.most: 3 is not between 0 and 1");
+        assert_eq!(bad("[accord.plan]\nmost = 3"), "line 2: accord.plan.most: 3 is not between 0 and 1");
         assert!(!read("").unwrap().storm.detect, "nothing is on that the operator did not switch on");
     }
 
