Plan: a zone kept in or out by staff's hand, for a time, by orders that survive whoever took them

Need: nobody could stop a wrong failover, or take a zone out for work on it, but by restarting all nodes without the accord.

Change: a register of one order a zone, numbered, merged by the highest number, told with evidence and with plans. Any node takes one; it outlives that node, any decider and all voters, and ends by its span, which every node counts down by its own clock. A release is an order; what has run out is kept, so that no late message brings it back. The planner obeys in the steps of any move and goes by what nodes see afterwards. Bytes without orders are what they were.

--- a/crates/plan/src/evidence.rs
+++ b/crates/plan/src/evidence.rs
@@ -3,9 +3,11 @@
 use std::fmt;
 
 use crate::MOST_ZONES;
+use crate::orders::{How, Told};
 
-/// The layout of both, the first byte of each.
-const VERSION: u8 = 1;
+/// The layout of both, the first byte of each: pairs alone, and pairs with orders of staff behind them. The second is written only
+/// where there are orders, so that nodes which know the first go on reading all else.
+const VERSIONS: (u8, u8) = (1, 2);
 
 /// Attempts are told in parts of one: of a zone that is given up each node has less than one at a time.
 pub const PARTS: f64 = 8.0;
@@ -15,6 +17,8 @@
 pub struct Evidence {
     /// By zone: attempts in eighths, and silent ones of 255.
     pub zones: Vec<(u8, u8)>,
+    /// Orders of staff that the plan lacks.
+    pub orders: Vec<Told>,
 }
 
 /// Bytes that are no evidence or no plan.
@@ -29,18 +33,30 @@
 
 impl std::error::Error for Spoilt {}
 
-/// The pairs behind version and length.
-fn pairs(bytes: &[u8]) -> Result<Vec<(u8, u8)>, Spoilt> {
-    let [VERSION, count, rest @ ..] = bytes else { return Err(Spoilt) };
-    if usize::from(*count) > MOST_ZONES || rest.len() != 2 * usize::from(*count) {
+/// Pairs by zone, and orders.
+type Parts = (Vec<(u8, u8)>, Vec<Told>);
+
+/// What stands behind the version: a count, pairs, orders.
+fn parts(bytes: &[u8]) -> Result<Parts, Spoilt> {
+    let [version, count, rest @ ..] = bytes else { return Err(Spoilt) };
+    let pairs = 2 * usize::from(*count);
+    if usize::from(*count) > MOST_ZONES || rest.len() < pairs {
         return Err(Spoilt);
     }
-    Ok(rest.chunks_exact(2).map(|pair| (pair[0], pair[1])).collect())
+    let (pairs, behind) = rest.split_at(pairs);
+    let orders = match (*version, behind) {
+        (version, []) if version == VERSIONS.0 => Vec::new(),
+        (version, orders) if version == VERSIONS.1 => Told::read(orders)?,
+        _ => return Err(Spoilt),
+    };
+    Ok((pairs.chunks_exact(2).map(|pair| (pair[0], pair[1])).collect(), orders))
 }
 
-fn write(pairs: impl ExactSizeIterator<Item = (u8, u8)>) -> Vec<u8> {
-    let mut bytes = vec![VERSION, pairs.len().min(MOST_ZONES) as u8];
+fn write(pairs: impl ExactSizeIterator<Item = (u8, u8)>, orders: &[Told]) -> Vec<u8> {
+    let version = if orders.is_empty() { VERSIONS.0 } else { VERSIONS.1 };
+    let mut bytes = vec![version, pairs.len().min(MOST_ZONES) as u8];
     bytes.extend(pairs.take(MOST_ZONES).flat_map(|(a, b)| [a, b]));
+    orders.iter().take(MOST_ZONES).for_each(|told| told.write(&mut bytes));
     bytes
 }
 
@@ -51,12 +67,12 @@
         let one = |(all, silent): (f64, f64)| {
             (byte(all * PARTS), if all > 0.0 { byte(255.0 * silent / all) } else { 0 })
         };
-        Evidence { zones: zones.map(one).collect() }
+        Evidence { zones: zones.map(one).collect(), orders: Vec::new() }
     }
 
     /// Its bytes.
     pub fn encode(&self) -> Vec<u8> {
-        write(self.zones.iter().copied())
+        write(self.zones.iter().copied(), &self.orders)
     }
 
     /// Reads evidence.
@@ -64,7 +80,8 @@
     /// # Errors
     /// Bytes that are none.
     pub fn decode(bytes: &[u8]) -> Result<Evidence, Spoilt> {
-        Ok(Evidence { zones: pairs(bytes)? })
+        let (zones, orders) = parts(bytes)?;
+        Ok(Evidence { zones, orders })
     }
 }
 
@@ -95,12 +112,14 @@
 pub struct Plan {
     /// By zone.
     pub zones: Vec<Zone>,
+    /// What staff have ordered.
+    pub orders: Vec<Told>,
 }
 
 impl Plan {
     /// Its bytes.
     pub fn encode(&self) -> Vec<u8> {
-        write(self.zones.iter().map(|z| (z.state as u8, z.open)))
+        write(self.zones.iter().map(|z| (z.state as u8, z.open)), &self.orders)
     }
 
     /// Reads a plan. No bytes at all are the plan in which nothing is wrong.
@@ -121,7 +140,8 @@
             };
             if open > 100 { Err(Spoilt) } else { Ok(Zone { state, open }) }
         };
-        Ok(Plan { zones: pairs(bytes)?.into_iter().map(zone).collect::<Result<_, _>>()? })
+        let (zones, orders) = parts(bytes)?;
+        Ok(Plan { zones: zones.into_iter().map(zone).collect::<Result<_, _>>()?, orders })
     }
 
     /// The part of a zone's keys that goes there, from 0 to 1.
@@ -129,16 +149,26 @@
         self.zones.get(zone).map_or(1.0, |z| f64::from(z.open) / 100.0)
     }
 
+    /// What staff have ordered of a zone and has not run out, as far as the plan tells.
+    pub fn ordered(&self, zone: usize) -> Option<How> {
+        let order = self.orders.iter().find(|told| told.is_of(zone) && told.stands())?;
+        Some(order.how())
+    }
+
     /// One line for people: the zones that are not simply serving, by their names.
     pub fn tell(&self, names: &[String]) -> String {
-        let odd = self.zones.iter().enumerate().filter(|(_, z)| z.state != State::Serving);
+        let odd = self.zones.iter().enumerate();
+        let odd = odd.filter(|(i, z)| z.state != State::Serving || self.ordered(*i).is_some());
         let one = |(i, z): (usize, &Zone)| {
             let name = names.get(i).map_or("?", String::as_str);
-            let what = match z.state {
-                State::Serving => "serves",
-                State::Suspected => "is suspected",
-                State::GivenUp => "is given up",
-                State::Returning => "is returning",
+            let what = match (self.ordered(i), z.state) {
+                (Some(How::In), _) => "is kept in by staff",
+                (Some(How::Out), _) => "is kept out by staff",
+                (Some(How::Drained), _) => "is kept out by staff, its clients go elsewhere",
+                (_, State::Serving) => "serves",
+                (_, State::Suspected) => "is suspected",
+                (_, State::GivenUp) => "is given up",
+                (_, State::Returning) => "is returning",
             };
             format!("{name} {what}, {}% of its keys go there", z.open)
         };
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 
 use crate::evidence::{Evidence, PARTS, Plan, State, Zone};
+use crate::orders::{How, Orders};
 use crate::{MOST_ZONES, Millis};
 
 /// A node that has sent a zone fewer attempts than this of late can't tell how it is.
@@ -97,6 +98,7 @@
     figures: Figures,
     courses: Vec<Course>,
     heard: BTreeMap<u16, (Millis, Evidence)>,
+    orders: Orders,
 }
 
 impl Planner {
@@ -106,17 +108,26 @@
             let zone = plan.zones.get(i).copied().unwrap_or(Zone { state: State::Serving, open: ALL });
             Course { zone, since: now, stepped: now, well_since: None, hold: 1 }
         };
-        Planner { figures, courses: (0..zones.min(MOST_ZONES)).map(course).collect(), heard: BTreeMap::new() }
+        let mut orders = Orders::default();
+        orders.hear(now, &plan.orders, zones);
+        let courses = (0..zones.min(MOST_ZONES)).map(course).collect();
+        Planner { figures, courses, heard: BTreeMap::new(), orders }
     }
 
     /// What a node sees.
     pub fn hear(&mut self, now: Millis, node: u16, evidence: Evidence) {
+        self.orders.hear(now, &evidence.orders, self.courses.len());
         self.heard.insert(node, (now, evidence));
     }
 
     /// The plan now.
-    pub fn plan(&self) -> Plan {
-        Plan { zones: self.courses.iter().map(|c| c.zone).collect() }
+    pub fn plan(&self, now: Millis) -> Plan {
+        Plan { zones: self.courses.iter().map(|c| c.zone).collect(), orders: self.orders.told(now) }
+    }
+
+    /// How many nodes see a zone as lost, and how many see that it answers: why the plan is as it is.
+    pub fn why(&self, zone: usize) -> Option<(usize, usize)> {
+        (zone < self.courses.len()).then(|| self.votes(zone))
     }
 
     /// One step: what nodes have told of late, and time.
@@ -131,9 +142,12 @@
                 .count();
             let (lost, well) = self.votes(i);
             let room = away < most;
-            self.courses[i].step(&self.figures, now, lost, well, room);
+            match self.orders.of(i, now) {
+                Some((how, _)) => self.courses[i].ordered(&self.figures, now, how),
+                None => self.courses[i].step(&self.figures, now, lost, well, room),
+            }
         }
-        self.plan()
+        self.plan(now)
     }
 
     /// How many nodes see a zone as lost, and how many see that it answers.
@@ -183,6 +197,11 @@
                     self.away(figures, now);
                 }
             }
+            // Kept out by hand until now: scouts first, by which it is seen whether it answers.
+            State::GivenUp if self.zone.open < figures.scouts => {
+                self.zone.open = figures.scouts;
+                (self.stepped, self.well_since) = (now, None);
+            }
             State::GivenUp => {
                 let answers = self.well_since.is_some_and(|since| now >= since + figures.hold_ms * self.hold);
                 if answers && due {
@@ -203,6 +222,31 @@
         }
     }
 
+    /// Staff's word goes before what nodes see; it moves keys in the same steps.
+    fn ordered(&mut self, figures: &Figures, now: Millis, how: How) {
+        // What is seen meanwhile is not held against the zone, nor for it, when the order ends.
+        (self.well_since, self.hold) = (None, 1);
+        let due = now >= self.stepped + figures.step_ms;
+        match how {
+            How::Out | How::Drained => {
+                let first = self.zone.state != State::GivenUp;
+                self.become_(now, State::GivenUp);
+                if self.zone.open > 0 && (first || due) {
+                    self.zone.open = self.zone.open.saturating_sub(figures.away);
+                    self.stepped = now;
+                }
+            }
+            How::In if self.zone.open == ALL => self.become_(now, State::Serving),
+            How::In => {
+                self.become_(now, State::Returning);
+                if due {
+                    self.back(now);
+                }
+            }
+            How::Released => {}
+        }
+    }
+
     fn away(&mut self, figures: &Figures, now: Millis) {
         self.zone.open = self.zone.open.saturating_sub(figures.away).max(figures.scouts);
         self.stepped = now;
--- /dev/null
+++ b/crates/plan/tests/orders.rs
@@ -0,0 +1,212 @@
+//! Staff's orders: they outlive whoever took them, end by themselves, and nothing that comes late, twice or from before brings one
+//! back.
+#![allow(missing_docs)]
+
+use mothpier_plan::{
+    Evidence, Figures, How, LONGEST, MOST_ZONES, Millis, Orders, Plan, Planner, Refused, State, Wish, Zone,
+};
+use oorandom::Rand64;
+
+fn wish(zone: usize, how: How, seconds: Millis) -> Wish {
+    Wish { zone, how, span: seconds * 1000 }
+}
+
+/// Nodes that hear of each other's orders only by messages, each with a clock of its own.
+struct Fleet {
+    nodes: Vec<(Orders, Millis)>,
+    sent: Vec<Vec<mothpier_plan::Told>>,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Fleet {
+        // Clocks begin anywhere.
+        let nodes = (0..count).map(|i| (Orders::default(), 1_000 * i as Millis)).collect();
+        Fleet { nodes, sent: Vec::new() }
+    }
+
+    fn pass(&mut self, millis: Millis) {
+        self.nodes.iter_mut().for_each(|(_, now)| *now += millis);
+    }
+
+    fn tells(&mut self, node: usize) -> usize {
+        let (orders, now) = &self.nodes[node];
+        self.sent.push(orders.told(*now));
+        self.sent.len() - 1
+    }
+
+    fn hears(&mut self, node: usize, message: usize) {
+        let (orders, now) = &mut self.nodes[node];
+        orders.hear(*now, &self.sent[message], 3);
+    }
+
+    fn of(&self, node: usize, zone: usize) -> Option<How> {
+        self.nodes[node].0.of(zone, self.nodes[node].1).map(|(how, _)| how)
+    }
+}
+
+#[test]
+fn an_order_passes_from_node_to_node_ends_everywhere_and_is_not_brought_back_by_what_is_old() {
+    let mut fleet = Fleet::new(3);
+    fleet.nodes[0].0.give(0, 0, wish(2, How::Out, 60), 3).unwrap();
+    let early = fleet.tells(0);
+    fleet.hears(1, early);
+    // The one that took it dies and comes back from nothing; the second tells the third.
+    fleet.nodes[0].0 = Orders::default();
+    fleet.pass(5_000);
+    let later = fleet.tells(1);
+    (0..3).for_each(|node| fleet.hears(node, later));
+    assert_eq!([0, 1, 2].map(|node| fleet.of(node, 2)), [Some(How::Out); 3]);
+    assert_eq!([0, 1, 2].map(|node| fleet.of(node, 1)), [None; 3]);
+    fleet.pass(56_000 + 15_000);
+    assert_eq!([0, 1, 2].map(|node| fleet.of(node, 2)), [None; 3], "its end comes without a word");
+    // What it told at first comes a minute late, to all.
+    (0..3).for_each(|node| fleet.hears(node, early));
+    assert_eq!([0, 1, 2].map(|node| fleet.of(node, 2)), [None; 3], "a late message has brought it back");
+    // A release is newer than what it releases, whoever hears them in which order.
+    let (orders, now) = &mut fleet.nodes[1];
+    orders.give(*now, 1, wish(2, How::In, 600), 3).unwrap();
+    let held = fleet.tells(1);
+    fleet.hears(2, held);
+    let (orders, now) = &mut fleet.nodes[2];
+    orders.give(*now, 2, wish(2, How::Released, 0), 3).unwrap();
+    let released = fleet.tells(2);
+    for messages in [[held, released], [released, held]] {
+        messages.iter().for_each(|m| fleet.hears(0, *m));
+        assert_eq!(fleet.of(0, 2), None);
+        assert_eq!(fleet.nodes[0].0.by(2), Some(2));
+    }
+}
+
+#[test]
+fn whatever_is_lost_repeated_or_late_all_come_to_the_same_and_none_outlives_its_span() {
+    for seed in 0..200 {
+        let mut rng = Rand64::new(seed);
+        let mut fleet = Fleet::new(4);
+        let mut draw = |most: u64| rng.rand_range(0..most);
+        let mut last_end = [0; 3];
+        let mut time = 0;
+        for _ in 0..400 {
+            let millis = draw(400);
+            (fleet.pass(millis), time += millis);
+            let node = draw(4) as usize;
+            match draw(20) {
+                0 => {
+                    let (zone, seconds) = (draw(3) as usize, 1 + draw(30));
+                    let how = [How::Released, How::In, How::Out, How::Drained][draw(4) as usize];
+                    let (orders, now) = &mut fleet.nodes[node];
+                    if orders.give(*now, node as u16, wish(zone, how, seconds), 3).is_ok() {
+                        last_end[zone] = last_end[zone].max(time + seconds * 1000 + 15_000);
+                    }
+                }
+                1 => fleet.nodes[node].0 = Orders::default(),
+                2..8 => drop(fleet.tells(node)),
+                // The last few messages may come, each any number of times; older ones are gone.
+                _ if !fleet.sent.is_empty() => {
+                    let all = fleet.sent.len();
+                    fleet.hears(node, all - 1 - draw(all.min(8) as u64) as usize);
+                }
+                _ => {}
+            }
+        }
+        for _ in 0..3 {
+            for node in 0..4 {
+                let message = fleet.tells(node);
+                (0..4).for_each(|to| fleet.hears(to, message));
+            }
+        }
+        for zone in 0..3 {
+            let all = [0, 1, 2, 3].map(|node| fleet.of(node, zone));
+            assert_eq!(all, [all[0]; 4], "seed {seed}: nodes that hear each other differ over zone {zone}");
+        }
+        // Messages may have been some seconds old when they told how long was left.
+        let end = last_end.iter().max().unwrap() + 20_000;
+        fleet.pass(end.saturating_sub(time));
+        let none = (0..4).all(|node| (0..3).all(|zone| fleet.of(node, zone).is_none()));
+        assert!(none, "seed {seed}: an order outlives its span");
+    }
+}
+
+#[test]
+fn orders_that_make_no_sense_are_refused_and_the_last_zone_is_kept() {
+    let mut orders = Orders::default();
+    assert_eq!(orders.give(0, 0, wish(3, How::Out, 60), 3), Err(Refused::NoZone));
+    assert_eq!(orders.give(0, 0, wish(0, How::Out, 0), 3), Err(Refused::Span));
+    assert_eq!(orders.give(0, 0, wish(0, How::Out, LONGEST / 1000 + 1), 3), Err(Refused::Span));
+    orders.give(0, 0, wish(0, How::Out, 60), 3).unwrap();
+    orders.give(0, 0, wish(2, How::Drained, 60), 3).unwrap();
+    assert_eq!(orders.give(0, 0, wish(1, How::Out, 60), 3), Err(Refused::LastZone));
+    orders.give(0, 0, wish(1, How::In, 60), 3).unwrap();
+    orders.give(61_000, 0, wish(1, How::Out, 60), 3).unwrap();
+    assert_eq!(orders.of(0, 59_999), Some((How::Out, 1)));
+    assert_eq!(orders.of(0, 60_000), None);
+}
+
+/// A plan's course over a time in which all nodes tell the same.
+fn run(planner: &mut Planner, from: Millis, to: Millis, silent: f64, orders: &Orders) -> Plan {
+    let mut plan = planner.plan(from);
+    for now in (from..to).step_by(100) {
+        let sees = (0..3).map(|z| (12.0, if z == 2 { 12.0 * silent } else { 0.0 }));
+        let evidence = Evidence { orders: orders.told(now), ..Evidence::of(sees) };
+        let node = (now / 100 % 9) as u16;
+        planner.hear(now, node, Evidence::decode(&evidence.encode()).unwrap());
+        plan = planner.step(now);
+    }
+    plan
+}
+
+#[test]
+fn the_plan_keeps_a_zone_out_or_in_as_ordered_moves_in_steps_and_goes_by_what_is_seen_afterwards() {
+    let serving = Zone { state: State::Serving, open: 100 };
+    let mut planner = Planner::new(Figures::default(), 3, &Plan::default(), 0);
+    let mut orders = Orders::default();
+    orders.give(0, 4, wish(2, How::Out, 60), 3).unwrap();
+    let first = run(&mut planner, 0, 200, 0.0, &orders);
+    assert_eq!(first.zones[2], Zone { state: State::GivenUp, open: 40 }, "in steps, as any move");
+    let plan = run(&mut planner, 200, 20_000, 0.0, &orders);
+    assert_eq!(plan.zones, [serving, serving, Zone { state: State::GivenUp, open: 0 }]);
+    assert_eq!(plan.ordered(2), Some(How::Out));
+    let names = ["east", "west", "south"].map(String::from);
+    assert_eq!(plan.tell(&names), "south is kept out by staff, 0% of its keys go there");
+    // A new decider that knows this plan alone goes on from it.
+    let mut next = Planner::new(Figures::default(), 3, &Plan::decode(&plan.encode()).unwrap(), 20_000);
+    let plan = run(&mut next, 20_000, 50_000, 0.0, &Orders::default());
+    assert_eq!(plan.zones[2].open, 0);
+    let plan = run(&mut next, 50_000, 90_000, 0.0, &Orders::default());
+    assert_eq!(plan.zones[2], serving, "its end has come: scouts, then back in steps");
+    // Kept in, it is not given up whatever nodes see, and a zone that is away comes back.
+    let mut orders = Orders::default();
+    let gone = run(&mut next, 90_000, 93_000, 1.0, &orders);
+    assert_eq!(gone.zones[2].open, 4);
+    orders.give(93_000, 1, wish(2, How::In, 20), 3).unwrap();
+    orders.give(93_000, 1, wish(2, How::In, 20), 3).unwrap();
+    let plan = run(&mut next, 93_000, 100_000, 1.0, &orders);
+    assert_eq!(plan.zones[2], serving);
+    let plan = run(&mut next, 100_000, 140_000, 1.0, &orders);
+    assert_eq!(plan.zones[2].open, 4, "forgotten, it ends and evidence counts again");
+}
+
+#[test]
+fn orders_fit_into_a_message_and_what_is_cut_or_nonsense_is_not_read() {
+    let mut orders = Orders::default();
+    for zone in 0..MOST_ZONES - 1 {
+        orders.give(0, 9, wish(zone, How::Out, LONGEST / 1000), MOST_ZONES).unwrap();
+    }
+    let zones = vec![Zone { state: State::GivenUp, open: 0 }; MOST_ZONES];
+    let plan = Plan { zones, orders: orders.told(0) };
+    let bytes = plan.encode();
+    assert!(bytes.len() <= 2 + 9 * MOST_ZONES);
+    assert_eq!(Plan::decode(&bytes), Ok(plan));
+    for length in 1..bytes.len() {
+        // Cut behind a whole order it is a plan with fewer: a message's checksum is what tells.
+        assert!(Plan::decode(&bytes[..length]).is_err() || (length - 2 - 2 * MOST_ZONES) % 7 == 0);
+    }
+    assert!(Plan::decode(&[2, 0, 0x42, 0, 0, 0, 0, 0, 0]).is_err(), "no such order");
+    // Numbers and spans that nobody gives are not heard.
+    let mut heard = Orders::default();
+    for told in [[2, 0, 0x20, 0xff, 0xff, 0, 0, 60, 0], [2, 0, 0x20, 1, 0, 0, 0, 0xff, 0xff]] {
+        heard.hear(0, &Plan::decode(&told).unwrap().orders, 3);
+        assert_eq!(heard, Orders::default());
+    }
+    heard.hear(0, &Plan::decode(&[2, 0, 0x27, 1, 0, 0, 0, 60, 0]).unwrap().orders, 3);
+    assert_eq!(heard, Orders::default(), "a zone that is not there");
+}
