Staff see what each node makes of zones, and keep a zone in or out by hand: chalksill places

Need: a wrong failover could only be stopped by restarting every node without the accord, and nobody saw who decides and why.

Change: GET /places, PUT /places/hold and /places/release at the second address, there only where places are on (else its answers are to the byte what they were); the node's accord takes the order, passes it on with its evidence and obeys it, also without a plan; a drained zone's nodes say no to PING and let their connections go; chalksill places asks several nodes at once and says where they differ. The rig has staff: steps hold and release, figures of a zone's share and of the tries asked there.

Found by the two new trials and mended: an order of 6 s ended after 15 (spans were told in steps of 15); after all voters had restarted the first plan, which knew no order, gave 3% of all attempts back to the zone that was kept out.

With places off /places is 404 (test).

--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -229,6 +229,11 @@
         self.known.as_ref().map(|k| (k.number, k.plan.as_slice()))
     }
 
+    /// When the question was asked whose answer last confirmed that plan.
+    pub fn confirmed(&self) -> Option<Millis> {
+        self.known.as_ref().map(|k| k.confirmed)
+    }
+
     /// The highest number that it has acted on in this life.
     pub fn highest(&self) -> Number {
         self.highest
--- a/crates/chalksill/src/main.rs
+++ b/crates/chalksill/src/main.rs
@@ -3,6 +3,7 @@
 mod explore;
 mod files;
 mod load;
+mod places;
 mod plot;
 mod record;
 mod sim;
@@ -38,6 +39,9 @@
     /// Records of what nodes decided: check, replay, ask why, cut, compare, put together
     #[command(subcommand)]
     Record(record::Record),
+    /// Zones of running nodes: what each acts on, and zones kept in or out by hand
+    #[command(subcommand)]
+    Places(places::Places),
     /// Trials of real nodes: several processes, faults on the ways between them and on themselves
     #[command(subcommand)]
     Trial(trial::Trial),
@@ -57,6 +61,7 @@
         Command::World(world) => world::execute(world),
         Command::Load(load) => load::execute(load),
         Command::Record(record) => record::execute(record),
+        Command::Places(places) => places::execute(places),
         Command::Trial(trial) => trial::execute(trial),
     };
     match done {
--- a/crates/chalksill/tests/trials.rs
+++ b/crates/chalksill/tests/trials.rs
@@ -187,3 +187,75 @@
     assert!(said.ends_with("bad.toml: line 5: step.0.who: there is no node:9\n"), "{said}");
     assert!(!keep.exists());
 }
+
+/// `chalksill places` with these arguments, and the second addresses of nodes at its end.
+fn places(args: &[&str], at: &[String]) -> (Option<i32>, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_chalksill"));
+    command.arg("places").args(args);
+    at.iter().for_each(|address| drop(command.args(["--at", address])));
+    let output = command.output().unwrap();
+    let said = [output.stdout, output.stderr].map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+    (output.status.code(), said.concat())
+}
+
+/// The second address that a node's configuration names, once it is written.
+fn staffed(folder: &Path, node: usize) -> Option<String> {
+    let text = std::fs::read_to_string(folder.join(format!("n{node}.json"))).ok()?;
+    let config: serde_json::Value = serde_json::from_str(&text).ok()?;
+    Some(config["ops"].as_str()?.to_owned())
+}
+
+#[test]
+fn a_zone_kept_out_by_hand_stays_out_whoever_dies_and_staff_see_what_each_node_acts_on() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("held-out");
+    let _ = std::fs::remove_dir_all(&folder);
+    let keep = ["--json", "--keep", folder.to_str().unwrap()];
+    let mut trial = command(&[&["trials/held-out.toml"], &keep[..], &AGREED].concat());
+    let mut running = Ended(trial.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap());
+    let begin = Instant::now();
+    let until = |what: &str, holds: &mut dyn FnMut() -> bool| {
+        while !holds() {
+            assert!(begin.elapsed() < HUNG, "it never comes to this: {what}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    };
+    let mut all = Vec::new();
+    until("configurations", &mut || {
+        all = (0..9).filter_map(|node| staffed(&folder, node)).collect();
+        all.len() == 9
+    });
+    let mut said = String::new();
+    until("all nodes act on one plan", &mut || {
+        let (code, told) = places(&["status"], &all);
+        said = told;
+        code == Some(0) && said.starts_with("node ")
+    });
+    assert_eq!(said.matches("near zones well; plan ").count(), 9, "{said}");
+    let order = ["hold", "east", "in", "--for", "1h"];
+    let (code, said) = places(&order, &all[3..6]);
+    assert_eq!(code, Some(0), "{said}");
+    assert!(said.contains("east in for 3600 s\nall 3 nodes that were asked act on it\n"), "{said}");
+    let (code, said) = places(&["hold", "nowhere", "out", "--for", "1m"], &all[3..4]);
+    assert_eq!(code, Some(2));
+    assert!(said.contains("zone: there is no \"nowhere\"; there are east, west, south"), "{said}");
+    let (code, said) = places(&["release", "east"], &all[7..9]);
+    assert_eq!((code, said.contains("east released\nall 2 nodes")), (Some(0), true), "{said}");
+    // Nobody has this address.
+    let (code, said) = places(&["status"], &["127.0.0.1:1".to_owned()]);
+    assert_eq!((code, said.contains("127.0.0.1:1: ")), (Some(2), true), "{said}");
+    let mut status = None;
+    until("its end", &mut || {
+        status = running.0.try_wait().unwrap();
+        status.is_some()
+    });
+    let text = std::fs::read_to_string(folder.join("report.json")).unwrap();
+    let report: serde_json::Value = serde_json::from_str(&text).unwrap();
+    kept(&report);
+    assert_eq!(unmet(&report), Vec::<String>::new(), "{:#?}", report["musts"]);
+    assert_eq!(status.and_then(|s| s.code()), Some(0));
+}
+
+#[test]
+fn a_drained_zone_serves_nobody_loses_nobody_and_is_back_when_its_time_is_over() {
+    holds("zone-drained", &AGREED);
+}
--- a/crates/mothpier/tests/off.rs
+++ b/crates/mothpier/tests/off.rs
@@ -95,3 +95,21 @@
         assert!(said.contains(&format!("{file}: {told}")), "{said}");
     }
 }
+
+#[test]
+fn with_places_off_the_second_address_answers_as_it_did_before_there_were_any() {
+    let server = serve(command, |_| array("value"));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let mut command = node_command("off-staff", discovery.address, 1024, "");
+    command.env("ROUTER_OPS", "127.0.0.1:0").env("ROUTER_OPERATOR", root().join("deploy/operator.toml"));
+    let node = Node::run(command, &discovery);
+    node.ready();
+    for line in ["GET /places", "PUT /places/hold?zone=a&how=out&for_s=60", "PUT /places/release?zone=a"] {
+        let answer = node.call(line);
+        assert!(answer.starts_with("HTTP/1.1 404 "), "{line}: {answer}");
+        assert!(
+            answer.ends_with("\r\nGET /ready, GET /metrics, PUT /drain, PUT /undrain\n"),
+            "{line}: {answer}"
+        );
+    }
+}
--- a/crates/node/src/accord.rs
+++ b/crates/node/src/accord.rs
@@ -8,7 +8,7 @@
 use brassrouter::Pool;
 use mothpier_accord::{Config, Effect, Member, MemberId, Message, Millis, Timing};
 use mothpier_host::{Datagrams, Host};
-use mothpier_plan::{Evidence, Plan, Planner};
+use mothpier_plan::{Evidence, How, Orders, Plan, Planner, State, Wish};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -23,12 +23,16 @@
 const HURRY: u8 = 80;
 /// The longest that the node sleeps over the accord.
 const LONGEST: Duration = Duration::from_millis(250);
+/// As often people are told of an order of theirs that still stands: it may have been forgotten.
+const REMIND: Duration = Duration::from_secs(600);
 
 /// What it wants of the node.
 #[derive(Default)]
 pub struct Wanted {
     /// Keys' orders are taken so from now on.
     pub pool: Option<Pool>,
+    /// Clients are to go elsewhere from now on, or may come again.
+    pub away: Option<bool>,
     /// Lines for people.
     pub lines: Vec<String>,
 }
@@ -46,6 +50,14 @@
     planner: Option<Planner>,
     plans_at: Instant,
     acts_on: Plan,
+    /// This node's own zone.
+    zone: Option<usize>,
+    orders: Orders,
+    /// By zone, the order that people were last told of, and when.
+    told: Vec<(Option<How>, Instant)>,
+    /// What the module was last told of each zone, and whether clients were told to go elsewhere.
+    opened: Vec<f64>,
+    away: bool,
 }
 
 impl<H: Host> Drop for Accord<H> {
@@ -64,7 +76,7 @@
         host: &H,
         settings: &Settings,
         (me, seed): (u32, u64),
-        zones: Vec<String>,
+        (zones, zone): (Vec<String>, Option<u8>),
         events: mpsc::Sender<Input>,
     ) -> Result<Option<Accord<H>>, String> {
         let Some(listen) = settings.listen.filter(|_| settings.on) else { return Ok(None) };
@@ -96,11 +108,16 @@
             members: settings.members.clone(),
             me: me as MemberId,
             figures: settings.plan.clone(),
+            told: vec![(None, start); zones.len()],
             zones,
             start,
             planner: None,
             plans_at: start,
             acts_on: Plan::default(),
+            zone: zone.map(usize::from),
+            orders: Orders::default(),
+            opened: Vec::new(),
+            away: false,
         }))
     }
 
@@ -120,11 +137,14 @@
 
     /// Time has gone on.
     pub fn tick(&mut self, near: &mut Nearby) -> Wanted {
-        let seen = Evidence::of(near.seen());
+        let mut seen = Evidence::of(near.seen());
+        let ordered = self.orders.beyond(&self.acts_on.orders);
+        if ordered {
+            seen.orders = self.orders.told(self.now());
+        }
         self.member.sees(seen.encode());
         let silent = seen.zones.iter().any(|(_, silent)| *silent >= HURRY);
-        let moving = self.acts_on.zones.iter().any(|z| z.state != mothpier_plan::State::Serving);
-        self.member.hurries(silent || moving);
+        self.member.hurries(silent || ordered || self.moves());
         let mut out = Vec::new();
         self.member.tick(self.now(), &mut out);
         if self.member.decides().is_some() && Instant::now() >= self.plans_at {
@@ -139,6 +159,25 @@
         self.carry_out(out, near)
     }
 
+    /// Whether some zone is on its way; one that staff keep out, and that has no keys left, is not.
+    fn moves(&self) -> bool {
+        let plan = &self.acts_on;
+        let rests = |zone: usize| plan.open(zone) == 0.0 && plan.ordered(zone).is_some();
+        plan.zones.iter().enumerate().any(|(zone, z)| z.state != State::Serving && !rests(zone))
+    }
+
+    /// Staff order something of a zone at this node.
+    pub fn order(&mut self, wish: Wish, near: &mut Nearby) -> Wanted {
+        let now = self.now();
+        match self.orders.give(now, self.me, wish, self.zones.len()) {
+            Ok(()) => self.tick(near),
+            Err(why) => Wanted {
+                lines: vec![format!("accord: staff's order is not taken: {why}")],
+                ..Wanted::default()
+            },
+        }
+    }
+
     /// A message of a member has come.
     pub fn told(&mut self, from: MemberId, message: Message, near: &mut Nearby) -> Wanted {
         let mut out = Vec::new();
@@ -171,12 +210,12 @@
                         let number = number.sequence;
                         wanted.lines.push(format!("accord: plan {round}.{number} of node {voter}: {what}"));
                     }
-                    wanted.pool = Some(near.act_on((0..self.zones.len()).map(|z| plan.open(z)).collect()));
+                    let now = self.now();
+                    self.orders.hear(now, &plan.orders, self.zones.len());
                     self.acts_on = plan;
                 }
                 Effect::FallBack => {
                     wanted.lines.push("accord: nothing heard for too long: no plan is acted on".into());
-                    wanted.pool = Some(near.act_on(Vec::new()));
                     self.acts_on = Plan::default();
                 }
                 Effect::Decides(ballot) => {
@@ -193,11 +232,101 @@
                 Effect::Evidence(from, bytes) => {
                     let now = self.now();
                     if let (Some(planner), Ok(evidence)) = (&mut self.planner, Evidence::decode(&bytes)) {
+                        // What this node knows of orders lives on in the plan when it has ceased to decide.
+                        self.orders.hear(now, &evidence.orders, self.zones.len());
                         planner.hear(now, from, evidence);
                     }
                 }
             }
         }
+        self.obey(&mut wanted, near);
         wanted
     }
+
+    /// The part of its keys that goes to each zone: as the plan says, and without one as staff have ordered. A plan of somebody who
+    /// has yet to hear of an order, or who begins anew with its steps, gives no keys back to what staff keep out.
+    fn opens(&self) -> Vec<f64> {
+        let planned = self.member.acts_on().is_some();
+        let one = |zone: usize| {
+            let open = if planned { self.acts_on.open(zone) } else { 1.0 };
+            match self.orders.of(zone, self.now()) {
+                Some((how, _)) if how.is_out() && !planned => 0.0,
+                Some((how, _)) if how.is_out() => open.min(self.opened.get(zone).copied().unwrap_or(1.0)),
+                _ => open,
+            }
+        };
+        (0..self.zones.len()).map(one).collect()
+    }
+
+    /// Whether clients are to leave this node. Where all zones are drained none is: somebody has to serve.
+    fn leaves(&self) -> bool {
+        let drained = |z: usize| self.orders.of(z, self.now()).is_some_and(|(how, _)| how == How::Drained);
+        self.zone.is_some_and(drained) && !(0..self.zones.len()).all(drained)
+    }
+
+    /// Does what has changed by plans, by orders, or by time alone, and tells people of orders.
+    fn obey(&mut self, wanted: &mut Wanted, near: &mut Nearby) {
+        let open = self.opens();
+        if open != self.opened {
+            wanted.pool = Some(near.act_on(open.clone()));
+            self.opened = open;
+        }
+        let leaves = self.leaves();
+        if std::mem::replace(&mut self.away, leaves) != leaves {
+            wanted.away = Some(leaves);
+        }
+        let now = self.now();
+        for (zone, (told, at)) in self.told.iter_mut().enumerate() {
+            let order = self.orders.of(zone, now);
+            let how = order.map(|(how, _)| how);
+            if how == *told && (how.is_none() || at.elapsed() < REMIND) {
+                continue;
+            }
+            let (name, by) = (&self.zones[zone], self.orders.by(zone).unwrap_or_default());
+            let still = if how == *told { "still " } else { "" };
+            let what = match order {
+                None => "no longer kept in or out by staff: what nodes see decides".into(),
+                Some((how, left)) => {
+                    let kept = match how {
+                        How::In => "kept in",
+                        How::Drained => "kept out, its clients sent elsewhere,",
+                        _ => "kept out",
+                    };
+                    format!("{kept} by staff for {} s more (ordered at node {by})", left.div_ceil(1000))
+                }
+            };
+            wanted.lines.push(format!("accord: {name} is {still}{what}"));
+            (*told, *at) = (how, Instant::now());
+        }
+    }
+
+    /// What holds, for the board: by zone whether staff keep it out, and all of it as a value.
+    pub fn status(&self) -> (Vec<bool>, serde_json::Value) {
+        let now = self.now();
+        let plan = self.member.acts_on().map(|(number, _)| {
+            let heard = now.saturating_sub(self.member.confirmed().unwrap_or(now));
+            serde_json::json!({
+                "round": number.tenure.round, "node": number.tenure.voter, "sequence": number.sequence,
+                "heard_ms": heard, "says": self.acts_on.tell(&self.zones),
+            })
+        });
+        let orders: Vec<_> = (0..self.zones.len()).map(|z| self.orders.of(z, now)).collect();
+        let zones = self.zones.iter().enumerate().map(|(z, name)| {
+            let planned = self.acts_on.zones.get(z).map_or("serving", |zone| zone.state.word());
+            let order = orders[z].map(|(how, left)| {
+                let left_s = left.div_ceil(1000);
+                serde_json::json!({"how": how.word(), "left_s": left_s, "node": self.orders.by(z)})
+            });
+            let why = self.planner.as_ref().and_then(|p| p.why(z));
+            let why = why.map(|(lost, well)| serde_json::json!({"lost": lost, "well": well}));
+            let open = self.opened.get(z).copied().unwrap_or(1.0);
+            serde_json::json!({"zone": name, "planned": planned, "open": open, "order": order, "seen": why})
+        });
+        let status = serde_json::json!({
+            "decides": self.member.decides().is_some(), "plan": plan, "away": self.away,
+            "zones": zones.collect::<Vec<_>>(),
+        });
+        let out = orders.iter().map(|o| o.is_some_and(|(how, _)| how.is_out())).collect();
+        (out, status)
+    }
 }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -3,6 +3,7 @@
 use brassrouter::{Legacy, Request, RequestId, ServerId};
 use mothpier_accord::{MemberId, Message};
 use mothpier_handover::State;
+use mothpier_plan::Wish;
 use tokio::sync::oneshot;
 
 use crate::command::{Answer, AttemptId, Command};
@@ -31,6 +32,8 @@
         from: MemberId,
         message: Message,
     },
+    /// Staff have ordered something of a zone.
+    Order(Wish),
     /// So many processes are this node.
     Sharing(u32),
     /// So many connections to servers may be open.
--- a/crates/node/src/near.rs
+++ b/crates/node/src/near.rs
@@ -79,6 +79,18 @@
         self.seen.iter().copied()
     }
 
+    /// How the near zones look, in a word, and the part of the keys that goes farther out.
+    pub fn state(&self) -> (&'static str, f64) {
+        let (state, spilt) = self.machine.state();
+        let word = match state {
+            State::Well => "well",
+            State::Strained => "strained",
+            State::Lost => "lost",
+            State::Returning => "returning",
+        };
+        (word, spilt)
+    }
+
     /// What the list says of a cache server.
     pub fn listed(&mut self, line: &ServerLine) {
         self.zones.insert(line.id, line.zone.into());
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,7 +17,7 @@
 use mothpier_record::{Recorder, entry};
 use mothpier_resp as resp;
 use redis_protocol::resp2::types::BytesFrame;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
 use crate::accord::{Accord, Wanted as Agreed};
@@ -112,6 +112,8 @@
     pub near: Option<Nearby>,
     /// What makes nodes agree on zones, where it is switched on.
     pub accord: Option<Accord<H>>,
+    /// Told where the lifecycle has taken a step that connections are to follow.
+    pub moved: Rc<Notify>,
     /// What another process of this node has handed on; the module goes on from it.
     pub inherited: Option<Inherited>,
     /// Whether one may ask for what is known.
@@ -251,6 +253,20 @@
         let (origin_out, origin_most) = self.policy.origin_calls();
         let list_age = self.listed.unwrap_or(self.clock.start).elapsed();
         self.parts.desk.figures.holds(Holds { known, excluded, origin_out, origin_most, list_age });
+        self.post();
+    }
+
+    /// Tells staff how zones are, where places are on.
+    fn post(&self) {
+        let (Some(board), Some(near)) = (self.parts.desk.board.get(), &self.parts.near) else { return };
+        let (state, spilt) = near.state();
+        let (out, agreed) = self.parts.accord.as_ref().map(Accord::status).unzip();
+        let zone = self.site.zone.and_then(|zone| self.site.zones.get(usize::from(zone)));
+        let status = serde_json::json!({
+            "node": self.site.decisions.me, "zone": zone,
+            "near": {"state": state, "spilt": spilt}, "accord": agreed,
+        });
+        board.post(status.to_string(), out.unwrap_or_default());
     }
 
     /// Moves how much of the traffic stays near.
@@ -269,6 +285,10 @@
         self.events.extend(wanted.pool.map(|pool| Event::Pool(Some(pool))));
         wanted.lines.into_iter().for_each(|line| self.notice(Some(line)));
         self.accord_at = Some(Instant::now() + wait);
+        if let Some(away) = wanted.away {
+            self.parts.desk.lifecycle.step(if away { Step::Leave } else { Step::Return });
+            self.parts.moved.notify_one();
+        }
     }
 
     /// Reads the signs of a storm.
@@ -324,6 +344,7 @@
                 let notice = self.parts.recorder.as_mut().and_then(|r| r.switch(on, now));
                 self.notice(notice);
             }
+            Input::Order(wish) => self.agree(|accord, near| accord.order(wish, near)),
             Input::Sharing(processes) => self.events.push_back(Event::Sharing(processes)),
             Input::Inherit(left) => self.events.push_back(Event::Legacy(left)),
             Input::Descriptors(most) => self.parts.servers.set_descriptors(most * SERVERS.0 / SERVERS.1),
@@ -743,6 +764,7 @@
                 weather: None,
                 near: None,
                 accord: None,
+                moved: Rc::default(),
                 inherited: None,
                 hands_over: false,
                 recorder: None,
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -9,7 +9,7 @@
 
 use bytes::BytesMut;
 use mothpier_host::{Host, Listener, Stream};
-use mothpier_ops::{Called, Desk, MAX_HEAD};
+use mothpier_ops::{Called, Desk, Follows, MAX_HEAD};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{AbortHandle, spawn_local};
@@ -114,21 +114,25 @@
                 return None;
             }
             head.truncate(MAX_HEAD);
-            if let Called::Answer { bytes, step } = desk.call(&head) {
-                return Some((bytes, step));
+            if let Called::Answer { bytes, follows } = desk.call(&head) {
+                return Some((bytes, follows));
             }
         }
     };
-    let (bytes, step) = match timeout(HEAD, called).await {
+    let (bytes, follows) = match timeout(HEAD, called).await {
         Ok(Some(answer)) => answer,
         Ok(None) => return,
         Err(_) => (desk.too_slow(), None),
     };
     place.finished();
-    if let Some((step, phase)) = step {
-        host.log(format_args!("staff: {step:?}, the node is {phase:?} now"));
-        // Its connections follow; what is asked of the node changed with the step itself.
-        let _ = control.send(Control::Lifecycle).await;
+    match follows {
+        Some(Follows::Step(step, phase)) => {
+            host.log(format_args!("staff: {step:?}, the node is {phase:?} now"));
+            // Its connections follow; what is asked of the node changed with the step itself.
+            let _ = control.send(Control::Lifecycle).await;
+        }
+        Some(Follows::Order(wish)) => drop(control.send(Control::Order(wish)).await),
+        None => {}
     }
     if let Ok(Ok(())) = timeout(TAKEN, writing.write_all(&bytes)).await {
         part(&reading, &mut writing).await;
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -7,10 +7,11 @@
 
 use brassrouter::Micros;
 use mothpier_host::{Host, Listener};
-use mothpier_ops::{Desk, Phase, Step};
+use mothpier_ops::{Board, Desk, Phase, Step};
+use mothpier_plan::Wish;
 use mothpier_record::Recorder;
 use mothpier_storm::Door;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -62,6 +63,8 @@
     Lifecycle,
     /// Discovery is at this address from now on.
     Discovery(SocketAddr),
+    /// Staff have ordered something of a zone.
+    Order(Wish),
     /// Recording goes on or off, where the node has a recorder.
     Record(bool),
 }
@@ -149,13 +152,19 @@
         weather: None,
         near: Nearby::new(&config.operator.places, &site, config.seed).map_err(|e| format!("places.{e}"))?,
         accord: None,
+        moved: Rc::default(),
         inherited: None,
         hands_over: handover.is_some(),
         recorder: None,
     };
     let members = &config.operator.accord;
-    let who = (site.decisions.me, config.seed);
-    match accord::Accord::open(&host, members, who, site.zones.clone(), events.clone()).await {
+    if config.operator.places.on {
+        // Set once, by the one node that this desk is of.
+        let _ = desk.board.set(Board::new(site.zones.clone(), members.on));
+    }
+    let moved: Rc<Notify> = parts.moved.clone();
+    let (who, zones) = ((site.decisions.me, config.seed), (site.zones.clone(), site.zone));
+    match accord::Accord::open(&host, members, who, zones, events.clone()).await {
         Ok(accord) => parts.accord = accord,
         // Another process of this node has the address: this one serves, and takes no part.
         Err(e) if shared => host.log(format_args!("accord: {e}: this process takes no part")),
@@ -244,31 +253,36 @@
     host.log(format_args!("{aims}"));
     let mut drain: Option<AbortHandle> = None;
     loop {
-        tokio::select! {
+        let told = tokio::select! {
             biased;
-            told = control.recv() => match told {
-                Some(Control::Discovery(address)) => {
-                    let moved = discovery.send_if_modified(|a| std::mem::replace(a, address) != address);
-                    let what = if moved { "now" } else { "still" };
-                    host.log(format_args!("configuration read again: discovery is {what} at {address}"));
-                }
-                // With no recorder there is nobody to tell.
-                Some(Control::Record(on)) if recorded => {
-                    let _ = ends.send(Input::Record(on)).await;
-                }
-                Some(Control::Record(_)) => {}
-                Some(Control::Lifecycle) => {
-                    let drained = desk.lifecycle.phase() == Phase::Drained;
-                    if drained && drain.is_none() {
-                        drain = Some(retire(&retiring, DRAIN));
-                    } else if !drained && let Some(drain) = drain.take() {
-                        drain.abort();
-                        retiring.set(Leaving::None);
-                    }
-                }
-                Some(Control::Stop) | None => break,
-            },
+            told = control.recv() => told,
+            () = moved.notified() => Some(Control::Lifecycle),
             ended = &mut node => return Err(format!("the node ended: {ended:?}")),
+        };
+        match told {
+            Some(Control::Discovery(address)) => {
+                let moved = discovery.send_if_modified(|a| std::mem::replace(a, address) != address);
+                let what = if moved { "now" } else { "still" };
+                host.log(format_args!("configuration read again: discovery is {what} at {address}"));
+            }
+            // With no recorder there is nobody to tell.
+            Some(Control::Record(on)) if recorded => {
+                let _ = ends.send(Input::Record(on)).await;
+            }
+            Some(Control::Record(_)) => {}
+            Some(Control::Lifecycle) => {
+                let drained = desk.lifecycle.phase() == Phase::Drained;
+                if drained && drain.is_none() {
+                    drain = Some(retire(&retiring, DRAIN));
+                } else if !drained && let Some(drain) = drain.take() {
+                    drain.abort();
+                    retiring.set(Leaving::None);
+                }
+            }
+            Some(Control::Order(wish)) => {
+                let _ = ends.send(Input::Order(wish)).await;
+            }
+            Some(Control::Stop) | None => break,
         }
     }
     desk.lifecycle.step(Step::Stop);
--- a/crates/ops/src/call.rs
+++ b/crates/ops/src/call.rs
@@ -2,6 +2,9 @@
 
 use httparse::{Error, Request, Status};
 
+use mothpier_plan::Wish;
+
+use crate::board::{Board, HOLD, PLACES, RELEASE};
 use crate::{Desk, Phase, Step};
 
 /// The longest head that is read.
@@ -14,15 +17,24 @@
 pub enum Called {
     /// Its head has not all come.
     Unfinished,
-    /// Its answer, behind which the connection is closed, and the step that the node has taken by it.
+    /// Its answer, behind which the connection is closed, and what the node does about it.
     Answer {
         /// The bytes.
         bytes: Vec<u8>,
-        /// What the node has become, where it was told to drain or undrain.
-        step: Option<(Step, Phase)>,
+        /// What follows from it, if anything.
+        follows: Option<Follows>,
     },
 }
 
+/// What follows from a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Follows {
+    /// The node was told to drain or undrain, and is this now.
+    Step(Step, Phase),
+    /// Staff have ordered something of a zone.
+    Order(Wish),
+}
+
 /// An answer before it is bytes.
 struct Answer {
     status: &'static str,
@@ -75,8 +87,8 @@
         }
         let (method, target) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
         let head_only = method == "HEAD";
-        let (told, step) = self.route(method, path(target));
-        answer(told, head_only, step)
+        let (told, follows) = self.route(method, target);
+        answer(told, head_only, follows)
     }
 
     /// A call that did not come whole in time.
@@ -84,8 +96,12 @@
         Answer::plain("408 Request Timeout", "the head has not come\n").bytes(false)
     }
 
-    fn route(&self, method: &str, path: &str) -> (Answer, Option<(Step, Phase)>) {
+    fn route(&self, method: &str, target: &str) -> (Answer, Option<Follows>) {
         let reads = matches!(method, "GET" | "HEAD");
+        let path = path(target);
+        if let Some(board) = self.board.get().filter(|_| [PLACES, HOLD, RELEASE].contains(&path)) {
+            return places(board, method, (path, query(target)));
+        }
         match path {
             "/ready" if reads => (self.ready(), None),
             "/metrics" if reads => {
@@ -111,7 +127,7 @@
         }
     }
 
-    fn told(&self, step: Step) -> (Answer, Option<(Step, Phase)>) {
+    fn told(&self, step: Step) -> (Answer, Option<Follows>) {
         let (was, is) = self.lifecycle.step(step);
         let body = match is {
             Phase::Drained => "drained\n",
@@ -121,7 +137,7 @@
             Phase::Stopping if step == Step::Drain => "stopping\n",
             Phase::Stopping => return (Answer::plain("409 Conflict", "stopping\n"), None),
         };
-        (Answer::plain("200 OK", body), (was != is).then_some((step, is)))
+        (Answer::plain("200 OK", body), (was != is).then_some(Follows::Step(step, is)))
     }
 }
 
@@ -129,8 +145,31 @@
     Answer { allow: Some(allow), ..Answer::plain("405 Method Not Allowed", format!("use {allow}\n")) }
 }
 
-fn answer(answer: Answer, head_only: bool, step: Option<(Step, Phase)>) -> Called {
-    Called::Answer { bytes: answer.bytes(head_only), step }
+fn answer(answer: Answer, head_only: bool, follows: Option<Follows>) -> Called {
+    Called::Answer { bytes: answer.bytes(head_only), follows }
+}
+
+/// Reads and orders of zones.
+fn places(board: &Board, method: &str, (path, query): (&str, &str)) -> (Answer, Option<Follows>) {
+    match (path, method) {
+        (PLACES, "GET" | "HEAD") => {
+            let json = Answer { kind: "application/json", ..Answer::plain("200 OK", board.text()) };
+            (json, None)
+        }
+        (PLACES, _) => (wrong_method("GET, HEAD"), None),
+        (_, "PUT") => match board.wish(path, query) {
+            // The other nodes and the plan follow within a second; the board tells when.
+            Ok(wish) => (Answer::plain("202 Accepted", board.say(wish)), Some(Follows::Order(wish))),
+            Err(why) => (Answer::plain("400 Bad Request", format!("{why}\n")), None),
+        },
+        _ => (wrong_method("PUT"), None),
+    }
+}
+
+/// What stands behind a target's path.
+fn query(target: &str) -> &str {
+    let query = target.split_once('?').map_or("", |(_, query)| query);
+    query.split('#').next().unwrap_or_default()
 }
 
 /// The path of a target, which may come as a whole URL and with a query.
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -3,14 +3,16 @@
 //!
 //! [`Lifecycle`] is the one place that knows whether the node serves; [`Figures`] the one that counts how requests end.
 
+mod board;
 mod call;
 mod figures;
 mod lifecycle;
 mod text;
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
-pub use call::{Called, MAX_HEAD};
+pub use board::Board;
+pub use call::{Called, Follows, MAX_HEAD};
 pub use figures::{End, Figures, Holds, Ticket};
 pub use lifecycle::{Lifecycle, Phase, Step};
 
@@ -21,11 +23,14 @@
     pub lifecycle: Lifecycle,
     /// What it has done.
     pub figures: Arc<Figures>,
+    /// What staff read and order of zones; nothing where places are off.
+    pub board: OnceLock<Board>,
 }
 
 impl Desk {
     /// The desk of a node that has just begun.
     pub fn new<S: Into<String>>(classes: impl IntoIterator<Item = S>) -> Arc<Self> {
-        Arc::new(Desk { lifecycle: Lifecycle::default(), figures: Arc::new(Figures::new(classes)) })
+        let figures = Arc::new(Figures::new(classes));
+        Arc::new(Desk { lifecycle: Lifecycle::default(), figures, board: OnceLock::new() })
     }
 }
--- a/crates/ops/src/lifecycle.rs
+++ b/crates/ops/src/lifecycle.rs
@@ -1,4 +1,4 @@
-//! Whether a node serves, as one machine of three facts and a rule that ranks them.
+//! Whether a node serves, as one machine of four facts and a rule that ranks them.
 
 use std::sync::atomic::{AtomicU8, Ordering};
 
@@ -8,6 +8,8 @@
 const DRAINED: u8 = 2;
 /// It has been told to end.
 const STOPPING: u8 = 4;
+/// Its zone's clients are to go elsewhere, as staff have ordered for the whole zone.
+const AWAY: u8 = 8;
 
 /// Something that happens to a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +20,10 @@
     Drain,
     /// Staff want clients at it again.
     Undrain,
+    /// Staff want no clients in its zone.
+    Leave,
+    /// Staff want clients in its zone again.
+    Return,
     /// It ends. Nothing takes this back.
     Stop,
 }
@@ -46,9 +52,9 @@
     }
 
     /// Whether clients that ask are served. A node that ends takes all that still comes to it, so it says yes for as long
-    /// as it listens; only one that staff have drained wants none.
+    /// as it listens; only one that staff have drained, by itself or with its zone, wants none.
     pub fn serves(&self) -> bool {
-        self.0.load(Ordering::Acquire) & (READY | DRAINED) == READY
+        self.0.load(Ordering::Acquire) & (READY | DRAINED | AWAY) == READY
     }
 
     /// Takes a step; what the node was before and is now. A step that is made already, or that can't be made any
@@ -58,6 +64,8 @@
             Step::Ready => was | READY,
             Step::Drain => was | DRAINED,
             Step::Undrain => was & !DRAINED,
+            Step::Leave => was | AWAY,
+            Step::Return => was & !AWAY,
             Step::Stop => was | STOPPING,
         };
         let was = self.0.fetch_update(Ordering::AcqRel, Ordering::Acquire, |was| Some(facts(was)));
@@ -69,7 +77,7 @@
 fn phase(facts: u8) -> Phase {
     if facts & STOPPING != 0 {
         Phase::Stopping
-    } else if facts & DRAINED != 0 {
+    } else if facts & (DRAINED | AWAY) != 0 {
         Phase::Drained
     } else if facts & READY != 0 {
         Phase::Serving
@@ -101,6 +109,10 @@
             (&[Step::Drain, Step::Ready, Step::Undrain], Serving),
             (&[Step::Ready, Step::Drain, Step::Drain, Step::Undrain], Serving),
             (&[Step::Ready, Step::Undrain], Serving),
+            (&[Step::Ready, Step::Leave], Drained),
+            (&[Step::Ready, Step::Leave, Step::Undrain], Drained),
+            (&[Step::Ready, Step::Leave, Step::Drain, Step::Return], Drained),
+            (&[Step::Ready, Step::Leave, Step::Return], Serving),
             (&[Step::Ready, Step::Drain, Step::Stop], Stopping),
             (&[Step::Ready, Step::Stop, Step::Drain, Step::Undrain], Stopping),
         ] {
--- a/crates/plan/src/evidence.rs
+++ b/crates/plan/src/evidence.rs
@@ -98,6 +98,18 @@
     Returning,
 }
 
+impl State {
+    /// One word for people and programs.
+    pub fn word(self) -> &'static str {
+        match self {
+            State::Serving => "serving",
+            State::Suspected => "suspected",
+            State::GivenUp => "given-up",
+            State::Returning => "returning",
+        }
+    }
+}
+
 /// A zone in a plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Zone {
--- a/crates/plan/src/orders.rs
+++ b/crates/plan/src/orders.rs
@@ -14,8 +14,11 @@
 
 /// The longest span of an order, in milliseconds: 18 hours, what its bytes can tell. Whoever means longer orders again.
 pub const LONGEST: Millis = 18 * 3600 * 1000;
-/// Spans are told in steps of so many milliseconds, rounded up: else each second would be another plan.
-const GRAIN: Millis = 15_000;
+/// Plans tell spans that are longer than the second figure in steps of the first, rounded up, in milliseconds: else each second
+/// would be another plan. The last minute is told by the second, so that all come to the end together.
+const GRAIN: (Millis, Millis) = (15_000, 60_000);
+/// The step otherwise.
+const SECOND: Millis = 1_000;
 /// Numbers from which on an order is nonsense: staff do not order so often, and no higher one would be left.
 const MOST_NUMBER: u16 = 60_000;
 /// Bytes of an order that is told: zone and what is ordered, number, node, span in seconds.
@@ -202,9 +205,18 @@
 
     /// What this node tells others, releases and what has run out included.
     pub fn told(&self, now: Millis) -> Vec<Told> {
+        self.tell(now, |_| SECOND)
+    }
+
+    /// The same for a plan, which is another one only now and then while an order's time goes on.
+    pub fn planned(&self, now: Millis) -> Vec<Told> {
+        self.tell(now, |left| if left > GRAIN.1 { GRAIN.0 } else { SECOND })
+    }
+
+    fn tell(&self, now: Millis, step: impl Fn(Millis) -> Millis) -> Vec<Told> {
         let one = |(zone, o): (&u8, &Order)| {
-            let left = if o.stands(now) { (o.until - now).div_ceil(GRAIN) * GRAIN / 1000 } else { 0 };
-            let left_s = left.min(u64::from(u16::MAX)) as u16;
+            let left = if o.stands(now) { o.until - now } else { 0 };
+            let left_s = (left.next_multiple_of(step(left)) / 1000).min(u64::from(u16::MAX)) as u16;
             Told { zone: *zone, number: o.number, node: o.node, how: o.how, left_s }
         };
         self.zones.iter().map(one).collect()
@@ -214,7 +226,7 @@
     pub fn hear(&mut self, now: Millis, told: &[Told], zones: usize) {
         for t in told {
             let left = Millis::from(t.left_s) * 1000;
-            if usize::from(t.zone) >= zones || t.number >= MOST_NUMBER || left > LONGEST + GRAIN {
+            if usize::from(t.zone) >= zones || t.number >= MOST_NUMBER || left > LONGEST + GRAIN.0 {
                 continue;
             }
             let heard = Order { number: t.number, node: t.node, how: t.how, until: now + left };
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -122,7 +122,7 @@
 
     /// The plan now.
     pub fn plan(&self, now: Millis) -> Plan {
-        Plan { zones: self.courses.iter().map(|c| c.zone).collect(), orders: self.orders.told(now) }
+        Plan { zones: self.courses.iter().map(|c| c.zone).collect(), orders: self.orders.planned(now) }
     }
 
     /// How many nodes see a zone as lost, and how many see that it answers: why the plan is as it is.
--- a/crates/trial/src/account.rs
+++ b/crates/trial/src/account.rs
@@ -297,6 +297,14 @@
             Figure::ActsMostS => acting(0.9),
             Figure::Split => Some(self.split(zone?, from, until)),
             Figure::BackS => self.back(from, until),
+            Figure::ZoneShare => self.share(zone?, from, until),
+            Figure::ZoneAsked => {
+                let asked = self.tries.values().filter(|t| within(t.asked));
+                let (all, there) = asked.fold((0u64, 0u64), |(all, there), t| {
+                    (all + 1, there + u64::from(Some(self.map.zone_of(t.node)) == zone))
+                });
+                (all > 0).then(|| there as f64 / all as f64)
+            }
             Figure::ReturnedS => self.returned(zone?, from, until),
             Figure::Fallen => Some(self.fallen.iter().filter(|at| within(**at)).count() as f64),
         }
--- a/crates/trial/src/stage.rs
+++ b/crates/trial/src/stage.rs
@@ -19,9 +19,10 @@
 use mothpier_host::{Host, Listener, Machine};
 use nix::sys::signal::Signal;
 use rand::Rng;
-use tokio::net::UdpSocket;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::party::{Kind, Parties, Party};
 use crate::plan::{PerRegion, Trial};
@@ -31,6 +32,7 @@
 const CLIENTS: u16 = 6379;
 const PEERS: u16 = 7946;
 const ACCORD: u16 = 7947;
+const STAFF: u16 = 9901;
 /// Whoever has this port on the first address of a net has the net.
 const LOCK: u16 = 6300;
 /// The nets of trials are 127.64.0 to 127.95.255.
@@ -45,6 +47,8 @@
 const FRONT: Duration = Duration::from_millis(200);
 /// So long after a planned end was begun the front sends nothing new.
 const TURNS_AWAY: Duration = Duration::from_millis(300);
+/// A node answers staff within this time or not at all.
+const ORDERED: Duration = Duration::from_secs(2);
 /// A node that was told to stop is killed after its longest deadline and this much.
 const STOP: Duration = Duration::from_secs(2);
 /// Lines of the nodes' logs that are kept; a node that writes more than all trials ever should is told of.
@@ -299,6 +303,7 @@
             listen: address,
             discovery: self.discovery_for[node],
             peers: &self.peers[node],
+            staff: self.trial.staffed().then(|| SocketAddr::new(address.ip(), STAFF)),
         };
         let config = process::configuration(world, node, &at, seed, self.discoveries[place].known(node));
         let mut operator = world.nodes.operator.clone();
@@ -468,6 +473,29 @@
         Ok(())
     }
 
+    /// Staff order something of a zone at a node: a call at its second address, and its answer.
+    ///
+    /// # Errors
+    /// What the node says to it, or that it says nothing.
+    pub async fn order(&self, node: NodeNo, target: &str) -> Result<(), String> {
+        let address = self.nodes[node].process.borrow().address;
+        let call = timeout(ORDERED, async {
+            let mut stream = TcpStream::connect(SocketAddr::new(address.ip(), STAFF)).await?;
+            stream.write_all(format!("PUT {target} HTTP/1.1\r\nHost: staff\r\n\r\n").as_bytes()).await?;
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await?;
+            std::io::Result::Ok(answer)
+        });
+        match call.await {
+            Ok(Ok(answer)) if answer.starts_with("HTTP/1.1 202 ") => Ok(()),
+            Ok(Ok(answer)) => {
+                Err(format!("node {node} says to {target}: {}", answer.lines().last().unwrap_or_default()))
+            }
+            Ok(Err(e)) => Err(format!("node {node} says nothing to {target}: {e}")),
+            Err(_) => Err(format!("node {node} says nothing to {target}")),
+        }
+    }
+
     /// Stops a node's process in its midst: it holds all that it has open, and says nothing.
     pub fn stop(&self, node: NodeNo) {
         let run = &self.nodes[node];
--- a/crates/world/src/live.rs
+++ b/crates/world/src/live.rs
@@ -172,7 +172,7 @@
         let scenario = &self.fleet.scenario;
         let address = free_port(false).await?;
         let seed: u64 = self.fleet.random("node", node as u64).random();
-        let at = process::Addresses { listen: address, discovery, peers };
+        let at = process::Addresses { listen: address, discovery, peers, staff: None };
         let config = process::configuration(scenario, node, &at, seed, self.discovery.known(node));
         let files = self.folder.join(format!("n{node}"));
         process::write_files(&files, &config, &scenario.nodes.operator)?;
--- a/crates/world/src/process.rs
+++ b/crates/world/src/process.rs
@@ -39,6 +39,8 @@
     pub discovery: SocketAddr,
     /// Where it finds each node, itself included.
     pub peers: &'a [SocketAddr],
+    /// Where staff reach it, if they do.
+    pub staff: Option<SocketAddr>,
 }
 
 /// The configuration of a node, in the platform's words.
@@ -50,14 +52,18 @@
     known: serde_json::Value,
 ) -> serde_json::Value {
     let nodes = &scenario.nodes;
-    serde_json::json!({
+    let mut config = serde_json::json!({
         "name": format!("n{node}"), "listen": at.listen.to_string(), "discovery": at.discovery.to_string(),
         "seed": format!("{seed:016x}"),
         "limits": {"cores": 1.0, "memory_mb": nodes.memory_mb, "sockets": nodes.sockets},
         "peer_listen": at.peers[node].to_string(),
         "peers": at.peers.iter().map(ToString::to_string).collect::<Vec<_>>(),
         "known": known, "settings": scenario.settings(node),
-    })
+    });
+    if let Some(staff) = at.staff {
+        config["ops"] = staff.to_string().into();
+    }
+    config
 }
 
 /// Writes the configuration and the operator's file that a node will be started by.
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -355,7 +355,7 @@
         let seed: u64 = self.fleet.random("node", life).random();
         let peers: Vec<_> = (0..scenario.nodes.count).map(|n| SocketAddr::new(node_ip(n), 7946)).collect();
         let (listen, discovery) = (SocketAddr::new(node_ip(node), 6379), SocketAddr::new(DISCOVERY, 8500));
-        let at = process::Addresses { listen, discovery, peers: &peers };
+        let at = process::Addresses { listen, discovery, peers: &peers, staff: None };
         let mut text = process::configuration(scenario, node, &at, seed, self.discovery.known(node));
         if let Some(mutant) = self.mutant {
             text["settings"] = mutant.settings(scenario, node);
