Accord: over an upgrade the new process takes part as soon as the old one has left the address

Need: while two processes were one node the new one could not open the accord's address, and took no part until its next start; an upgraded fleet would have agreed on nothing.

Change: the old process gives the address up with that of its peers when it hands over; the new one tries for it every 0.1 s and becomes a member only then: until a moment before another process voted under its number, so it abstains from there on and not from its start. A zone in which the list has no cache server is told in the log, and when it has one again.

Measured: a test of two processes of the one voter: the new one does not decide beside the old one, nor within the 2.2 s of a hold after it was told to end, and does decide then.

--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -175,6 +175,11 @@
         }
     }
 
+    /// The same member, from nothing, in another life: for a process that had no way to others before. It abstains from now on.
+    pub fn restarted(&self, now: Millis) -> Member {
+        Member::start(self.config.clone(), self.life, now)
+    }
+
     /// The same with a guard left out: for tests.
     pub fn with_mutant(mut self, mutant: Mutant) -> Member {
         self.mutant = Some(mutant);
--- a/crates/chalksill/tests/trials.rs
+++ b/crates/chalksill/tests/trials.rs
@@ -192,7 +192,9 @@
 fn places(args: &[&str], at: &[String]) -> (Option<i32>, String) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_chalksill"));
     command.arg("places").args(args);
-    at.iter().for_each(|address| drop(command.args(["--at", address])));
+    for address in at {
+        command.args(["--at", address]);
+    }
     let output = command.output().unwrap();
     let said = [output.stdout, output.stderr].map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
     (output.status.code(), said.concat())
--- a/crates/mothpier/tests/upgrade.rs
+++ b/crates/mothpier/tests/upgrade.rs
@@ -377,3 +377,56 @@
         assert_eq!(node.client().ask(&["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"]), "$i", "{name}");
     }
 }
+
+/// What a node says of the accord to staff.
+fn accord(node: &Node) -> serde_json::Value {
+    let answer = node.call("GET /places");
+    let body = answer.split_once("\r\n\r\n").unwrap_or_default().1;
+    serde_json::from_str::<serde_json::Value>(body).unwrap_or_default()["accord"].clone()
+}
+
+#[test]
+fn of_two_processes_one_takes_part_in_the_accord_and_the_next_abstains_for_what_that_one_has_granted() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let platform = Platform::new("accord");
+    let own = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let file = format!("{}/accord-operator.toml", env!("CARGO_TARGET_TMPDIR"));
+    let accord_on = format!("[accord]\non = true\nvoters = [0]\nlisten = \"{own}\"\nmembers = [\"{own}\"]");
+    std::fs::write(&file, format!("[places]\non = true\n{accord_on}")).unwrap();
+    let start = || {
+        let mut command = platform.command(&discovery);
+        // One zone, which this node is in.
+        let path = format!("{}/accord.json", env!("CARGO_TARGET_TMPDIR"));
+        let text = std::fs::read_to_string(&path).unwrap();
+        std::fs::write(&path, text.replace(r#""zones":["a"],"#, r#""zones":["a"],"zone":0,"#)).unwrap();
+        let node = Node::spawn({
+            command.env("ROUTER_OPERATOR", &file);
+            command
+        });
+        node.ready();
+        node
+    };
+    let decides = |node: &Node| accord(node)["decides"] == true;
+    let wait_until = |node: &Node| {
+        let begin = Instant::now();
+        while !decides(node) {
+            assert!(begin.elapsed() < Duration::from_secs(20), "it never decides: {}", accord(node));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    };
+    let mut old = start();
+    wait_until(&old);
+    let new = start();
+    assert!(decides(&old) && !decides(&new), "the other has the address");
+    // Long enough that a member which began with its process would abstain no longer.
+    std::thread::sleep(Duration::from_millis(2500));
+    assert!(decides(&old) && !decides(&new));
+    let told = Instant::now();
+    old.signal("TERM");
+    assert!(old.ended().success());
+    assert!(!decides(&new), "what the other one granted a moment ago has not run out");
+    wait_until(&new);
+    // The hold of a grant: 2.2 s.
+    assert!(told.elapsed() >= Duration::from_millis(2200), "{:?}", told.elapsed());
+}
--- a/crates/node/src/accord.rs
+++ b/crates/node/src/accord.rs
@@ -1,6 +1,7 @@
 //! The way of the accord: datagrams between members, on a socket of its own, and what the node tells and is told. It is there
 //! only where the operator's file switches it on; without it no socket is opened and nothing is sent.
 
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use mothpier_plan::{Evidence, How, Orders, Plan, Planner, State, Wish};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::input::Input;
 use crate::near::Nearby;
@@ -23,6 +24,8 @@
 const HURRY: u8 = 80;
 /// The longest that the node sleeps over the accord.
 const LONGEST: Duration = Duration::from_millis(250);
+/// Between two tries to have the address while another process of this node has it.
+const ADDRESS: Duration = Duration::from_millis(100);
 /// As often people are told of an order of theirs that still stands: it may have been forgotten.
 const REMIND: Duration = Duration::from_secs(600);
 
@@ -40,7 +43,9 @@
 /// This node as a member.
 pub struct Accord<H: Host> {
     member: Member,
-    socket: Rc<H::Datagrams>,
+    /// Its address; while another process of this node has it, this one takes no part.
+    socket: Rc<OnceCell<H::Datagrams>>,
+    takes_part: bool,
     inbox: AbortHandle,
     members: Vec<SocketAddr>,
     me: MemberId,
@@ -66,36 +71,62 @@
     }
 }
 
+/// Takes the address, as soon as it can be had, and hears members.
+async fn hear<H: Host>(
+    host: H,
+    listen: SocketAddr,
+    socket: Rc<OnceCell<H::Datagrams>>,
+    members: Vec<SocketAddr>,
+    events: mpsc::Sender<Input>,
+) {
+    while socket.get().is_none() {
+        sleep(ADDRESS).await;
+        if let Ok(opened) = host.datagrams(listen).await {
+            host.log(format_args!("accord: this process takes part from now on"));
+            // Before any message: the node must not take one for a member that has not begun.
+            let _ = events.send(Input::Joins).await;
+            let _ = socket.set(opened);
+        }
+    }
+    let Some(socket) = socket.get() else { return };
+    let mut buffer = [0; mothpier_accord::MOST + 1];
+    loop {
+        // An error here is that of an earlier datagram which found no listener.
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else { continue };
+        let Some(member) = members.iter().position(|a| *a == sender) else { continue };
+        if let Ok(message) = Message::decode(&buffer[..length]) {
+            // One that finds the queue full is dropped, as it might have been on its way.
+            let _ = events.try_send(Input::Member { from: member as MemberId, message });
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
 impl<H: Host> Accord<H> {
     /// Opens the socket and begins to listen; `None` where it is switched off. Datagrams of strangers, and what is no message,
-    /// are dropped.
+    /// are dropped. Where another process of this node may have the address, it is tried for until it is free.
     ///
     /// # Errors
     /// A socket that can't be opened.
     pub async fn open(
         host: &H,
-        settings: &Settings,
+        (settings, shared): (&Settings, bool),
         (me, seed): (u32, u64),
         (zones, zone): (Vec<String>, Option<u8>),
         events: mpsc::Sender<Input>,
     ) -> Result<Option<Accord<H>>, String> {
         let Some(listen) = settings.listen.filter(|_| settings.on) else { return Ok(None) };
-        let socket = host.datagrams(listen).await.map_err(|e| format!("cannot open {listen}: {e}"))?;
-        let socket = Rc::new(socket);
-        let (known, from) = (settings.members.clone(), socket.clone());
-        let inbox = tokio::task::spawn_local(async move {
-            let mut buffer = [0; mothpier_accord::MOST + 1];
-            loop {
-                // An error here is that of an earlier datagram which found no listener.
-                let Ok((length, sender)) = from.recv_from(&mut buffer).await else { continue };
-                let Some(member) = known.iter().position(|a| *a == sender) else { continue };
-                if let Ok(message) = Message::decode(&buffer[..length]) {
-                    // One that finds the queue full is dropped, as it might have been on its way.
-                    let _ = events.try_send(Input::Member { from: member as MemberId, message });
-                }
-                tokio::task::yield_now().await;
-            }
-        });
+        let socket = Rc::new(OnceCell::new());
+        let opened = host.datagrams(listen).await;
+        let takes_part = opened.is_ok();
+        match opened {
+            Ok(opened) => drop(socket.set(opened)),
+            Err(e) if shared => host.log(format_args!(
+                "accord: cannot open {listen}: {e}: this process takes part when the other has ended"
+            )),
+            Err(e) => return Err(format!("cannot open {listen}: {e}")),
+        }
+        let inbox = hear(host.clone(), listen, socket.clone(), settings.members.clone(), events);
         let timing = Timing::default();
         let config = Config { me: me as MemberId, voters: settings.voters.clone(), timing };
         let start = Instant::now();
@@ -104,7 +135,8 @@
         Ok(Some(Accord {
             member: Member::start(config, life, 0),
             socket,
-            inbox: inbox.abort_handle(),
+            takes_part,
+            inbox: tokio::task::spawn_local(inbox).abort_handle(),
             members: settings.members.clone(),
             me: me as MemberId,
             figures: settings.plan.clone(),
@@ -121,6 +153,14 @@
         }))
     }
 
+    /// The address is this process's from now on. What it was as a member begins only here: until a moment ago another process
+    /// voted under this number, and what that one has granted has to run out first.
+    pub fn begin(&mut self) {
+        if !std::mem::replace(&mut self.takes_part, true) {
+            self.member = self.member.restarted(self.now());
+        }
+    }
+
     fn now(&self) -> Millis {
         self.start.elapsed().as_millis() as Millis
     }
@@ -146,6 +186,9 @@
         let silent = seen.zones.iter().any(|(_, silent)| *silent >= HURRY);
         self.member.hurries(silent || ordered || self.moves());
         let mut out = Vec::new();
+        if !self.takes_part {
+            return self.carry_out(out, near);
+        }
         self.member.tick(self.now(), &mut out);
         if self.member.decides().is_some() && Instant::now() >= self.plans_at {
             self.plans_at = Instant::now() + PLANS;
@@ -191,9 +234,11 @@
             match effect {
                 Effect::Send(to, message) => {
                     let address = self.members.get(usize::from(to));
-                    if let (Some(bytes), Some(address)) = (message.encode(), address) {
+                    if let (Some(bytes), Some(address), Some(socket)) =
+                        (message.encode(), address, self.socket.get())
+                    {
                         // One that can't go at once is lost.
-                        let _ = self.socket.try_send_to(&bytes, *address);
+                        let _ = socket.try_send_to(&bytes, *address);
                     }
                 }
                 Effect::Act(number, bytes) => {
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -32,6 +32,8 @@
         from: MemberId,
         message: Message,
     },
+    /// This process has the accord's address from now on.
+    Joins,
     /// Staff have ordered something of a zone.
     Order(Wish),
     /// So many processes are this node.
--- a/crates/node/src/near.rs
+++ b/crates/node/src/near.rs
@@ -32,6 +32,9 @@
     open: Vec<f64>,
     /// Attempts and silent ones by zone, fading.
     seen: Vec<(f64, f64)>,
+    names: Vec<String>,
+    /// Zones in which the list had no cache server when people were last told.
+    empty: Vec<usize>,
 }
 
 /// What a step keeps of what was seen before it: the evidence is of about the last half second, and of a zone to which only scouts
@@ -60,6 +63,8 @@
             told: State::Well,
             open: Vec::new(),
             seen: vec![(0.0, 0.0); site.zones.len()],
+            names: site.zones.clone(),
+            empty: Vec::new(),
         }))
     }
 
@@ -101,6 +106,21 @@
         self.zones.retain(|id, _| !left(*id));
     }
 
+    /// A list was taken in whole: a line for people where zones have lost their last cache server, or have one again. What is
+    /// near to nothing has its keys elsewhere, which nobody may have meant.
+    pub fn taken_in(&mut self) -> Option<String> {
+        let has = |zone: &usize| self.zones.values().any(|z| z == zone);
+        let empty: Vec<usize> = (0..self.names.len()).filter(|zone| !has(zone)).collect();
+        if std::mem::replace(&mut self.empty, empty.clone()) == empty {
+            return None;
+        }
+        let names: Vec<&str> = empty.iter().map(|zone| self.names[*zone].as_str()).collect();
+        Some(match names.as_slice() {
+            [] => "places: the list has a cache server in every zone again".into(),
+            names => format!("places: the list has no cache server in {}", names.join(", ")),
+        })
+    }
+
     /// An attempt was sent to a cache server.
     pub fn sent(&mut self, attempt: AttemptId, server: ServerId) {
         // One in a zone that the settings lack counts nowhere.
@@ -196,7 +216,10 @@
         }
         let each = Tally { came: 2, refused: 1, silent: 1, late: 0 };
         assert_eq!(near.tallies, [each, each]);
+        assert_eq!(near.taken_in(), None);
         near.forget(|id| id == 2);
+        assert_eq!(near.taken_in().as_deref(), Some("places: the list has no cache server in b"));
+        assert_eq!(near.taken_in(), None, "told once");
         near.sent(500, 2);
         assert!(near.out.is_empty(), "what is out and what the list has lost leave nothing behind");
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -344,6 +344,10 @@
                 let notice = self.parts.recorder.as_mut().and_then(|r| r.switch(on, now));
                 self.notice(notice);
             }
+            Input::Joins => self.agree(|accord, near| {
+                accord.begin();
+                accord.tick(near)
+            }),
             Input::Order(wish) => self.agree(|accord, near| accord.order(wish, near)),
             Input::Sharing(processes) => self.events.push_back(Event::Sharing(processes)),
             Input::Inherit(left) => self.events.push_back(Event::Legacy(left)),
@@ -355,6 +359,9 @@
                 if let Some(peers) = &mut self.parts.peers {
                     peers.close();
                 }
+                // The other process waits for the address. What was agreed on last holds for the few seconds that are left.
+                self.parts.accord = None;
+                self.accord_at = None;
             }
             Input::End => {}
             Input::Client(Asked::Request { mut request, connection, command, answer }) => {
@@ -459,6 +466,8 @@
         self.numbers.forget(left);
         if let Some(near) = &mut self.parts.near {
             near.forget(left);
+            let line = near.taken_in();
+            self.notice(line);
         }
         let servers = lines.into_iter().map(|(line, _)| line).collect();
         self.events.push_back(Event::ServerList { kind, servers });
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -164,12 +164,8 @@
     }
     let moved: Rc<Notify> = parts.moved.clone();
     let (who, zones) = ((site.decisions.me, config.seed), (site.zones.clone(), site.zone));
-    match accord::Accord::open(&host, members, who, zones, events.clone()).await {
-        Ok(accord) => parts.accord = accord,
-        // Another process of this node has the address: this one serves, and takes no part.
-        Err(e) if shared => host.log(format_args!("accord: {e}: this process takes no part")),
-        Err(e) => return Err(format!("accord: {e}")),
-    }
+    let accord = accord::Accord::open(&host, (members, shared), who, zones, events.clone()).await;
+    parts.accord = accord.map_err(|e| format!("accord: {e}"))?;
     let (before, successors) = handover.map_or((None, None), |h| (h.before, Some(h.successors)));
     let mut known = config.known;
     if let Some((state, _)) = &before {
