--- a/crates/node/src/accord.rs
+++ b/crates/node/src/accord.rs
@@ -58,6 +58,9 @@
     /// This node's own zone.
     zone: Option<usize>,
     orders: Orders,
+    /// What this node does by itself about zones that it can't reach and the plan keeps.
+    own: Planner,
+    apart: Vec<bool>,
     /// By zone, the order that people were last told of, and when.
     told: Vec<(Option<How>, Instant)>,
     /// What the module was last told of each zone, and whether clients were told to go elsewhere.
@@ -129,7 +132,7 @@
         let inbox = hear(host.clone(), listen, socket.clone(), settings.members.clone(), events);
         let timing = Timing::default();
         let config = Config { me: me as MemberId, voters: settings.voters.clone(), timing };
-        let start = Instant::now();
+        let (start, site_zones) = (Instant::now(), zones.len());
         // A seed is new with each start; a life is never 0, which stands for none.
         let life = (seed ^ (seed >> 32)) as u32 | 1;
         Ok(Some(Accord {
@@ -148,6 +151,8 @@
             acts_on: Plan::default(),
             zone: zone.map(usize::from),
             orders: Orders::default(),
+            own: Planner::alone(&settings.plan, site_zones, 0),
+            apart: vec![false; site_zones],
             opened: Vec::new(),
             away: false,
         }))
@@ -185,6 +190,10 @@
         self.member.sees(seen.encode());
         let silent = seen.zones.iter().any(|(_, silent)| *silent >= HURRY);
         self.member.hurries(silent || ordered || self.moves());
+        let now = self.now();
+        // Orders are no matter of its own: they go before all that nodes see.
+        self.own.hear(now, self.me, Evidence { orders: Vec::new(), ..seen.clone() });
+        self.own.step(now);
         let mut out = Vec::new();
         if !self.takes_part {
             return self.carry_out(out, near);
@@ -292,11 +301,14 @@
     /// has yet to hear of an order, or who begins anew with its steps, gives no keys back to what staff keep out.
     fn opens(&self) -> Vec<f64> {
         let planned = self.member.acts_on().is_some();
+        let own = self.own.plan(self.now());
         let one = |zone: usize| {
-            let open = if planned { self.acts_on.open(zone) } else { 1.0 };
+            let planned_open = if planned { self.acts_on.open(zone) } else { 1.0 };
+            let open = planned_open.min(own.open(zone));
             match self.orders.of(zone, self.now()) {
                 Some((how, _)) if how.is_out() && !planned => 0.0,
                 Some((how, _)) if how.is_out() => open.min(self.opened.get(zone).copied().unwrap_or(1.0)),
+                Some((How::In, _)) => planned_open,
                 _ => open,
             }
         };
@@ -316,6 +328,17 @@
             wanted.pool = Some(near.act_on(open.clone()));
             self.opened = open;
         }
+        let own = self.own.plan(self.now());
+        for (zone, apart) in self.apart.iter_mut().enumerate() {
+            let now = own.zones.get(zone).is_some_and(|z| z.state == State::GivenUp);
+            if std::mem::replace(apart, now) != now {
+                let name = &self.zones[zone];
+                wanted.lines.push(match now {
+                    true => format!("accord: this node has no way to {name} and leaves it by itself"),
+                    false => format!("accord: this node has a way to {name} again"),
+                });
+            }
+        }
         let leaves = self.leaves();
         if std::mem::replace(&mut self.away, leaves) != leaves {
             wanted.away = Some(leaves);
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -10,12 +10,16 @@
 
 /// A node that has sent a zone fewer attempts than this of late can't tell how it is.
 const ENOUGH: f64 = 3.0;
-/// All nodes together must have sent a zone that is given up so many to tell how it is.
-const ENOUGH_SCOUTS: f64 = 2.0;
+/// All nodes together must have sent a zone that is given up so many to tell how it is, and a node that decides for itself.
+const ENOUGH_SCOUTS: (f64, f64) = (2.0, 0.5);
 /// Nodes that are heard for this long count.
 const HEARD: Millis = 2_000;
 /// The longest hold before a return, a multiple of the usual one.
 const LONGEST_HOLD: u64 = 16;
+/// A node leaves a zone by itself when it has lost it for so long, in milliseconds: a plan takes about half of it.
+const ALONE: Millis = 1_500;
+/// In hundredths: of one node's keys so many must go on by which it sees that it can reach the zone again.
+const ALONE_SCOUTS: u8 = 5;
 /// All of a zone's keys.
 const ALL: u8 = 100;
 
@@ -99,6 +103,8 @@
     courses: Vec<Course>,
     heard: BTreeMap<u16, (Millis, Evidence)>,
     orders: Orders,
+    /// It is one node's own.
+    alone: bool,
 }
 
 impl Planner {
@@ -111,7 +117,16 @@
         let mut orders = Orders::default();
         orders.hear(now, &plan.orders, zones);
         let courses = (0..zones.min(MOST_ZONES)).map(course).collect();
-        Planner { figures, courses, heard: BTreeMap::new(), orders }
+        Planner { figures, courses, heard: BTreeMap::new(), orders, alone: false }
+    }
+
+    /// What one node does by itself about zones that the common plan keeps: fewer nodes than the plan goes by may have no way there,
+    /// or there is no room to give one more up. It waits until a plan would have moved, and leaves at least one zone.
+    pub fn alone(figures: &Figures, zones: usize, now: Millis) -> Planner {
+        let most = zones.saturating_sub(1) as f64 / zones.max(1) as f64;
+        let figures =
+            Figures { confirm_ms: ALONE, scouts: ALONE_SCOUTS, nodes: 1.0, most, ..figures.clone() };
+        Planner { alone: true, ..Planner::new(figures, zones, &Plan::default(), now) }
     }
 
     /// What a node sees.
@@ -133,7 +148,8 @@
     /// One step: what nodes have told of late, and time.
     pub fn step(&mut self, now: Millis) -> Plan {
         self.heard.retain(|_, (at, _)| *at + HEARD >= now);
-        let most = (self.figures.most * self.courses.len() as f64).floor() as usize;
+        // Parts such as two thirds are a little less than they should be.
+        let most = (self.figures.most * self.courses.len() as f64 + 1e-9).floor() as usize;
         for i in 0..self.courses.len() {
             let away = self
                 .courses
@@ -160,7 +176,8 @@
                 (all + f64::from(*a), silent + f64::from(*a) * f64::from(*s) / 255.0)
             });
             let is = silent >= self.figures.lost.min(self.figures.nodes) * all;
-            return if all < ENOUGH_SCOUTS * PARTS { (0, 0) } else { (usize::from(is), usize::from(!is)) };
+            let enough = if self.alone { ENOUGH_SCOUTS.1 } else { ENOUGH_SCOUTS.0 };
+            return if all < enough * PARTS { (0, 0) } else { (usize::from(is), usize::from(!is)) };
         }
         let told = figures().filter(|(all, _)| f64::from(*all) >= ENOUGH * PARTS);
         told.fold((0, 0), |(lost, well), (_, silent)| {
--- a/crates/plan/tests/planner.rs
+++ b/crates/plan/tests/planner.rs
@@ -132,3 +132,32 @@
     }
     assert!(Figures { most: 2.0, ..Figures::default() }.check().is_err());
 }
+
+#[test]
+fn one_node_leaves_by_itself_what_it_alone_cannot_reach_after_a_plan_would_have_and_comes_back() {
+    let mut own = Planner::alone(&Figures::default(), 3, 0);
+    let mut open = Vec::new();
+    for now in (0..30_000).step_by(100) {
+        let plan = own.plan(now);
+        // Lost from 2 s to 12 s: of what goes there 10 attempts are seen, and of scouts less than one.
+        let lost = (2_000..12_000).contains(&now);
+        let sees = (0..3).map(|z| {
+            let all = 10.0 * plan.open(z).max(0.05);
+            (all, if z == 2 && lost { all } else { 0.0 })
+        });
+        own.hear(now, 0, Evidence::of(sees));
+        open.push((now, own.step(now).zones[2].open));
+    }
+    let at = |now: Millis| open.iter().find(|(at, _)| *at == now).unwrap().1;
+    assert_eq!((at(3_400), at(4_300)), (100, 5), "not before a plan could have");
+    assert_eq!((at(11_900), at(13_900)), (5, 5));
+    assert_eq!(at(20_000), 100, "back in steps once it answers");
+    // With nowhere else to go it stays.
+    let mut own = Planner::alone(&Figures::default(), 3, 0);
+    for now in (0..20_000).step_by(100) {
+        own.hear(now, 0, Evidence::of([(10.0, 10.0); 3].into_iter()));
+        own.step(now);
+    }
+    let left = own.plan(20_000).zones.iter().filter(|z| z.open == 100).count();
+    assert_eq!(left, 1);
+}
--- a/crates/trial/src/account.rs
+++ b/crates/trial/src/account.rs
@@ -306,6 +306,8 @@
                 (all > 0).then(|| there as f64 / all as f64)
             }
             Figure::ReturnedS => self.returned(zone?, from, until),
+            // Told by the nodes' logs, which are not seen here.
+            Figure::Moves => None,
             Figure::Fallen => Some(self.fallen.iter().filter(|at| within(**at)).count() as f64),
         }
     }
@@ -390,6 +392,7 @@
             discovery: Default::default(),
             steps: Vec::new(),
             musts: Vec::new(),
+            before: Vec::new(),
         };
         Account::new(&trial)
     }
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -33,6 +33,8 @@
     pub steps: Vec<Step>,
     /// What must hold at its end.
     pub musts: Vec<Must>,
+    /// Nodes that know nothing of places and of the accord, as a version from before them.
+    pub before: Parties,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -52,6 +54,8 @@
     ways: Ways,
     /// The zone of the origin, the first one by default.
     origin: Option<String>,
+    /// Nodes that know nothing of places and of the accord.
+    before: Option<String>,
     #[serde(default)]
     discovery: PerRegion,
     #[serde(default, rename = "step")]
@@ -131,6 +135,10 @@
     Load,
     /// Discovery answers late, or not at all, or with an old or an empty list.
     Discovery,
+    /// Ways are cut and mended again and again.
+    Flap,
+    /// Discovery says of boxes that they are gone, or ready, whatever they are.
+    List,
     /// Staff order at a node that a zone is kept in or out for a time.
     Hold,
     /// Staff take that back at a node.
@@ -153,6 +161,16 @@
     Empty,
 }
 
+/// What discovery says of a box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Says {
+    /// It serves.
+    Ready,
+    /// It is no longer there.
+    Gone,
+}
+
 /// One step.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -196,10 +214,14 @@
     pub late: Option<f64>,
     /// Weather: by how much, milliseconds.
     pub late_ms: Option<f64>,
-    /// Load: the multiple.
+    /// Load: the multiple. Flap: how often.
     pub times: Option<f64>,
     /// Discovery: how it answers.
     pub answers: Option<Answers>,
+    /// Flap: seconds between a cut and its end, and until the next.
+    pub every_s: Option<f64>,
+    /// List: what discovery says.
+    pub says: Option<Says>,
     /// Hold, release: of which zone.
     pub zone: Option<String>,
     /// Hold: `in`, `out` or `drain`.
@@ -284,6 +306,8 @@
     ReturnedS,
     /// Boxes that were pushed over.
     Fallen,
+    /// Plans by which nodes began to give a zone up.
+    Moves,
 }
 
 /// Something that must hold.
@@ -348,7 +372,13 @@
             .map_err(|e: toml::de::Error| located(("with".into(), e.message().trim().replace('\n', " "))))?;
         world.validate().map_err(|f| located((format!("with.{}", f.key), f.what)))?;
         let map = Map::new(&world, &file.regions, file.origin.as_deref()).map_err(located)?;
+        let before = file.before.as_ref().map_or(Ok(Vec::new()), |word| {
+            let parties = map.parties(word).map_err(|what| located(("before".into(), what)))?;
+            let others = || located(("before".into(), format!("{word:?} names other parties than nodes")));
+            if parties.iter().all(|p| p.kind == Kind::Node) { Ok(parties) } else { Err(others()) }
+        })?;
         let trial = Trial {
+            before,
             name: file.name,
             about: file.about,
             world,
@@ -443,6 +473,19 @@
                     return Err((key("who"), which.into()));
                 }
             }
+            Act::Flap => {
+                self.parties(&key("from"), step.from.as_ref())?;
+                self.parties(&key("to"), step.to.as_ref())?;
+                figure(&key("every_s"), step.every_s.unwrap_or(f64::NAN), 0.05, 600.0)?;
+                figure(&key("times"), step.times.unwrap_or(f64::NAN), 1.0, 10_000.0)?;
+            }
+            Act::List => {
+                let parties = self.parties(&key("who"), step.who.as_ref())?;
+                if parties.iter().any(|p| p.kind != Kind::Box) {
+                    return Err((key("who"), "boxes only".into()));
+                }
+                step.says.ok_or((key("says"), "is missing".to_owned()))?;
+            }
             Act::Load => figure(&key("times"), step.times.unwrap_or(f64::NAN), 0.0, 100.0)?,
             Act::Discovery => {
                 if step.answers.is_none() {
--- a/crates/trial/src/play.rs
+++ b/crates/trial/src/play.rs
@@ -1,11 +1,12 @@
 //! Plays a trial: carries its steps out, waits for facts, and judges what came of it.
 
 use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
-use chalksill_world::observe::{Seen, Witness};
+use chalksill_world::observe::{Phase, Seen, Witness};
 use chalksill_world::report::Collector;
 use chalksill_world::rules::Checker;
 use tokio::signal::unix::{SignalKind, signal};
@@ -14,9 +15,9 @@
 
 use crate::account::Account;
 use crate::party::{Kind, Parties};
-use crate::plan::{Act, Answers, Fact, Figure, Must, Step, Trial};
+use crate::plan::{Act, Answers, Fact, Figure, Must, Says, Step, Trial};
 use crate::report::{Held, Report};
-use crate::stage::{Doing, Stage};
+use crate::stage::{Doing, Line, Stage};
 
 /// How often a fact is looked for, and nodes and their logs are looked at.
 const LOOK: Duration = Duration::from_millis(50);
@@ -254,6 +255,19 @@
         }
         Act::Stop => who.iter().for_each(|p| stage.stop(p.number)),
         Act::Continue => who.iter().for_each(|p| stage.go_on(p.number)),
+        Act::Flap => {
+            let every = Duration::from_secs_f64(step.every_s.unwrap_or(1.0));
+            for _ in 0..step.times.unwrap_or(1.0) as usize {
+                stage.cut(&from, &to, step.one_way);
+                sleep(every).await;
+                stage.heal(&from, &to, step.reset);
+                sleep(every).await;
+            }
+        }
+        Act::List => {
+            let gone = step.says == Some(Says::Gone);
+            who.iter().for_each(|p| stage.list(p.number, if gone { Phase::Gone } else { Phase::Ready }));
+        }
         Act::Hold | Act::Release => {
             let zone = step.zone.as_deref().unwrap_or_default();
             let target = match (step.act, &step.how, step.for_s) {
@@ -281,6 +295,27 @@
     Ok(())
 }
 
+/// How often nodes began to give a zone up, by their logs: each plan is told by many and counts once, as does a zone that stays away.
+fn moves(log: &[Line], from: Duration, until: Duration) -> usize {
+    let within = |at: f64| at >= from.as_secs_f64() && at < until.as_secs_f64();
+    // Plans by their numbers, and the zones that each gives up.
+    let mut plans = BTreeMap::new();
+    for line in log.iter().filter(|l| within(l.at_s)) {
+        let Some((_, told)) = line.text.split_once("accord: plan ") else { continue };
+        let Some((number, what)) = told.split_once(" of node ") else { continue };
+        let Some((round, sequence)) = number.split_once('.') else { continue };
+        let (Ok(round), Ok(sequence)) = (round.parse::<u32>(), sequence.parse::<u32>()) else { continue };
+        let zones = what.split([':', ';']).filter_map(|zone| zone.split_once(" is given up"));
+        plans.insert((round, sequence), zones.map(|(zone, _)| zone.trim()).collect::<BTreeSet<_>>());
+    }
+    let mut away = BTreeSet::new();
+    plans.into_values().fold(0, |count, now| {
+        let new = now.difference(&away).count();
+        away = now;
+        count + new
+    })
+}
+
 fn judge(stage: &Stage, watch: &Watch, seed: u64, run: Run, (cpu, memory_kib): (Duration, u64)) -> Report {
     let trial = &stage.trial;
     watch.checker.borrow_mut().finish(watch.witness.elapsed());
@@ -313,7 +348,10 @@
     };
     let held = |must: &Must| {
         let zone = must.zone.as_ref().and_then(|z| trial.map.zones.iter().position(|name| name == z));
-        let value = span(must).and_then(|(from, until)| account.figure(must.figure, zone, from, until));
+        let value = span(must).and_then(|(from, until)| match must.figure {
+            Figure::Moves => Some(moves(&stage.log.borrow(), from, until) as f64),
+            figure => account.figure(figure, zone, from, until),
+        });
         let holds = value.is_some_and(|v| {
             must.at_most.is_none_or(|most| v <= most) && must.at_least.is_none_or(|least| v >= least)
         });
@@ -358,3 +396,38 @@
         world: watch.collector.borrow().report(),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_zone_that_is_given_up_counts_once_however_many_nodes_and_plans_tell_of_it() {
+        let plan = |at_s: f64, number: &str, what: &str| Line {
+            at_s,
+            node: 0,
+            text: format!("mothpier: accord: plan {number} of node 1: {what}"),
+        };
+        let log = [
+            plan(1.0, "1.2", "south is suspected, 100% of its keys go there"),
+            plan(2.0, "1.3", "south is given up, 40% of its keys go there"),
+            plan(2.1, "1.3", "south is given up, 40% of its keys go there"),
+            plan(
+                3.0,
+                "1.4",
+                "south is given up, 4% of its keys go there; east is suspected, 100% of its keys go there",
+            ),
+            plan(
+                3.2,
+                "2.0",
+                "south is given up, 4% of its keys go there; east is given up, 40% of its keys go there",
+            ),
+            plan(5.0, "2.1", "all zones serve"),
+            plan(6.0, "2.2", "south is given up, 40% of its keys go there"),
+        ];
+        let s = Duration::from_secs;
+        assert_eq!(moves(&log, s(0), s(10)), 3);
+        assert_eq!(moves(&log, s(0), s(4)), 2);
+        assert_eq!(moves(&log, s(0), s(2)), 0);
+    }
+}
--- a/crates/trial/src/stage.rs
+++ b/crates/trial/src/stage.rs
@@ -307,7 +307,12 @@
         };
         let config = process::configuration(world, node, &at, seed, self.discoveries[place].known(node));
         let mut operator = world.nodes.operator.clone();
-        if let (Some(mut table), Some(members)) = (operator_with_accord(&self.trial)?, self.accord.get(node))
+        if self.trial.before.iter().any(|p| p.number == node) {
+            let mut table: toml::Table = toml::from_str(&operator).map_err(|e| e.to_string())?;
+            ["places", "accord"].into_iter().for_each(|part| drop(table.remove(part)));
+            operator = toml::to_string(&table).map_err(|e| e.to_string())?;
+        } else if let (Some(mut table), Some(members)) =
+            (operator_with_accord(&self.trial)?, self.accord.get(node))
         {
             // Each node sees the others at addresses of its own.
             if let Some(accord) = table.get_mut("accord").and_then(toml::Value::as_table_mut) {
@@ -473,6 +478,16 @@
         Ok(())
     }
 
+    /// Discovery says something of a box from now on, whatever it is.
+    pub fn list(&self, number: BoxNo, phase: Phase) {
+        for discovery in &self.discoveries {
+            if let Some(mut member) = discovery.member(number) {
+                member.phase = phase;
+                discovery.set(number, member);
+            }
+        }
+    }
+
     /// Staff order something of a zone at a node: a call at its second address, and its answer.
     ///
     /// # Errors
