Accord: a member that gets no answer has its question passed on by voters

Ruled out: votes (the third region gives a majority), the plan (it gave one of the two up, as it should).

Change: three questions without an answer, and the next goes beside through a voter that has granted somebody the lease; the decider's answer comes back the same way, fenced by the asker's stamp as any. Voters keep nothing of it; only what voters pass on is taken.

--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -17,7 +17,8 @@
 //!   (The published algorithm counts from its second step. The exploration shows two deciders then: a promise from before a
 //!   voter's restart can complete a campaign after that voter has begun to grant again.)
 //! - A **follower** acts on a plan until `life` after the question that the last answer confirmed; then it has none, and its
-//!   node does what it does by itself.
+//!   node does what it does by itself. One that the decider does not answer has its question passed on by voters; the answer
+//!   counts from the same stamp, whatever way it came.
 //!
 //! `hold` must be longer than `lease` by more than two clocks can differ over that time.
 
@@ -25,7 +26,7 @@
 mod message;
 
 pub use member::{Config, Effect, Member, Mutant, Timing};
-pub use message::{Ballot, MOST, Message, Number, Unreadable, VERSION};
+pub use message::{Ballot, MOST, Message, Number, Question, Unreadable, VERSION};
 
 /// A value of a member's own clock, in milliseconds; it only advances.
 pub type Millis = u64;
--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use crate::message::{Ballot, Message, Number};
+use crate::message::{Ballot, Message, Number, Question};
 use crate::{MemberId, Millis};
 
+/// So many questions in a row without an answer may be bad luck.
+const UNANSWERED: u8 = 2;
 /// Rounds from which on a ballot is nonsense.
 const MOST_ROUNDS: u32 = u32::MAX / 2;
 
@@ -137,6 +139,8 @@
     known: Option<Known>,
     highest: Number,
     guess: usize,
+    /// The voter that is asked next to pass a question on.
+    relay: usize,
     ask_at: Millis,
     unanswered: u8,
     evidence: Vec<u8>,
@@ -167,6 +171,7 @@
             known: None,
             highest: Number::default(),
             guess: 0,
+            relay: 0,
             ask_at: now,
             unanswered: 0,
             evidence: Vec::new(),
@@ -197,7 +202,8 @@
     #[doc(hidden)]
     pub fn settled(mut self, now: Millis) -> Member {
         self.advance(now, &mut Vec::new());
-        (self.campaign_at, self.ask_at, self.unanswered, self.guess) = (0, 0, 0, 0);
+        (self.campaign_at, self.ask_at, self.unanswered) = (0, 0, 0);
+        (self.guess, self.relay) = (0, 0);
         if let Some(campaign) = &mut self.campaign {
             campaign.again = 0;
         }
@@ -409,11 +415,22 @@
         self.known = Some(Known { number, plan, confirmed });
     }
 
+    fn puts(&self) -> Question {
+        let (life, number, evidence) = (self.life, self.highest, self.evidence.clone());
+        Question { stamp: self.now, life, number, evidence }
+    }
+
     /// Asks one voter, now; [`tick`](Self::tick) asks by itself.
     pub fn question(&mut self, now: Millis, to: MemberId, out: &mut Vec<Effect>) {
         self.advance(now, out);
-        let (life, number, evidence) = (self.life, self.highest, self.evidence.clone());
-        out.push(Effect::Send(to, Message::Ask { stamp: self.now, life, number, evidence }));
+        let Question { stamp, life, number, evidence } = self.puts();
+        out.push(Effect::Send(to, Message::Ask { stamp, life, number, evidence }));
+    }
+
+    /// Asks one voter to pass its question on, now; [`tick`](Self::tick) does so by itself where it gets no answer.
+    pub fn question_through(&mut self, now: Millis, voter: MemberId, out: &mut Vec<Effect>) {
+        self.advance(now, out);
+        out.push(Effect::Send(voter, Message::Pass { ask: self.puts() }));
     }
 
     fn ask(&mut self, out: &mut Vec<Effect>) {
@@ -421,17 +438,23 @@
         if self.decides().is_some() {
             return self.act_on_own(out);
         }
-        // Two questions without an answer: somebody else may know.
-        self.unanswered += 1;
-        if self.unanswered > 2 {
-            self.unanswered = 0;
-            self.guess = (self.guess + 1) % self.config.voters.len().max(1);
+        let (me, now) = (self.config.me, self.now);
+        let voters = self.config.voters.len().max(1);
+        // Questions without an answer: somebody else may know who decides, or have a way there.
+        self.unanswered = self.unanswered.saturating_add(1);
+        if self.unanswered > UNANSWERED {
+            self.guess = (self.guess + 1) % voters;
+            self.relay = (self.relay + 1) % voters;
+            if let Some(&through) = self.config.voters.get(self.relay).filter(|v| **v != me) {
+                self.question_through(now, through, out);
+            }
         }
         let Some(&to) = self.config.voters.get(self.guess) else { return };
-        if to != self.config.me {
-            self.question(self.now, to, out);
+        if to == me {
+            // It does not decide: the next one may.
+            self.guess = (self.guess + 1) % voters;
         } else {
-            self.guess = (self.guess + 1) % self.config.voters.len().max(1);
+            self.question(now, to, out);
         }
     }
 
@@ -454,6 +477,14 @@
             Message::Told { stamp, life, number, left, plan } => {
                 self.told((stamp, life), number, left, plan, out)
             }
+            Message::Pass { ask } => self.pass(from, ask, out),
+            Message::Passed { asker, ask } => self.passed(from, asker, ask, out),
+            Message::Answer { asker, stamp, life, number, left, plan } => {
+                // It keeps nothing of what it passes on: the asker knows whether it has asked this.
+                if self.config.voters.contains(&from) {
+                    self.send(asker, Message::Told { stamp, life, number, left, plan }, out);
+                }
+            }
             Message::Elsewhere { voter } => {
                 if let Some(at) = self.config.voters.iter().position(|v| *v == voter) {
                     self.guess = at;
@@ -568,6 +599,11 @@
         }
     }
 
+    /// Who decides, as far as this voter has granted it.
+    fn granted_to(&self) -> Option<MemberId> {
+        self.granted.map(|(ballot, _)| ballot.voter).filter(|v| *v != self.config.me)
+    }
+
     fn asked(
         &mut self,
         from: MemberId,
@@ -578,25 +614,61 @@
         out: &mut Vec<Effect>,
     ) {
         self.hear_of(number.tenure);
-        let Some(tenure) = self.tenure else {
-            let elsewhere = self.granted.map(|(ballot, _)| ballot.voter).filter(|v| *v != self.config.me);
-            if let Some(voter) = elsewhere {
+        if self.tenure.is_none() {
+            if let Some(voter) = self.granted_to() {
                 out.push(Effect::Send(from, Message::Elsewhere { voter }));
             }
             return;
-        };
-        out.push(Effect::Evidence(from, evidence));
+        }
+        if let Some((own, left, plan)) = self.answers(from, number, evidence, out) {
+            out.push(Effect::Send(from, Message::Told { stamp, life, number: own, left, plan }));
+        }
+    }
+
+    /// A member gets no answer: its question goes on to the decider, or is answered where this is it.
+    fn pass(&mut self, from: MemberId, ask: Question, out: &mut Vec<Effect>) {
+        self.hear_of(ask.number.tenure);
+        if self.tenure.is_some() {
+            self.asked(from, ask.stamp, ask.life, ask.number, ask.evidence, out);
+        } else if let Some(decider) = self.granted_to() {
+            out.push(Effect::Send(decider, Message::Passed { asker: from, ask }));
+        }
+    }
+
+    /// A voter has passed a question on: it passes on the answer, too. One that no longer decides says nothing: there would be no
+    /// end to passing on.
+    fn passed(&mut self, from: MemberId, asker: MemberId, ask: Question, out: &mut Vec<Effect>) {
+        self.hear_of(ask.number.tenure);
+        if self.tenure.is_none() || !self.config.voters.contains(&from) || asker == self.config.me {
+            return;
+        }
+        let (stamp, life) = (ask.stamp, ask.life);
+        if let Some((number, left, plan)) = self.answers(asker, ask.number, ask.evidence, out) {
+            out.push(Effect::Send(from, Message::Answer { asker, stamp, life, number, left, plan }));
+        }
+    }
+
+    /// What a decider answers to a member's question; nothing where its tenure must begin anew first.
+    fn answers(
+        &mut self,
+        asker: MemberId,
+        number: Number,
+        evidence: Vec<u8>,
+        out: &mut Vec<Effect>,
+    ) -> Option<(Number, Millis, Vec<u8>)> {
+        let tenure = self.tenure?;
+        out.push(Effect::Evidence(asker, evidence));
         let own = Number { tenure: tenure.began, sequence: self.plan.0 };
         if number > own && number.tenure.round < MOST_ROUNDS {
             // It has acted on a plan of a tenure that nobody here remembers: ours must begin anew, above it.
             self.tenure = None;
             self.campaign_at = self.now;
-            return out.push(Effect::Resigns);
+            out.push(Effect::Resigns);
+            return None;
         }
         let left = tenure.until.saturating_sub(self.now);
         let left = if self.lacks(Mutant::AnswersLate) { self.config.timing.lease } else { left };
-        let plan = self.plan.1.clone();
-        out.push(Effect::Send(from, Message::Told { stamp, life, number: own, left, plan }));
+        Some((own, left, self.plan.1.clone()))
     }
 
     fn told(
--- a/crates/accord/src/message.rs
+++ b/crates/accord/src/message.rs
@@ -92,6 +92,46 @@
         /// The voter to which it has granted a lease.
         voter: MemberId,
     },
+    /// To a voter: a member that gets no answer asks it to put its question to the decider, to which it may have a way.
+    Pass {
+        /// The question.
+        ask: Question,
+    },
+    /// To the decider: a question of another member.
+    Passed {
+        /// Who asks.
+        asker: MemberId,
+        /// The question.
+        ask: Question,
+    },
+    /// The decider's answer to it, back to the voter: what [`Told`](Self::Told) would have said to the asker.
+    Answer {
+        /// Who has asked.
+        asker: MemberId,
+        /// The question's stamp.
+        stamp: Millis,
+        /// The asker's life.
+        life: u32,
+        /// The plan's number.
+        number: Number,
+        /// What the decider's lease had left when it answered, in milliseconds.
+        left: Millis,
+        /// The plan.
+        plan: Vec<u8>,
+    },
+}
+
+/// What a member asks the decider; as in [`Message::Ask`].
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Question {
+    /// The asker's own clock: an answer must give it back, whatever way it comes.
+    pub stamp: Millis,
+    /// Its life, likewise.
+    pub life: u32,
+    /// The highest number of a plan that it has acted on.
+    pub number: Number,
+    /// What it sees.
+    pub evidence: Vec<u8>,
 }
 
 /// Why bytes are no message.
--- a/crates/accord/tests/explore.rs
+++ b/crates/accord/tests/explore.rs
@@ -19,6 +19,8 @@
     stands: [u8; 3],
     restarts: [u8; 3],
     asks: [u8; 3],
+    /// Questions that a member has passed on by another.
+    passes: [u8; 3],
     plans: u8,
     /// Times that a clock runs ahead by one, over the whole.
     leaps: u8,
@@ -49,6 +51,7 @@
     Tick(Option<usize>),
     Stand(usize),
     Ask(usize, u16),
+    Pass(usize, u16),
     Plan(usize),
     Restart(usize),
     Give(u16, u16, Message),
@@ -110,6 +113,10 @@
                 let others = (0..3).filter(|j| *j != i && w.members[*j].lease_until().is_some());
                 steps.extend(others.map(|j| Step::Ask(i, j as u16)));
             }
+            if w.left.passes[i] > 0 {
+                let others = (0..3).filter(|j| *j != i && w.members[*j].lease_until().is_none());
+                steps.extend(others.map(|j| Step::Pass(i, j as u16)));
+            }
         }
         if w.time < self.bounds.time {
             steps.push(Step::Tick(None));
@@ -144,6 +151,11 @@
                 at = Some(*i);
                 w.members[*i].question(w.clocks[*i], *to, &mut out);
             }
+            Step::Pass(i, to) => {
+                w.left.passes[*i] -= 1;
+                at = Some(*i);
+                w.members[*i].question_through(w.clocks[*i], *to, &mut out);
+            }
             Step::Plan(i) => {
                 w.left.plans -= 1;
                 at = Some(*i);
@@ -329,8 +341,16 @@
 }
 
 /// Nothing happens by itself.
-const NONE: Bounds =
-    Bounds { time: 3, stands: [0; 3], restarts: [0; 3], asks: [0; 3], plans: 0, leaps: 0, timing: STEADY };
+const NONE: Bounds = Bounds {
+    time: 3,
+    stands: [0; 3],
+    restarts: [0; 3],
+    asks: [0; 3],
+    passes: [0; 3],
+    plans: 0,
+    leaps: 0,
+    timing: STEADY,
+};
 /// Two that would decide, and a voter that restarts.
 const RIVALS: Bounds = Bounds { stands: [1, 1, 0], restarts: [0, 0, 1], ..NONE };
 /// Two that would decide, and time enough for one lease after the other.
@@ -341,6 +361,10 @@
 const FORGETS: Bounds = Bounds { stands: [1, 0, 0], asks: [0, 0, 1], restarts: [0, 0, 1], ..NONE };
 /// One that decides, two plans of it, and a follower.
 const PLANS: Bounds = Bounds { stands: [1, 0, 0], asks: [0, 0, 2], plans: 1, ..NONE };
+/// The same, where the follower has its question passed on by the third.
+const PASSED: Bounds = Bounds { stands: [1, 0, 0], passes: [0, 0, 1], plans: 1, ..NONE };
+/// And restarts between question and answer.
+const PASSED_FORGETS: Bounds = Bounds { restarts: [0, 0, 1], plans: 0, ..PASSED };
 /// A clock that runs ahead.
 const CLOCKS: Bounds = Bounds { stands: [1, 1, 0], leaps: 1, timing: DRIFTING, ..NONE };
 
@@ -382,6 +406,15 @@
     holds(FORGETS);
 }
 
+#[test]
+fn a_question_that_is_passed_on_is_fenced_as_one_that_is_not() {
+    assert!(holds(PASSED).agreed, "nobody ever acted on a plan: the exploration shows nothing");
+    holds(PASSED_FORGETS);
+    caught(Mutant::TakesLate, PASSED, LATE);
+    caught(Mutant::AnswersLate, PASSED, LATE);
+    caught(Mutant::TakesForeign, PASSED_FORGETS, LATE);
+}
+
 #[test]
 fn clocks_may_differ_by_what_the_hold_allows() {
     holds(CLOCKS);
--- a/crates/accord/tests/messages.rs
+++ b/crates/accord/tests/messages.rs
@@ -1,7 +1,9 @@
 //! Messages that are cut, spoilt, foreign, of another version or too long are told apart and never acted on.
 #![allow(missing_docs)]
 
-use mothpier_accord::{Ballot, Config, Effect, MOST, Member, Message, Mutant, Number, Timing, Unreadable};
+use mothpier_accord::{
+    Ballot, Config, Effect, MOST, Member, Message, Mutant, Number, Question, Timing, Unreadable,
+};
 use oorandom::Rand64;
 
 fn draw(rng: &mut Rand64, most: u64) -> u64 {
@@ -18,7 +20,21 @@
     let bytes = |rng: &mut Rand64| (0..draw(rng, 150)).map(|_| draw(rng, 256) as u8).collect::<Vec<u8>>();
     let stamp = |rng: &mut Rand64| if draw(rng, 8) == 0 { u64::MAX } else { draw(rng, 10_000) };
     let number = |rng: &mut Rand64| Number { tenure: ballot(rng), sequence: draw(rng, 3) as u32 };
-    match draw(rng, 8) {
+    let ask = |rng: &mut Rand64| {
+        let (stamp, number, evidence) = (stamp(rng), number(rng), bytes(rng));
+        Question { stamp, life: draw(rng, 9) as u32, number, evidence }
+    };
+    match draw(rng, 11) {
+        8 => Message::Pass { ask: ask(rng) },
+        9 => Message::Passed { asker: draw(rng, 5) as u16, ask: ask(rng) },
+        10 => Message::Answer {
+            asker: draw(rng, 5) as u16,
+            stamp: stamp(rng),
+            life: draw(rng, 9) as u32,
+            number: number(rng),
+            left: stamp(rng),
+            plan: bytes(rng),
+        },
         0 => Message::Prepare { ballot: ballot(rng) },
         1 => Message::Promise { ballot: ballot(rng), held: (draw(rng, 2) == 0).then(|| ballot(rng)) },
         2 => Message::Propose { ballot: ballot(rng) },
--- a/crates/trial/src/account.rs
+++ b/crates/trial/src/account.rs
@@ -307,7 +307,7 @@
             }
             Figure::ReturnedS => self.returned(zone?, from, until),
             // Told by the nodes' logs, which are not seen here.
-            Figure::Moves => None,
+            Figure::Moves | Figure::Agree => None,
             Figure::Fallen => Some(self.fallen.iter().filter(|at| within(**at)).count() as f64),
         }
     }
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -308,6 +308,8 @@
     Fallen,
     /// Plans by which nodes began to give a zone up.
     Moves,
+    /// Part of the nodes that act on the commonest plan at the end of the time, by what their logs say of it.
+    Agree,
 }
 
 /// Something that must hold.
--- a/crates/trial/src/play.rs
+++ b/crates/trial/src/play.rs
@@ -316,6 +316,22 @@
     })
 }
 
+/// The part of the nodes that act on the commonest plan at a time: what each last told of one, and nothing where it told that it has
+/// heard nothing for too long.
+fn agree(log: &[Line], nodes: usize, at: Duration) -> f64 {
+    let mut acts_on = vec![None; nodes];
+    for line in log.iter().filter(|l| l.at_s < at.as_secs_f64()) {
+        if let Some((_, told)) = line.text.split_once("accord: plan ") {
+            acts_on[line.node] = told.split_once(": ").map(|(_, what)| what);
+        } else if line.text.contains("accord: nothing heard for too long") {
+            acts_on[line.node] = None;
+        }
+    }
+    let mut common: BTreeMap<Option<&str>, usize> = BTreeMap::new();
+    acts_on.into_iter().for_each(|what| *common.entry(what).or_default() += 1);
+    common.into_values().max().unwrap_or(0) as f64 / nodes.max(1) as f64
+}
+
 fn judge(stage: &Stage, watch: &Watch, seed: u64, run: Run, (cpu, memory_kib): (Duration, u64)) -> Report {
     let trial = &stage.trial;
     watch.checker.borrow_mut().finish(watch.witness.elapsed());
@@ -350,6 +366,7 @@
         let zone = must.zone.as_ref().and_then(|z| trial.map.zones.iter().position(|name| name == z));
         let value = span(must).and_then(|(from, until)| match must.figure {
             Figure::Moves => Some(moves(&stage.log.borrow(), from, until) as f64),
+            Figure::Agree => Some(agree(&stage.log.borrow(), stage.trial.world.nodes.count, until)),
             figure => account.figure(figure, zone, from, until),
         });
         let holds = value.is_some_and(|v| {
@@ -429,5 +446,9 @@
         assert_eq!(moves(&log, s(0), s(10)), 3);
         assert_eq!(moves(&log, s(0), s(4)), 2);
         assert_eq!(moves(&log, s(0), s(2)), 0);
+        let of = |line: &Line, node| Line { node, ..line.clone() };
+        let log = [of(&log[0], 0), of(&log[0], 1), of(&log[3], 1), of(&log[3], 0), of(&log[5], 2)];
+        assert!((agree(&log, 3, s(10)) - 2.0 / 3.0).abs() < 1e-9);
+        assert!((agree(&log, 4, s(2)) - 0.5).abs() < 1e-9, "two know of no plan");
     }
 }
