Accord: times and costs at 100 and 300 nodes, with what a node has seen as a type of its own

Need: aims of half the nodes acting within 2 s and nine tenths within 3, and of a flat cost a node, were measured at nine only.

Change: what a node remembers of each zone moves out of the node into the plan's package (Seen), so that a play of a whole fleet uses the program's own members, planner and memory; attempts come from a model (20 ms one way, 1% of datagrams lost).

--- /dev/null
+++ b/crates/accord/tests/fleet.rs
@@ -0,0 +1,242 @@
+//! Members and planner together at the size of a fleet: how soon nodes act on a zone's loss, and what agreeing costs each as their
+//! number grows. Evidence comes from a model of attempts; members, planner and what a node remembers are the program's own.
+#![allow(missing_docs)]
+
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+use std::cmp::Reverse;
+
+use mothpier_accord::{Config, Effect, Member, Message, Millis, Timing};
+use mothpier_plan::{Evidence, Figures, Plan, Planner, Seen, Step};
+use oorandom::Rand64;
+
+const ZONES: usize = 3;
+/// A node's looks at what became of its attempts, and when an attempt is silent.
+const LOOK: Millis = 250;
+const SILENT: Millis = 200;
+/// The decider's looks at what all see.
+const PLANS: Millis = 100;
+/// A zone looks bad from here on (of 255): questions come more often then.
+const HURRY: u8 = 80;
+/// The zone that is lost, and when.
+const LOST: (usize, Millis) = (2, 10_000);
+
+struct Node {
+    member: Member,
+    planner: Option<Planner>,
+    seen: Seen,
+    steps: [Step; ZONES],
+    /// When attempts at the lost zone were sent that nobody has answered.
+    waiting: Vec<Millis>,
+    plan: Plan,
+    look_at: Millis,
+    plans_at: Millis,
+    /// When it acted on the loss.
+    acted: Option<Millis>,
+    /// Messages sent and their bytes, and time spent in the machines.
+    cost: (u64, u64, Duration),
+}
+
+/// Figures of a play.
+struct Told {
+    half: Millis,
+    most: Millis,
+    /// Of a follower, a second: messages, bytes, and the part of a core; then of the decider.
+    follower: (f64, f64, f64),
+    decider: (f64, f64, f64),
+    moves: usize,
+}
+
+fn play(members: usize, per_s: f64, silent: f64, lost: bool, seconds: u64, seed: u64) -> Told {
+    let mut rng = Rand64::new(seed.into());
+    let begin = |me: usize| {
+        let voters = vec![0, 1, 2];
+        let config = Config { me: me as u16, voters, timing: Timing::default() };
+        Node {
+            member: Member::start(config, me as u32 + 1, 0),
+            planner: None,
+            seen: Seen::new(ZONES),
+            steps: Default::default(),
+            waiting: Vec::new(),
+            plan: Plan::default(),
+            look_at: me as Millis * 37 % LOOK,
+            plans_at: 0,
+            acted: None,
+            cost: Default::default(),
+        }
+    };
+    let mut nodes: Vec<Node> = (0..members).map(begin).collect();
+    let mut net: BinaryHeap<Reverse<(Millis, u64, u16, u16, Message)>> = BinaryHeap::new();
+    let (mut sent, mut moves) = (0u64, 0);
+    for now in 0..seconds * 1000 {
+        let mut due = Vec::new();
+        while net.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
+            due.extend(net.pop().map(|Reverse((_, _, from, to, message))| (to, Some((from, message)))));
+        }
+        for (i, node) in nodes.iter_mut().enumerate() {
+            if rng.rand_float() < per_s / 1000.0 {
+                let zone = rng.rand_range(0..ZONES as u64) as usize;
+                if rng.rand_float() < node.plan.open(zone) {
+                    if lost && zone == LOST.0 && now >= LOST.1 {
+                        node.waiting.push(now);
+                    } else if rng.rand_float() < silent {
+                        node.steps[zone].silent += 1;
+                    } else {
+                        node.steps[zone].came += 1;
+                    }
+                }
+            }
+            if now >= node.look_at {
+                node.look_at = now + LOOK * 3 / 4 + rng.rand_range(0..LOOK / 2);
+                let before = node.waiting.len();
+                node.waiting.retain(|at| at + SILENT > now);
+                node.steps[LOST.0].silent += (before - node.waiting.len()) as u32;
+                let open: Vec<f64> = (0..ZONES).map(|z| node.plan.open(z)).collect();
+                node.seen.step(&node.steps, &open);
+                node.steps = Default::default();
+                due.push((i as u16, None));
+            } else if now >= node.member.due() || node.planner.is_some() && now >= node.plans_at {
+                due.push((i as u16, None));
+            }
+        }
+        for (to, what) in due {
+            let node = &mut nodes[usize::from(to)];
+            let mut out = Vec::new();
+            let work = Instant::now();
+            match what {
+                Some((from, message)) => node.member.handle(now, from, message, &mut out),
+                None => {
+                    let seen = node.seen.evidence();
+                    node.member.sees(seen.encode());
+                    let bad = seen.zones.iter().any(|(_, silent)| *silent >= HURRY);
+                    let moving = node.plan.zones.iter().any(|z| z.state != mothpier_plan::State::Serving);
+                    node.member.hurries(bad || moving);
+                    node.member.tick(now, &mut out);
+                    if now >= node.plans_at
+                        && let Some(planner) = &mut node.planner
+                    {
+                        node.plans_at = now + PLANS;
+                        planner.hear(now, to, seen);
+                        let plan = planner.step(now);
+                        node.member.decide(now, plan.encode(), &mut out);
+                    }
+                }
+            }
+            for effect in &out {
+                match effect {
+                    Effect::Evidence(from, bytes) => {
+                        if let (Some(planner), Ok(seen)) = (&mut node.planner, Evidence::decode(bytes)) {
+                            planner.hear(now, *from, seen);
+                        }
+                    }
+                    Effect::Act(_, bytes) => {
+                        let plan = Plan::decode(bytes).unwrap();
+                        let away = plan.open(LOST.0) < 0.5;
+                        if away && node.plan.open(LOST.0) >= 0.5 && node.member.decides().is_some() {
+                            moves += 1;
+                        }
+                        if away && now >= LOST.1 {
+                            node.acted.get_or_insert(now);
+                        }
+                        node.plan = plan;
+                    }
+                    Effect::Decides(_) => {
+                        node.planner = Some(Planner::new(Figures::default(), ZONES, &node.plan, now));
+                    }
+                    Effect::Resigns => node.planner = None,
+                    Effect::FallBack => node.plan = Plan::default(),
+                    Effect::Send(..) => {}
+                }
+            }
+            let sends = out.into_iter().filter_map(|e| match e {
+                Effect::Send(to, message) => Some((to, message)),
+                _ => None,
+            });
+            let sends: Vec<_> =
+                sends.map(|(to, message)| (to, message.encode().unwrap().len(), message)).collect();
+            node.cost.2 += work.elapsed();
+            for (other, bytes, message) in sends {
+                node.cost.0 += 1;
+                node.cost.1 += bytes as u64;
+                // One in a hundred is lost; 20 ms away, one way.
+                if rng.rand_float() >= 0.01 {
+                    sent += 1;
+                    net.push(Reverse((now + 20 + rng.rand_range(0..3), sent, to, other, message)));
+                }
+            }
+        }
+    }
+    let mut acted: Vec<Millis> = nodes.iter().filter_map(|n| n.acted.map(|at| at - LOST.1)).collect();
+    acted.sort_unstable();
+    let after =
+        |part: f64| acted.get((members as f64 * part).ceil() as usize - 1).copied().unwrap_or(Millis::MAX);
+    let rate = |n: &Node| {
+        let (messages, bytes, time) = n.cost;
+        let s = seconds as f64;
+        (messages as f64 / s, bytes as f64 / s, time.as_secs_f64() / s)
+    };
+    let mut rates: Vec<_> = nodes.iter().map(rate).collect();
+    rates.sort_by(|a, b| a.0.total_cmp(&b.0));
+    Told {
+        half: after(0.5),
+        most: after(0.9),
+        follower: rates[members / 2],
+        decider: rates[members - 1],
+        moves,
+    }
+}
+
+/// Requests a second of a node at size, as little as each sees there.
+const FEW: f64 = 14.0;
+
+#[test]
+fn a_hundred_nodes_with_little_traffic_each_act_on_a_lost_zone_within_seconds() {
+    for seed in [1, 2, 3] {
+        let told = play(100, FEW, 0.02, true, 16, seed);
+        println!("seed {seed}: half after {} ms, nine tenths after {} ms", told.half, told.most);
+        assert!(told.half <= 2_000 && told.most <= 3_000, "half {} ms, most {} ms", told.half, told.most);
+    }
+}
+
+#[test]
+fn weather_that_can_be_borne_moves_nothing_at_size() {
+    // One attempt in five is silent, at every zone, for two minutes.
+    let told = play(60, FEW, 0.2, false, 120, 4);
+    assert_eq!(told.moves, 0);
+}
+
+#[test]
+fn what_agreeing_costs_a_follower_does_not_grow_with_the_fleet() {
+    let (few, many) = (play(9, FEW, 0.02, false, 20, 5), play(100, FEW, 0.02, false, 20, 5));
+    assert!(many.follower.0 <= few.follower.0 * 1.1, "{} {}", few.follower.0, many.follower.0);
+    assert!(many.follower.1 <= few.follower.1 * 1.1, "{} {}", few.follower.1, many.follower.1);
+}
+
+/// The table of the measurement: `cargo test --release -p mothpier-accord --test fleet -- --ignored --nocapture`
+#[test]
+#[ignore = "a measurement"]
+fn measure_costs_and_times_by_size() {
+    for (members, per_s) in
+        [(3, 33.0), (9, 33.0), (30, 33.0), (100, 33.0), (300, 33.0), (100, FEW), (300, FEW)]
+    {
+        for seed in [1, 2, 3] {
+            let calm = play(members, per_s, 0.02, false, 30, seed);
+            let lost = play(members, per_s, 0.02, true, 16, seed);
+            println!(
+                "{members:3} nodes, {per_s:2} a second each, seed {seed}: half {} ms, most {} ms; calm, a second: follower {:.1} messages, \
+                 {:.0} bytes, {:.4}% of a core; decider {:.0} messages, {:.0} bytes, {:.3}%",
+                lost.half,
+                lost.most,
+                calm.follower.0,
+                calm.follower.1,
+                calm.follower.2 * 100.0,
+                calm.decider.0,
+                calm.decider.1,
+                calm.decider.2 * 100.0
+            );
+        }
+    }
+    let hour = play(30, FEW, 0.2, false, 3_600, 9);
+    println!("an hour in which one attempt in five is silent: {} moves", hour.moves);
+}
--- a/crates/node/src/accord.rs
+++ b/crates/node/src/accord.rs
@@ -182,7 +182,7 @@
 
     /// Time has gone on.
     pub fn tick(&mut self, near: &mut Nearby) -> Wanted {
-        let mut seen = Evidence::of(near.seen());
+        let mut seen = near.seen().evidence();
         let ordered = self.orders.beyond(&self.acts_on.orders);
         if ordered {
             seen.orders = self.orders.told(self.now());
--- a/crates/node/src/near.rs
+++ b/crates/node/src/near.rs
@@ -7,6 +7,7 @@
 use brassrouter::settings::Site;
 use brassrouter::{Pool, ServerId, ServerLine, Status};
 use mothpier_places::{Near, Places, State, Tally, Unusable};
+use mothpier_plan::{Seen, Step};
 use tokio::time::Instant;
 
 use crate::command::AttemptId;
@@ -30,19 +31,12 @@
     told: State,
     /// What a plan says of each zone: the part of its keys that goes there.
     open: Vec<f64>,
-    /// Attempts and silent ones by zone, fading.
-    seen: Vec<(f64, f64)>,
+    seen: Seen,
     names: Vec<String>,
     /// Zones in which the list had no cache server when people were last told.
     empty: Vec<usize>,
 }
 
-/// What a step keeps of what was seen before it: the evidence is of about the last half second, and of a zone to which only scouts
-/// go, of more than a second.
-const SEEN: (f64, f64) = (0.5, 0.8);
-/// Only scouts go where no more of the keys do.
-const SCOUTS: f64 = 0.05;
-
 impl Nearby {
     /// One that has seen nothing; `None` where it is switched off.
     ///
@@ -62,7 +56,7 @@
             out: HashMap::new(),
             told: State::Well,
             open: Vec::new(),
-            seen: vec![(0.0, 0.0); site.zones.len()],
+            seen: Seen::new(site.zones.len()),
             names: site.zones.clone(),
             empty: Vec::new(),
         }))
@@ -79,9 +73,9 @@
         self.pool()
     }
 
-    /// Attempts of late and silent ones among them, by zone.
-    pub fn seen(&self) -> impl Iterator<Item = (f64, f64)> {
-        self.seen.iter().copied()
+    /// What was seen of late, by zone.
+    pub fn seen(&self) -> &Seen {
+        &self.seen
     }
 
     /// How the near zones look, in a word, and the part of the keys that goes farther out.
@@ -157,15 +151,8 @@
             out.counted = true;
             self.tallies[out.zone].silent += 1;
         }
-        for (zone, (seen, tally)) in self.seen.iter_mut().zip(&self.tallies).enumerate() {
-            let all = f64::from(tally.came + tally.silent);
-            // What comes late after all was counted as silent steps ago: its server is far or cold, and not gone. Taken back only
-            // from what fell silent in the same step, a zone whose answers take long would look gone for as long as they do.
-            let silent = f64::from(tally.silent) - f64::from(tally.late);
-            let scouts = self.open.get(zone).is_some_and(|open| *open <= SCOUTS);
-            let keep = if scouts { SEEN.1 } else { SEEN.0 };
-            *seen = (seen.0 * keep + all, (seen.1 * keep + silent).max(0.0));
-        }
+        let step = |t: &Tally| Step { came: t.came, silent: t.silent, late: t.late };
+        self.seen.step(&self.tallies.iter().map(step).collect::<Vec<_>>(), &self.open);
         // What a plan has dealt with is no reason to leave what is near beside it.
         for (tally, _) in self.tallies.iter_mut().zip(&self.open).filter(|(_, open)| **open < 1.0) {
             *tally = Tally::default();
@@ -245,7 +232,7 @@
                     }
                     tokio::time::advance(Duration::from_millis(100)).await;
                 }
-                let (all, silent) = near.seen().nth(1).unwrap();
+                let (all, silent) = near.seen().zones()[1];
                 silent / all
             }
         };
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -9,10 +9,12 @@
 mod evidence;
 mod orders;
 mod planner;
+mod seen;
 
 pub use evidence::{Evidence, PARTS, Plan, Spoilt, State, Zone};
 pub use orders::{How, LONGEST, Orders, Refused, Told, Wish};
 pub use planner::{Figures, Planner};
+pub use seen::{Seen, Step};
 
 /// A clock value or a span, in milliseconds.
 pub type Millis = u64;
