World: zones lost, silent and apart under nodes that agree, with rules on plans and on classes bound to zones

Change: scenario zones (nine nodes that agree, three zones, a class bound to two); faults zone-lost, zone-silent, zones-apart and nodes-killed; rules one-plan (one decider, one text for a number, no node goes back), no-swinging and bound-to-zones, each with a planted fault that is found. What nodes' logs tell of plans, and the operator's file with each node's addresses, are one piece for worlds and trials.

--- a/crates/trial/src/play.rs
+++ b/crates/trial/src/play.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chalksill_world::agreement::Told;
 use chalksill_world::observe::{Phase, Seen, Witness};
 use chalksill_world::report::Collector;
 use chalksill_world::rules::Checker;
@@ -298,22 +299,14 @@
 /// How often nodes began to give a zone up, by their logs: each plan is told by many and counts once, as does a zone that stays away.
 fn moves(log: &[Line], from: Duration, until: Duration) -> usize {
     let within = |at: f64| at >= from.as_secs_f64() && at < until.as_secs_f64();
-    // Plans by their numbers, and the zones that each gives up.
-    let mut plans = BTreeMap::new();
-    for line in log.iter().filter(|l| within(l.at_s)) {
-        let Some((_, told)) = line.text.split_once("accord: plan ") else { continue };
-        let Some((number, what)) = told.split_once(" of node ") else { continue };
-        let Some((round, sequence)) = number.split_once('.') else { continue };
-        let (Ok(round), Ok(sequence)) = (round.parse::<u32>(), sequence.parse::<u32>()) else { continue };
-        let zones = what.split([':', ';']).filter_map(|zone| zone.split_once(" is given up"));
-        plans.insert((round, sequence), zones.map(|(zone, _)| zone.trim()).collect::<BTreeSet<_>>());
+    let told = log.iter().filter(|l| within(l.at_s)).filter_map(|l| Told::read(&l.text));
+    let plans: BTreeMap<_, _> = told.map(|plan| (plan.number, plan)).collect();
+    let (mut away, mut count) = (BTreeSet::new(), 0);
+    for plan in plans.values() {
+        count += plan.away().difference(&away).count();
+        away = plan.away();
     }
-    let mut away = BTreeSet::new();
-    plans.into_values().fold(0, |count, now| {
-        let new = now.difference(&away).count();
-        away = now;
-        count + new
-    })
+    count
 }
 
 /// The part of the nodes that act on the commonest plan at a time: what each last told of one, and nothing where it told that it has
@@ -321,13 +314,13 @@
 fn agree(log: &[Line], nodes: usize, at: Duration) -> f64 {
     let mut acts_on = vec![None; nodes];
     for line in log.iter().filter(|l| l.at_s < at.as_secs_f64()) {
-        if let Some((_, told)) = line.text.split_once("accord: plan ") {
-            acts_on[line.node] = told.split_once(": ").map(|(_, what)| what);
+        if let Some(plan) = Told::read(&line.text) {
+            acts_on[line.node] = Some(plan.says);
         } else if line.text.contains("accord: nothing heard for too long") {
             acts_on[line.node] = None;
         }
     }
-    let mut common: BTreeMap<Option<&str>, usize> = BTreeMap::new();
+    let mut common: BTreeMap<Option<String>, usize> = BTreeMap::new();
     acts_on.into_iter().for_each(|what| *common.entry(what).or_default() += 1);
     common.into_values().max().unwrap_or(0) as f64 / nodes.max(1) as f64
 }
--- a/crates/trial/src/stage.rs
+++ b/crates/trial/src/stage.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chalksill_world::agreement;
 use chalksill_world::clients::{Clients, Played};
 use chalksill_world::discovery::Discovery;
 use chalksill_world::fleet::{Fleet, Member};
@@ -31,7 +32,6 @@
 /// Ports of a node, on an address of its own: below those that machines deal out by themselves.
 const CLIENTS: u16 = 6379;
 const PEERS: u16 = 7946;
-const ACCORD: u16 = 7947;
 const STAFF: u16 = 9901;
 /// Whoever has this port on the first address of a net has the net.
 const LOCK: u16 = 6300;
@@ -133,14 +133,6 @@
     _net: StdListener,
 }
 
-/// The operator's file as a table, where it switches the accord on.
-fn operator_with_accord(trial: &Trial) -> Result<Option<toml::Table>, String> {
-    let table: toml::Table =
-        toml::from_str(&trial.world.nodes.operator).map_err(|e| format!("the operator's file: {e}"))?;
-    let on = table.get("accord").and_then(|a| a.get("on")).and_then(toml::Value::as_bool);
-    Ok(on.unwrap_or(false).then_some(table))
-}
-
 /// Takes a net of loopback addresses that no other trial has.
 fn take_net() -> Result<(StdListener, impl Fn(u8) -> Ipv4Addr + Copy), String> {
     let (first, count) = NETS;
@@ -248,9 +240,9 @@
             fronts.push(relay(clients, party, (at(NODES + node as u8), CLIENTS).into())?);
         }
         let peers = datagrams(&trial, &fleet, &mut ways, &at, &fair, PEERS).await?;
-        let accord = match operator_with_accord(&trial)? {
-            Some(_) => datagrams(&trial, &fleet, &mut ways, &at, &fair, ACCORD).await?,
-            None => Vec::new(),
+        let accord = match trial.world.agrees() {
+            true => datagrams(&trial, &fleet, &mut ways, &at, &fair, agreement::PORT).await?,
+            false => Vec::new(),
         };
 
         let clients = Clients::new(HOST, &fleet, fronts.clone(), played);
@@ -311,16 +303,9 @@
             let mut table: toml::Table = toml::from_str(&operator).map_err(|e| e.to_string())?;
             ["places", "accord"].into_iter().for_each(|part| drop(table.remove(part)));
             operator = toml::to_string(&table).map_err(|e| e.to_string())?;
-        } else if let (Some(mut table), Some(members)) =
-            (operator_with_accord(&self.trial)?, self.accord.get(node))
-        {
+        } else if let Some(members) = self.accord.get(node) {
             // Each node sees the others at addresses of its own.
-            if let Some(accord) = table.get_mut("accord").and_then(toml::Value::as_table_mut) {
-                let members = members.iter().map(|a| toml::Value::String(a.to_string()));
-                accord.insert("members".into(), toml::Value::Array(members.collect()));
-                accord.insert("listen".into(), toml::Value::String(self.accord[node][node].to_string()));
-            }
-            operator = toml::to_string(&table).map_err(|e| e.to_string())?;
+            operator = agreement::operator(&operator, members[node], members)?;
         }
         process::write_files(&self.folder.join(format!("n{node}")), &config, &operator)
     }
--- a/crates/world/src/faults.rs
+++ b/crates/world/src/faults.rs
@@ -59,11 +59,19 @@
     Crowd,
     /// Part of the keys have large values.
     Large,
+    /// All boxes of a zone die at once and come back cold.
+    ZoneLost,
+    /// All boxes of a zone are cut off from everybody, and come back as they were.
+    ZoneSilent,
+    /// Two zones are cut from each other, nodes and boxes; all others see both.
+    ZonesApart,
+    /// Several nodes are killed at once, those that vote among them.
+    NodesKilled,
 }
 
 impl Kind {
     /// All kinds, in the order in which the documents name them.
-    pub const ALL: [Kind; 22] = [
+    pub const ALL: [Kind; 26] = [
         Kind::Crash,
         Kind::Deploy,
         Kind::NodeKill,
@@ -86,6 +94,10 @@
         Kind::Upgrade,
         Kind::Crowd,
         Kind::Large,
+        Kind::ZoneLost,
+        Kind::ZoneSilent,
+        Kind::ZonesApart,
+        Kind::NodesKilled,
     ];
 }
 
@@ -252,6 +264,36 @@
         /// For how long.
         for_ms: u64,
     },
+    /// All boxes of a zone die and come back cold.
+    ZoneLost {
+        /// The zone, by its place in the scenario.
+        zone: usize,
+        /// After how long.
+        down_ms: u64,
+    },
+    /// All boxes of a zone are cut off.
+    ZoneSilent {
+        /// The zone.
+        zone: usize,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// Nodes and boxes of two zones are cut from each other.
+    ZonesApart {
+        /// The one.
+        a: usize,
+        /// The other.
+        b: usize,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// These nodes are killed at once and start from nothing.
+    NodesKilled {
+        /// Which.
+        nodes: Vec<NodeNo>,
+        /// After how long.
+        down_ms: u64,
+    },
     /// A box is declared gone, and listed so at once, when so many packets have been carried.
     GoneAtPacket {
         /// Which.
@@ -285,6 +327,10 @@
         match &self.what {
             What::Crash { boxes, .. } => boxes.iter().try_for_each(|b| is_box(*b)),
             What::Node { node, .. } | What::Drain { node, .. } | What::Upgrade { node, .. } => is_node(*node),
+            What::NodesKilled { nodes, .. } => nodes.iter().try_for_each(|n| is_node(*n)),
+            // Zones are dealt out over the boxes: one beyond them all has none.
+            What::ZoneLost { zone, .. } | What::ZoneSilent { zone, .. } => is_box(*zone),
+            What::ZonesApart { a, b, .. } => is_box(*a).and_then(|()| is_box(*b)),
             What::Burst { factor, .. } if !(0.01..=1000.0).contains(factor) => {
                 Err(format!("a burst of {factor} times the load"))
             }
@@ -367,6 +413,18 @@
             bytes: rng.random_range(65_000..1_500_000),
             for_ms,
         },
+        Kind::ZoneLost => What::ZoneLost { zone: at % scenario.zones.len(), down_ms },
+        Kind::ZoneSilent => What::ZoneSilent { zone: at % scenario.zones.len(), for_ms },
+        Kind::ZonesApart => {
+            let zones = scenario.zones.len();
+            let a = at % zones;
+            What::ZonesApart { a, b: (a + 1 + node % (zones - 1).max(1)) % zones, for_ms }
+        }
+        Kind::NodesKilled => {
+            let many = rng.random_range(1..=scenario.nodes.count.div_ceil(2));
+            // Those that vote have the lowest numbers.
+            What::NodesKilled { nodes: (0..many).collect(), down_ms: rng.random_range(100..3_000) }
+        }
         Kind::Drain => What::Drain { node, for_ms },
         Kind::Upgrade => What::Upgrade {
             node,
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -5,6 +5,7 @@
 //! and on loopback sockets ([`live`]). What they see goes to a [`Witness`](observe::Witness); [`rules`] judges by
 //! that alone, [`report`] counts it. [`scenario`] says what a world consists of, [`faults`] what goes wrong in it, [`storm`] an outage and the way back.
 
+pub mod agreement;
 pub mod cache;
 pub mod clients;
 pub mod discovery;
--- a/crates/world/src/mutant.rs
+++ b/crates/world/src/mutant.rs
@@ -49,11 +49,17 @@
     HoldsBack,
     /// Connections of clients are never closed.
     KeepsSockets,
+    /// Each node is the only voter in its own eyes.
+    VotesAlone,
+    /// A zone comes back as soon as anybody has reached it.
+    ComesBackAtOnce,
+    /// It does not know that classes are bound to zones.
+    IgnoresBounds,
 }
 
 impl Mutant {
     /// All of them, with the rule that each breaks.
-    pub const ALL: [(Mutant, Rule); 9] = [
+    pub const ALL: [(Mutant, Rule); 12] = [
         (Mutant::AnswersTwice, Rule::OneAnswer),
         (Mutant::NeverAnswers, Rule::OneAnswer),
         (Mutant::WrongValue, Rule::OneAnswer),
@@ -63,6 +69,9 @@
         (Mutant::OpenGate, Rule::Caps),
         (Mutant::HoldsBack, Rule::AtOnce),
         (Mutant::KeepsSockets, Rule::Bounds),
+        (Mutant::VotesAlone, Rule::OnePlan),
+        (Mutant::ComesBackAtOnce, Rule::NoSwinging),
+        (Mutant::IgnoresBounds, Rule::BoundToZones),
     ];
 
     /// The settings that its node is told.
@@ -70,6 +79,7 @@
         let mut lying = scenario.clone();
         match self {
             Mutant::RepeatsWrites => lying.class.iter_mut().for_each(|c| c.effect = Effect::Pure),
+            Mutant::IgnoresBounds => lying.class.iter_mut().for_each(|c| c.only_zones.clear()),
             Mutant::IgnoresCold => (lying.rules.cold_share, lying.rules.warm_ms) = (1.0, 1),
             Mutant::OpenGate => {
                 lying.nodes.count = 1;
@@ -81,6 +91,31 @@
     }
 }
 
+impl Mutant {
+    /// The operator's file that its node is given.
+    pub fn operator(self, text: String, me: usize) -> String {
+        let mut table: toml::Table = toml::from_str(&text).unwrap_or_default();
+        let Some(accord) = table.get_mut("accord").and_then(toml::Value::as_table_mut) else { return text };
+        match self {
+            Mutant::VotesAlone => {
+                accord.insert("voters".into(), toml::Value::Array(vec![toml::Value::Integer(me as i64)]));
+            }
+            Mutant::ComesBackAtOnce => {
+                // Just above what the third that can't reach a zone makes of its scouts.
+                let plan = [("hold_ms", 100.0), ("nodes", 0.33), ("lost", 0.33), ("step_ms", 100.0)];
+                let whole = |key: &str| key.ends_with("_ms");
+                let value = |(key, v): (&str, f64)| {
+                    let v = if whole(key) { toml::Value::Integer(v as i64) } else { toml::Value::Float(v) };
+                    (key.to_owned(), v)
+                };
+                accord.insert("plan".into(), toml::Value::Table(plan.into_iter().map(value).collect()));
+            }
+            _ => return text,
+        }
+        toml::to_string(&table).unwrap_or(text)
+    }
+}
+
 /// A machine that garbles what its node says or hears.
 #[derive(Clone)]
 pub struct MutantHost {
--- a/crates/world/src/observe.rs
+++ b/crates/world/src/observe.rs
@@ -7,6 +7,8 @@
 
 use tokio::time::Instant;
 
+use crate::agreement::Told;
+
 /// Numbers a request of a client, a retry having its own.
 pub type RequestNo = u64;
 /// Numbers a box (or the origin) by its place among all that ever were.
@@ -250,6 +252,20 @@
     },
     /// A fault begins or ends.
     Fault(String),
+    /// A node acts on a plan of zones, as its log tells.
+    Acts {
+        /// The node.
+        node: NodeNo,
+        /// The plan.
+        plan: Told,
+    },
+    /// A node decides on plans from now on, or no longer, as its log tells.
+    Decides {
+        /// The node.
+        node: NodeNo,
+        /// Whether it does.
+        decides: bool,
+    },
 }
 
 /// Something seen, and when, counted from the beginning of the world.
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -9,6 +9,10 @@
 //!    their sum.
 //! 6. **At once.** A request for which nothing is out and nothing is waited for gets its answer without delay.
 //! 7. **Bounds.** Descriptors stay within what the node was given, and no connection is kept that finishes no command.
+//! 8. **One plan.** At most one node decides at a time, no number stands for two plans, and no node goes back to a lower one while
+//!    it lives.
+//! 9. **No swinging.** No zone is given up more than a few times within some seconds.
+//! 10. **Bound to zones.** A request of a class that is bound to zones reaches no box outside them.
 //!
 //! The caps of rule 5 are those of the decision module's gate (its constants are no part of its interface): a part of
 //! 80 calls out, or of a tenth of all quotas a second, for each node, 2 to 20 of them, and in a window the greater of
@@ -20,6 +24,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::agreement::Told as Agreed;
 use crate::observe::{BoxNo, How, NodeNo, Observation, Phase, Reply, RequestNo, Seen};
 use crate::scenario::{Effect, Scenario};
 
@@ -35,6 +40,10 @@
 const PARKED: f64 = 3.0 / 60.0;
 /// The connections of a crowd are gone so long after it.
 const CROWD_GOES: Duration = Duration::from_secs(3);
+/// A decider whose lease is over says so when it next looks at its clock.
+const LOOKS: Duration = Duration::from_millis(300);
+/// A zone may be given up so many times within such a time: its hold doubles with each return that fails.
+const SWINGS: (usize, Duration) = (3, Duration::from_secs(10));
 /// Requests that ended are remembered for attempts that come late.
 const REMEMBERED: Duration = Duration::from_secs(40);
 
@@ -56,6 +65,12 @@
     AtOnce,
     /// Descriptors bounded.
     Bounds,
+    /// One plan of zones.
+    OnePlan,
+    /// Plans do not swing.
+    NoSwinging,
+    /// Bound to zones.
+    BoundToZones,
 }
 
 /// A rule that was broken.
@@ -123,6 +138,8 @@
     out: u32,
     over_since: Option<Duration>,
     window: VecDeque<Duration>,
+    /// The number of the plan that it acts on.
+    plan: (u32, u32, u16),
 }
 
 struct Cold {
@@ -154,6 +171,17 @@
     away: BTreeMap<BoxNo, u32>,
     /// When the last of them could be reached again: until then words were under way that nobody here saw.
     clear_since: Duration,
+    /// By class, the zones it is bound to; by zone of a box, how they are dealt out.
+    bound: Vec<Vec<usize>>,
+    zones: usize,
+    boxes: usize,
+    /// What each plan's number stands for.
+    plans: BTreeMap<(u32, u32, u16), String>,
+    /// Who decides, and since when.
+    deciding: BTreeMap<NodeNo, Duration>,
+    /// The zones that the newest plan gives up, its number, and when each zone was given up lately.
+    away_now: ((u32, u32, u16), Vec<String>),
+    given_up: BTreeMap<String, VecDeque<Duration>>,
     violations: Vec<Violation>,
     seen: u64,
 }
@@ -191,6 +219,20 @@
             mended: BTreeMap::new(),
             away: BTreeMap::new(),
             clear_since: Duration::ZERO,
+            bound: scenario
+                .class
+                .iter()
+                .map(|c| {
+                    let place = |name: &String| scenario.zones.iter().position(|z| z == name);
+                    c.only_zones.iter().filter_map(place).collect()
+                })
+                .collect(),
+            zones: scenario.zones.len(),
+            boxes: scenario.boxes.count,
+            plans: BTreeMap::new(),
+            deciding: BTreeMap::new(),
+            away_now: Default::default(),
+            given_up: BTreeMap::new(),
             violations: Vec::new(),
             seen: 0,
         }
@@ -217,6 +259,9 @@
     pub fn saw(&mut self, o: &Observation) {
         self.seen += 1;
         let now = o.at;
+        if self.deciding.len() > 1 {
+            self.deciders(now);
+        }
         match &o.seen {
             Seen::Asked { request, node, class, patience, .. } => {
                 let (node, class) = (*node, *class);
@@ -310,6 +355,11 @@
                     self.broken(now, Rule::NoEffectTwice, format!("request {request:x} ran twice"));
                 }
             }
+            Seen::Acts { node, plan } => self.acts(now, *node, plan),
+            Seen::Decides { node, decides: false } => drop(self.deciding.remove(node)),
+            Seen::Decides { node, decides: true } => {
+                self.deciding.insert(*node, now);
+            }
             Seen::Fault(_) | Seen::Repeated { .. } | Seen::Connected { .. } => {}
             Seen::Told { node, whole, boxes, .. } => self.told(now, *node, *whole, boxes),
             Seen::BoxUp { at, start, cold, .. } => {
@@ -349,6 +399,7 @@
             Seen::NodeStopping { .. } => {}
             Seen::NodeDown { node, .. } => {
                 let life = self.nodes[*node].life;
+                self.deciding.remove(node);
                 self.nodes[*node] = Node { up: false, life: life + 1, ..Node::default() };
             }
             Seen::Sockets { node, open } => {
@@ -472,6 +523,51 @@
         );
     }
 
+    /// One decides: the one before may not have looked at its clock yet.
+    fn deciders(&mut self, now: Duration) {
+        let mut since: Vec<(Duration, NodeNo)> =
+            self.deciding.iter().map(|(node, at)| (*at, *node)).collect();
+        since.sort_unstable();
+        if let [.., (_, a), (last, b)] = since[..]
+            && now > last + LOOKS
+        {
+            self.deciding.remove(&a);
+            self.broken(now, Rule::OnePlan, format!("nodes {a} and {b} decide at once"));
+        }
+    }
+
+    fn acts(&mut self, now: Duration, node: NodeNo, plan: &Agreed) {
+        let known = self.plans.entry(plan.number).or_insert_with(|| plan.says.clone());
+        if *known != plan.says {
+            let what = format!(
+                "plan {:?} says {known:?} at one node and {:?} at node {node}",
+                plan.number, plan.says
+            );
+            self.broken(now, Rule::OnePlan, what);
+        }
+        // Rounds first, then the voter, then the plan within its tenure.
+        let order = |(round, sequence, voter): (u32, u32, u16)| (round, voter, sequence);
+        let before = std::mem::replace(&mut self.nodes[node].plan, plan.number);
+        if order(plan.number) < order(before) {
+            let what = format!("node {node} went back from plan {before:?} to {:?}", plan.number);
+            self.broken(now, Rule::OnePlan, what);
+        }
+        if order(plan.number) <= order(self.away_now.0) {
+            return;
+        }
+        let away: Vec<String> = plan.away().into_iter().map(str::to_owned).collect();
+        let (_, before) = std::mem::replace(&mut self.away_now, (plan.number, away.clone()));
+        for zone in away.into_iter().filter(|zone| !before.contains(zone)) {
+            let times = self.given_up.entry(zone.clone()).or_default();
+            times.retain(|at| *at + SWINGS.1 > now);
+            times.push_back(now);
+            if times.len() > SWINGS.0 {
+                let what = format!("{zone} was given up {} times within {:?}", times.len(), SWINGS.1);
+                self.broken(now, Rule::NoSwinging, what);
+            }
+        }
+    }
+
     fn arrived(&mut self, now: Duration, at: BoxNo, node: NodeNo, id: RequestNo, work: f64) {
         let grace = Duration::from_millis(self.rules.drain_grace_ms) + SLACK;
         let away = self.away.contains_key(&at);
@@ -498,10 +594,18 @@
         }
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.stirred = now;
-        let (effect, window, _) = self.classes[r.class];
+        let class = r.class;
+        let (effect, window, _) = self.classes[class];
+        // Those that a deployment adds may lie anywhere.
+        let outside = at < self.boxes
+            && !self.bound[class].is_empty()
+            && !self.bound[class].contains(&(at % self.zones));
         let ran = r.attempts.iter().find(|a| a.fate != Fate::NotRun).map(|a| (a.at, a.arrived));
         let count = r.attempts.len() + 1;
         r.attempts.push(Attempt { at, arrived: now, fate: Fate::Out, unheard: away });
+        if outside {
+            self.broken(now, Rule::BoundToZones, format!("request {id:x}, bound to zones, reached box {at}"));
+        }
         if count > self.rules.max_attempts as usize {
             self.broken(now, Rule::NoEffectTwice, format!("request {id:x}: attempt {count}"));
         }
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -147,6 +147,9 @@
     pub window_ms: u64,
     /// The work of one, in milliseconds of a core of speed 1: from and to.
     pub work_ms: [f64; 2],
+    /// Only boxes of these zones may have it; any where there are none.
+    #[serde(default)]
+    pub only_zones: Vec<String>,
 }
 
 /// What a repeat of a request does.
@@ -508,6 +511,9 @@
             figure(&at("worth"), c.worth, 0.0, 1e6)?;
             figure(&at("window_ms"), c.window_ms as f64, 1.0, 3_600_000.0)?;
             range(&at("work_ms"), c.work_ms, 0.001, 60_000.0)?;
+            if let Some(zone) = c.only_zones.iter().find(|z| !self.zones.contains(z)) {
+                return bad(&at("only_zones"), &format!("there is no zone {zone:?}"));
+            }
         }
         if self.class.iter().map(|c| c.share).sum::<f64>() <= 0.0 {
             return bad("class", "all shares are 0");
@@ -525,6 +531,9 @@
         if let Err(e) = mothpier_node::operator::read(&self.nodes.operator) {
             return bad("nodes.operator", &e);
         }
+        if self.agrees() && self.zones.len() < 2 {
+            return bad("nodes.operator", "accord.on: one zone has nothing to agree on");
+        }
         range("nodes.front_notices_ms", wide(self.nodes.front_notices_ms), 0.0, 60_000.0)?;
         figure("boxes.count", self.boxes.count as f64, 1.0, 1000.0)?;
         figure("boxes.cores", self.boxes.cores as f64, 1.0, 1024.0)?;
@@ -561,6 +570,11 @@
         Ok(())
     }
 
+    /// Whether the operator's file makes nodes agree on which zones serve.
+    pub fn agrees(&self) -> bool {
+        mothpier_node::operator::read(&self.nodes.operator).is_ok_and(|o| o.accord.on)
+    }
+
     /// For how long requests arrive.
     pub fn span(&self) -> Duration {
         Duration::from_secs_f64(self.seconds)
@@ -578,9 +592,15 @@
             .class
             .iter()
             .map(|c| {
-                json!({"name": c.name, "goalTimeUs": c.aim_ms * 1000, "deadlineUs": c.deadline_ms * 1000,
+                let place = |name: &String| self.zones.iter().position(|z| z == name);
+                let bound: Vec<usize> = c.only_zones.iter().filter_map(place).collect();
+                let mut class = json!({"name": c.name, "goalTimeUs": c.aim_ms * 1000, "deadlineUs": c.deadline_ms * 1000,
                     "gain": c.worth, "lateValue": 0.0, "effect": c.effect, "dedupScope": "all",
-                    "dedupWindowUs": c.window_ms * 1000, "streamed": false})
+                    "dedupWindowUs": c.window_ms * 1000, "streamed": false});
+                if !bound.is_empty() {
+                    class["runsIn"] = json!(bound);
+                }
+                class
             })
             .collect();
         let all: f64 = self.tenant.iter().map(|t| t.share).sum();
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -19,6 +19,7 @@
 use tokio::task::{AbortHandle, JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::agreement::{self, Told};
 use crate::cache::Cache;
 use crate::clients::Clients;
 use crate::discovery::Discovery;
@@ -201,11 +202,24 @@
             }
         });
     }
-    if let Some(trace) = trace {
-        let begin = Instant::now();
+    let begin = Instant::now();
+    let told = scenario.agrees().then(|| witness.clone());
+    if trace.is_some() || told.is_some() {
         net.log_to(move |at, name, line| {
-            let mut trace = trace.borrow_mut();
-            (*trace)(&format!("{:10.3} ms {name}: {line}", (at - begin).as_secs_f64() * 1e3));
+            let line = line.to_string();
+            if let Some(trace) = &trace {
+                let mut trace = trace.borrow_mut();
+                (*trace)(&format!("{:10.3} ms {name}: {line}", (at - begin).as_secs_f64() * 1e3));
+            }
+            // What nodes agree on is told by nobody but themselves.
+            let node = name.strip_prefix("node ").and_then(|n| n.parse().ok());
+            if let (Some(witness), Some(node)) = (&told, node) {
+                if let Some(plan) = Told::read(&line) {
+                    witness.saw(Seen::Acts { node, plan });
+                } else if let Some(decides) = agreement::decides(&line) {
+                    witness.saw(Seen::Decides { node, decides });
+                }
+            }
         });
     }
     let fleet = Fleet::new(scenario.clone(), plan.seed, witness.clone());
@@ -362,7 +376,11 @@
         }
         let environment = config::Environment::default();
         let read = config::read(text.to_string().as_bytes(), environment, config::Precedence::Environment);
-        let operator = operator::read(&scenario.nodes.operator);
+        let members = |port| (0..scenario.nodes.count).map(move |n| SocketAddr::new(node_ip(n), port));
+        let all: Vec<SocketAddr> = members(agreement::PORT).collect();
+        let operator = agreement::operator(&scenario.nodes.operator, all[node], &all);
+        let operator = operator.map(|text| self.mutant.map_or(text.clone(), |m| m.operator(text, node)));
+        let operator = operator.and_then(|text| operator::read(&text));
         let config = match read.and_then(|c| operator.map(|operator| Config { operator, ..c })) {
             Ok(config) => config,
             Err(e) => {
@@ -598,6 +616,15 @@
         self.discovery.set(next, member);
     }
 
+    fn zones(&self) -> usize {
+        self.fleet.scenario.zones.len()
+    }
+
+    /// The boxes of a zone that the scenario begins with.
+    fn boxes_of(&self, zone: usize) -> Vec<BoxNo> {
+        (0..self.fleet.scenario.boxes.count).filter(|b| b % self.zones() == zone).collect()
+    }
+
     fn away(&self, at: BoxNo, away: bool) {
         self.fleet.witness.saw(Seen::BoxAway { at, away });
     }
@@ -730,6 +757,50 @@
                 wait(for_ms).await;
                 knobs.origin_resets.set(0.0);
             }
+            What::ZoneLost { zone, down_ms } => {
+                let boxes = self.boxes_of(zone);
+                boxes.iter().for_each(|b| self.end_box(*b, true));
+                wait(down_ms).await;
+                for number in boxes {
+                    self.return_box(number).await;
+                }
+            }
+            What::ZoneSilent { zone, for_ms } => {
+                let boxes = self.boxes_of(zone);
+                boxes.iter().for_each(|b| {
+                    self.away(*b, true);
+                    self.net.silence(box_ip(*b));
+                });
+                wait(for_ms).await;
+                boxes.iter().for_each(|b| {
+                    self.net.restore(box_ip(*b));
+                    self.away(*b, false);
+                });
+            }
+            What::ZonesApart { a, b, for_ms } => {
+                let machines = |zone| -> Vec<IpAddr> {
+                    let nodes = (0..self.fleet.scenario.nodes.count).filter(|n| n % self.zones() == zone);
+                    nodes.map(node_ip).chain(self.boxes_of(zone).into_iter().map(box_ip)).collect()
+                };
+                let (left, right) = (machines(a), machines(b));
+                let boxes: Vec<BoxNo> = [a, b].into_iter().flat_map(|z| self.boxes_of(z)).collect();
+                let ways = || left.iter().flat_map(|l| right.iter().flat_map(move |r| [(*l, *r), (*r, *l)]));
+                boxes.iter().for_each(|at| self.away(*at, true));
+                ways().for_each(|(from, to)| self.net.cut(from, to));
+                wait(for_ms).await;
+                ways().for_each(|(from, to)| self.net.mend(from, to));
+                boxes.iter().for_each(|at| self.away(*at, false));
+            }
+            What::NodesKilled { nodes, down_ms } => {
+                let down = Duration::from_millis(down_ms);
+                let killed = nodes.into_iter().map(|node| {
+                    let world = self.clone();
+                    spawn_local(async move { world.restart_node(node, false, down).await })
+                });
+                for one in killed.collect::<Vec<_>>() {
+                    let _ = one.await;
+                }
+            }
             What::GoneAtPacket { at, packet, drains } => {
                 self.net.packet(packet).await;
                 if let Some(mut member) = self.discovery.member(at) {
--- a/crates/world/tests/seeds.rs
+++ b/crates/world/tests/seeds.rs
@@ -50,6 +50,37 @@
     }
 }
 
+/// What each fault of zones does to nodes that agree, alone and with those that vote killed in its midst.
+#[test]
+fn zones_that_are_lost_cut_off_or_apart_break_no_rule_and_are_given_up_by_all() {
+    let mut scenario = scenario("zones");
+    scenario.seconds = 14.0;
+    for what in [
+        What::ZoneLost { zone: 2, down_ms: 5_000 },
+        What::ZoneSilent { zone: 1, for_ms: 5_000 },
+        What::ZonesApart { a: 0, b: 2, for_ms: 5_000 },
+    ] {
+        for killed in [false, true] {
+            let mut script = vec![Fault { at_ms: 3_000, what: what.clone() }];
+            if killed {
+                let nodes = (0..3).collect();
+                script.push(Fault { at_ms: 3_900, what: What::NodesKilled { nodes, down_ms: 300 } });
+            }
+            let given_up = std::rc::Rc::new(std::cell::RefCell::new(std::collections::BTreeSet::new()));
+            let sees = given_up.clone();
+            let trace = move |line: &str| {
+                if let Some(told) = chalksill_world::agreement::Told::read(line) {
+                    sees.borrow_mut().extend(told.away().into_iter().map(str::to_owned));
+                }
+            };
+            let plan = Plan { scenario: scenario.clone(), seed: 3, script: Some(script), mutant: None };
+            let report = run(&plan, Some(std::rc::Rc::new(std::cell::RefCell::new(trace))));
+            kept(&report);
+            assert_eq!(given_up.borrow().len(), 1, "{what:?}, voters killed {killed}: {given_up:?}");
+        }
+    }
+}
+
 /// Seeds that once broke a rule, by the fault of the node. The figures are in the changes that mended them.
 #[test]
 fn seeds_that_broke_a_rule_once_keep_it_now() {
@@ -72,9 +103,16 @@
 fn ground(mutant: Mutant) -> (Scenario, Option<Vec<Fault>>) {
     let mut scenario = match mutant {
         Mutant::OpenGate => scenario("drought"),
+        Mutant::VotesAlone | Mutant::ComesBackAtOnce | Mutant::IgnoresBounds => scenario("zones"),
         _ => scenario("small"),
     };
     scenario.seconds = 10.0;
+    if mutant == Mutant::ComesBackAtOnce {
+        // A third of the nodes has no way to a zone for as long as it lasts.
+        scenario.seconds = 16.0;
+        let what = What::ZonesApart { a: 0, b: 2, for_ms: 13_000 };
+        return (scenario, Some(vec![Fault { at_ms: 2000, what }]));
+    }
     if mutant == Mutant::OpenGate {
         // An origin that is quick enough not to be spared, and so many misses that the cap is what holds them.
         (scenario.origin.slots, scenario.origin.time_ms, scenario.load.rate) = (400, [380.0, 440.0], 500.0);
