--- a/crates/chalksill/tests/trials.rs
+++ b/crates/chalksill/tests/trials.rs
@@ -120,6 +120,53 @@
     holds("one-sided", &AGREED);
 }
 
+#[test]
+fn nodes_of_regions_that_are_cut_from_each_other_act_on_one_plan() {
+    holds("regions-apart", &AGREED);
+}
+
+#[test]
+fn what_one_node_alone_cannot_reach_it_leaves_by_itself() {
+    holds("one-node-blind", &AGREED);
+}
+
+#[test]
+fn a_zone_that_is_cut_off_goes_on_and_comes_back() {
+    holds("zone-cut", &AGREED);
+}
+
+#[test]
+fn keyed_writes_keep_their_window_over_a_move_and_back() {
+    holds("writes-moved", &AGREED);
+}
+
+#[test]
+fn nodes_of_a_version_from_before_stand_beside_those_that_agree() {
+    holds("versions-mixed", &AGREED);
+}
+
+#[test]
+fn a_list_that_lies_about_a_zone_moves_no_plan() {
+    holds("list-lies", &AGREED);
+}
+
+/// The rest, for people and for nights: `cargo test -p chalksill --test trials -- --ignored`
+#[test]
+#[ignore = "takes two minutes"]
+fn the_other_hard_cases_of_zones_hold_as_well() {
+    for trial in [
+        "zone-returns",
+        "flapping",
+        "slow-link",
+        "second-zone",
+        "back-in-the-middle",
+        "list-late",
+        "decider-alone",
+    ] {
+        holds(trial, &AGREED);
+    }
+}
+
 #[test]
 fn a_decider_that_dies_in_the_middle_of_a_move_or_is_stopped_for_leases_costs_no_agreement() {
     holds("decider-dies", &AGREED);
