Accord: five voters in the exploration's world, by walks at random

Need: the exploration knew three voters only, where any two are a majority; of five a campaign needs three, and a voter that forgets may have been in two majorities.

--- a/crates/accord/tests/explore.rs
+++ b/crates/accord/tests/explore.rs
@@ -14,13 +14,13 @@
 
 /// What may happen in an exploration, at most; by member where there are several figures.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
-struct Bounds {
+struct Bounds<const N: usize> {
     time: Millis,
-    stands: [u8; 3],
-    restarts: [u8; 3],
-    asks: [u8; 3],
+    stands: [u8; N],
+    restarts: [u8; N],
+    asks: [u8; N],
     /// Questions that a member has passed on by another.
-    passes: [u8; 3],
+    passes: [u8; N],
     plans: u8,
     /// Times that a clock runs ahead by one, over the whole.
     leaps: u8,
@@ -33,13 +33,13 @@
 const DRIFTING: Timing = Timing { lease: 2, hold: 4, life: 6, ask: 100, again: 100, drift: 500 };
 
 #[derive(Clone, PartialEq, Eq, Hash)]
-struct World {
+struct World<const N: usize> {
     time: Millis,
-    clocks: [Millis; 3],
-    members: [Member; 3],
+    clocks: [Millis; N],
+    members: [Member; N],
     /// All that was ever sent: each may come at any time, again and again, or never.
     messages: Rc<BTreeSet<(u16, u16, Message)>>,
-    left: Bounds,
+    left: Bounds<N>,
     /// What plan each number stands for, as far as anybody has acted on it.
     plans: Rc<BTreeMap<Number, Vec<u8>>>,
     /// When each tenure's lease ends, in the time of the world, at the latest.
@@ -57,8 +57,8 @@
     Give(u16, u16, Message),
 }
 
-struct Explorer {
-    bounds: Bounds,
+struct Explorer<const N: usize> {
+    bounds: Bounds<N>,
     mutant: Option<Mutant>,
 }
 
@@ -73,9 +73,9 @@
     agreed: bool,
 }
 
-impl Explorer {
+impl<const N: usize> Explorer<N> {
     fn member(&self, me: usize, life: u32, now: Millis) -> Member {
-        let config = Config { me: me as u16, voters: vec![0, 1, 2], timing: self.bounds.timing };
+        let config = Config { me: me as u16, voters: (0..N as u16).collect(), timing: self.bounds.timing };
         let member = Member::start(config, life, now);
         match self.mutant {
             Some(mutant) => member.with_mutant(mutant),
@@ -83,12 +83,12 @@
         }
     }
 
-    fn begin(&self) -> World {
+    fn begin(&self) -> World<N> {
         World {
             time: 0,
             // All have been up for as long as they abstain: the exploration begins where they may vote.
-            clocks: [self.bounds.timing.hold; 3],
-            members: [0, 1, 2].map(|me| self.member(me, me as u32 + 1, 0)),
+            clocks: [self.bounds.timing.hold; N],
+            members: std::array::from_fn(|me| self.member(me, me as u32 + 1, 0)),
             messages: Rc::default(),
             left: self.bounds,
             plans: Rc::default(),
@@ -96,10 +96,10 @@
         }
     }
 
-    fn steps(&self, w: &World) -> Vec<Step> {
+    fn steps(&self, w: &World<N>) -> Vec<Step> {
         let mut steps: Vec<Step> =
             w.messages.iter().map(|(from, to, m)| Step::Give(*from, *to, m.clone())).collect();
-        for i in 0..3 {
+        for i in 0..N {
             if w.left.stands[i] > 0 {
                 steps.push(Step::Stand(i));
             }
@@ -110,25 +110,25 @@
                 steps.push(Step::Restart(i));
             }
             if w.left.asks[i] > 0 {
-                let others = (0..3).filter(|j| *j != i && w.members[*j].lease_until().is_some());
+                let others = (0..N).filter(|j| *j != i && w.members[*j].lease_until().is_some());
                 steps.extend(others.map(|j| Step::Ask(i, j as u16)));
             }
             if w.left.passes[i] > 0 {
-                let others = (0..3).filter(|j| *j != i && w.members[*j].lease_until().is_none());
+                let others = (0..N).filter(|j| *j != i && w.members[*j].lease_until().is_none());
                 steps.extend(others.map(|j| Step::Pass(i, j as u16)));
             }
         }
         if w.time < self.bounds.time {
             steps.push(Step::Tick(None));
             if w.left.leaps > 0 {
-                steps.extend((0..3).map(|i| Step::Tick(Some(i))));
+                steps.extend((0..N).map(|i| Step::Tick(Some(i))));
             }
         }
         steps
     }
 
     /// The world after a step, or what it breaks.
-    fn after(&self, w: &World, step: &Step) -> Result<World, String> {
+    fn after(&self, w: &World<N>, step: &Step) -> Result<World<N>, String> {
         let mut w = w.clone();
         let mut out = Vec::new();
         let mut at = None;
@@ -184,11 +184,11 @@
         if let Some(i) = at {
             self.did(&mut w, i, out)?;
         }
-        let deciding: Vec<usize> = (0..3).filter(|i| self.holds_lease(&w, *i)).collect();
+        let deciding: Vec<usize> = (0..N).filter(|i| self.holds_lease(&w, *i)).collect();
         if deciding.len() > 1 {
             return Err(format!("members {deciding:?} hold a lease at once"));
         }
-        for i in 0..3 {
+        for i in 0..N {
             w.members[i] = w.members[i].clone().settled(w.clocks[i]);
         }
         // What no one awaits any more makes states differ that are the same. Not so where ballots come again.
@@ -201,14 +201,14 @@
     }
 
     /// By its own clock, whether or not it has looked at it.
-    fn holds_lease(&self, w: &World, i: usize) -> bool {
+    fn holds_lease(&self, w: &World<N>, i: usize) -> bool {
         w.members[i].lease_until().is_some_and(|until| w.clocks[i] < until)
     }
 
     /// What a follower makes of an answer.
     fn followed(
         &self,
-        w: &World,
+        w: &World<N>,
         i: usize,
         message: &Message,
         before: Number,
@@ -231,7 +231,7 @@
     }
 
     /// What a member did: its messages go out, and what it acts on is looked at.
-    fn did(&self, w: &mut World, i: usize, out: Vec<Effect>) -> Result<(), String> {
+    fn did(&self, w: &mut World<N>, i: usize, out: Vec<Effect>) -> Result<(), String> {
         for effect in out {
             match effect {
                 Effect::Send(to, message) => {
@@ -322,13 +322,13 @@
     }
 }
 
-fn fingerprint(world: &World) -> u64 {
+fn fingerprint<const N: usize>(world: &World<N>) -> u64 {
     let mut hasher = DefaultHasher::new();
     world.hash(&mut hasher);
     hasher.finish()
 }
 
-fn explore(bounds: Bounds, mutant: Option<Mutant>, most: usize) -> Found {
+fn explore<const N: usize>(bounds: Bounds<N>, mutant: Option<Mutant>, most: usize) -> Found {
     let begin = std::time::Instant::now();
     let found = Explorer { bounds, mutant }.run(most);
     let (states, depth, whole) = (found.states, found.deepest, found.whole);
@@ -341,7 +341,7 @@
 }
 
 /// Nothing happens by itself.
-const NONE: Bounds = Bounds {
+const NONE: Bounds<3> = Bounds {
     time: 3,
     stands: [0; 3],
     restarts: [0; 3],
@@ -352,23 +352,23 @@
     timing: STEADY,
 };
 /// Two that would decide, and a voter that restarts.
-const RIVALS: Bounds = Bounds { stands: [1, 1, 0], restarts: [0, 0, 1], ..NONE };
+const RIVALS: Bounds<3> = Bounds { stands: [1, 1, 0], restarts: [0, 0, 1], ..NONE };
 /// Two that would decide, and time enough for one lease after the other.
-const IN_TURN: Bounds = Bounds { stands: [1, 1, 0], time: 4, ..NONE };
+const IN_TURN: Bounds<3> = Bounds { stands: [1, 1, 0], time: 4, ..NONE };
 /// A decider that restarts and decides again.
-const AGAIN: Bounds = Bounds { stands: [2, 0, 0], restarts: [1, 0, 0], plans: 2, ..NONE };
+const AGAIN: Bounds<3> = Bounds { stands: [2, 0, 0], restarts: [1, 0, 0], plans: 2, ..NONE };
 /// A follower that restarts between question and answer.
-const FORGETS: Bounds = Bounds { stands: [1, 0, 0], asks: [0, 0, 1], restarts: [0, 0, 1], ..NONE };
+const FORGETS: Bounds<3> = Bounds { stands: [1, 0, 0], asks: [0, 0, 1], restarts: [0, 0, 1], ..NONE };
 /// One that decides, two plans of it, and a follower.
-const PLANS: Bounds = Bounds { stands: [1, 0, 0], asks: [0, 0, 2], plans: 1, ..NONE };
+const PLANS: Bounds<3> = Bounds { stands: [1, 0, 0], asks: [0, 0, 2], plans: 1, ..NONE };
 /// The same, where the follower has its question passed on by the third.
-const PASSED: Bounds = Bounds { stands: [1, 0, 0], passes: [0, 0, 1], plans: 1, ..NONE };
+const PASSED: Bounds<3> = Bounds { stands: [1, 0, 0], passes: [0, 0, 1], plans: 1, ..NONE };
 /// And restarts between question and answer.
-const PASSED_FORGETS: Bounds = Bounds { restarts: [0, 0, 1], plans: 0, ..PASSED };
+const PASSED_FORGETS: Bounds<3> = Bounds { restarts: [0, 0, 1], plans: 0, ..PASSED };
 /// A clock that runs ahead.
-const CLOCKS: Bounds = Bounds { stands: [1, 1, 0], leaps: 1, timing: DRIFTING, ..NONE };
+const CLOCKS: Bounds<3> = Bounds { stands: [1, 1, 0], leaps: 1, timing: DRIFTING, ..NONE };
 
-fn holds(bounds: Bounds) -> Found {
+fn holds(bounds: Bounds<3>) -> Found {
     let found = explore(bounds, None, 3_000_000);
     assert_eq!(found.broken, None);
     assert!(found.whole, "not all of it was seen");
@@ -376,12 +376,24 @@
 }
 
 /// A guard that is left out is missed: the shortest way to the harm is printed.
-fn caught(mutant: Mutant, bounds: Bounds, harm: &str) {
+fn caught<const N: usize>(mutant: Mutant, bounds: Bounds<N>, harm: &str) {
     let (what, path) = explore(bounds, Some(mutant), 3_000_000).broken.expect("nothing is broken without it");
     assert!(what.contains(harm), "{what}");
     assert!(!path.is_empty());
 }
 
+/// Five voters, two rivals and two voters that restart: three of five must grant.
+const FIVE: Bounds<5> = Bounds {
+    time: 4,
+    stands: [1, 1, 0, 0, 0],
+    restarts: [0, 0, 1, 1, 0],
+    asks: [0; 5],
+    passes: [0; 5],
+    plans: 0,
+    leaps: 0,
+    timing: STEADY,
+};
+
 const TWO: &str = "hold a lease at once";
 const LATE: &str = "when its decider's lease is over";
 
@@ -390,6 +402,48 @@
     holds(RIVALS);
 }
 
+/// Of five voters there are too many orders of messages to see all: walks at random, each to its end.
+fn walk(mutant: Option<Mutant>, bounds: Bounds<5>, walks: u64) -> Option<String> {
+    let explorer = Explorer { bounds, mutant };
+    let mut rng = oorandom::Rand64::new(7);
+    let mut most = 0;
+    for _ in 0..walks {
+        let mut world = explorer.begin();
+        // Each message at most twice: a walk that gives the same again and again gets nowhere.
+        let mut given: BTreeMap<(u16, u16, Message), u8> = BTreeMap::new();
+        for depth in 0..200 {
+            let mut steps = explorer.steps(&world);
+            steps.retain(|step| match step {
+                Step::Give(from, to, m) => given.get(&(*from, *to, m.clone())).is_none_or(|n| *n < 2),
+                _ => true,
+            });
+            if steps.is_empty() {
+                break;
+            }
+            let step = steps.swap_remove(rng.rand_range(0..steps.len() as u64) as usize);
+            if let Step::Give(from, to, m) = &step {
+                *given.entry((*from, *to, m.clone())).or_default() += 1;
+            }
+            match explorer.after(&world, &step) {
+                Ok(next) => world = next,
+                Err(what) => return Some(what),
+            }
+            most = most.max(depth);
+        }
+    }
+    println!("{mutant:?}: {walks} walks, the longest of {most} steps");
+    None
+}
+
+#[test]
+fn of_five_voters_as_well_no_two_decide_and_each_guard_of_theirs_is_missed() {
+    assert_eq!(walk(None, FIVE, 40_000), None);
+    for mutant in [Mutant::VotesAtOnce, Mutant::HidesGrant, Mutant::BreaksPromise, Mutant::LeaseFromGrant] {
+        let what = walk(Some(mutant), FIVE, 40_000);
+        assert!(what.as_ref().is_some_and(|w| w.contains(TWO)), "{mutant:?}: {what:?}");
+    }
+}
+
 #[test]
 fn one_lease_follows_the_other_and_never_lies_over_it() {
     holds(IN_TURN);
