Accord: a process that takes no part yet does not look at its clock a thousand times a second

Seen on reading over: over an upgrade the new process, whose member has not begun, has it due at once at every look, and wait() came to its least, 1 ms, for as long as the old process lives.

Measured: not by itself; the test of an upgrade with the accord on passes with it.

--- a/crates/node/src/accord.rs
+++ b/crates/node/src/accord.rs
@@ -172,6 +172,10 @@
 
     /// How long until it has something to do by itself.
     pub fn wait(&self) -> Duration {
+        // What comes to a process that takes no part yet comes as an input.
+        if !self.takes_part {
+            return LONGEST;
+        }
         let due = Duration::from_millis(self.member.due().saturating_sub(self.now()));
         let plans = match self.planner {
             Some(_) => self.plans_at.saturating_duration_since(Instant::now()),
