--- a/crates/accord/tests/fleet.rs
+++ b/crates/accord/tests/fleet.rs
@@ -22,6 +22,9 @@
 /// The zone that is lost, and when.
 const LOST: (usize, Millis) = (2, 10_000);
 
+/// When it comes, its place among all, from and to whom, and what it says.
+type UnderWay = (Millis, u64, u16, u16, Message);
+
 struct Node {
     member: Member,
     planner: Option<Planner>,
@@ -67,7 +70,7 @@
         }
     };
     let mut nodes: Vec<Node> = (0..members).map(begin).collect();
-    let mut net: BinaryHeap<Reverse<(Millis, u64, u16, u16, Message)>> = BinaryHeap::new();
+    let mut net: BinaryHeap<Reverse<UnderWay>> = BinaryHeap::new();
     let (mut sent, mut moves) = (0u64, 0);
     for now in 0..seconds * 1000 {
         let mut due = Vec::new();
