Trials: one count of a zone's part of the attempts serves both figures

Seen on reading the change again: share() counts what goes to a zone, and split() had the same fold inside it, for one node.

Change: share() takes which attempts are meant; split() calls it.

--- a/crates/trial/src/account.rs
+++ b/crates/trial/src/account.rs
@@ -312,7 +312,7 @@
             Figure::ActsMostS => acting(0.9),
             Figure::Split => Some(self.split(zone?, from, until)),
             Figure::BackS => self.back(from, until),
-            Figure::ZoneShare => self.share(zone?, from, until),
+            Figure::ZoneShare => self.share(zone?, |_| true, from, until),
             Figure::ZoneAsked => {
                 let asked = self.tries.values().filter(|t| within(t.asked));
                 let (all, there) = asked.fold((0u64, 0u64), |(all, there), t| {
@@ -329,13 +329,7 @@
 
     /// The part of the nodes that has given a zone up, or that has not, whichever is less.
     fn split(&self, zone: usize, from: Duration, until: Duration) -> f64 {
-        let share = |node: NodeNo, since: Duration, to: Duration| {
-            let mine = |a: &&Attempt| a.node == node && a.at >= since && a.at < to && a.server != self.origin;
-            let (all, there) = self.attempts.iter().filter(mine).fold((0u64, 0u64), |(all, there), a| {
-                (all + 1, there + u64::from(self.map.zone_of(a.server) == zone))
-            });
-            if all == 0 { 0.0 } else { there as f64 / all as f64 }
-        };
+        let share = |node, since, to| self.share(zone, |a| a.node == node, since, to).unwrap_or(0.0);
         let nodes: std::collections::BTreeSet<NodeNo> = self.attempts.iter().map(|a| a.node).collect();
         let (mut all, mut gave_up) = (0u64, 0u64);
         for node in nodes {
@@ -349,9 +343,16 @@
         part.min(1.0 - part)
     }
 
-    /// The part of the attempts of a time that went to a zone; `None` where there were none.
-    fn share(&self, zone: usize, from: Duration, until: Duration) -> Option<f64> {
-        let sent = self.attempts.iter().filter(|a| a.at >= from && a.at < until && a.server != self.origin);
+    /// The part of the attempts of a time, of those that are meant, that went to a zone; `None` where there were none.
+    fn share(
+        &self,
+        zone: usize,
+        meant: impl Fn(&Attempt) -> bool,
+        from: Duration,
+        until: Duration,
+    ) -> Option<f64> {
+        let within = |a: &&Attempt| a.at >= from && a.at < until && a.server != self.origin && meant(a);
+        let sent = self.attempts.iter().filter(within);
         let (all, there) = sent.fold((0u64, 0u64), |(all, there), a| {
             (all + 1, there + u64::from(self.map.zone_of(a.server) == zone))
         });
@@ -362,8 +363,9 @@
     fn returned(&self, zone: usize, from: Duration, until: Duration) -> Option<f64> {
         let second = Duration::from_secs(1);
         let settled = self.tries.values().next()?.asked + second.mul_f64(SETTLE);
-        let usual = self.share(zone, settled, settled + second.mul_f64(USUAL))?;
-        let good = |at: Duration| self.share(zone, at, at + second).is_some_and(|s| s >= RETURNED * usual);
+        let usual = self.share(zone, |_| true, settled, settled + second.mul_f64(USUAL))?;
+        let good =
+            |at: Duration| self.share(zone, |_| true, at, at + second).is_some_and(|s| s >= RETURNED * usual);
         let mut at = from;
         while at + LOOK + second <= until {
             if good(at) && good(at + LOOK) {
