Node: attempts of a request that is over are taken back before they are written

Ruled out: a second decision of the module (it had forgotten the request) and late answers. At fault: Node::answer and Asked::Gone in node.rs removed the request and left its attempts in Pool::waiting and Line::unsent (servers.rs) and calls in connect (origin.rs), so that they began for nobody.

Change: a request knows its attempts that are out; once it is answered or its client gone, those not written whole are withdrawn and end as never sent. A command that is half written is abandoned: the rest is never written, what was sent before it is still answered, then the connection ends. An attempt whose end is on its way is no longer told to the module as never sent when its deadline fires: it may have run.

--- /dev/null
+++ b/crates/mothpier/tests/crossings.rs
@@ -0,0 +1,240 @@
+//! Two events that cross, each pair forced: stand-ins hold a connection, an answer or a byte until the other event is seen
+//! to have happened. On real sockets, with the daemon as a process.
+#![allow(missing_docs)]
+
+mod world;
+
+use std::io::{BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Mutex;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+use socket2::{Domain, SockRef, Socket, Type};
+use world::*;
+
+/// A node with a second address, and settings of which some are others.
+fn node(name: &str, discovery: &Discovery, changed: &[(&str, &str)]) -> Node {
+    let path = format!("{}/{name}-crossing.json", env!("CARGO_TARGET_TMPDIR"));
+    let mut text = config(name, discovery.address, 1024);
+    for (from, to) in changed {
+        assert!(text.contains(from), "{from} is not in the settings");
+        text = text.replace(from, to);
+    }
+    std::fs::write(&path, text).unwrap();
+    let mut command = node_command(name, discovery.address, 1024, "");
+    command.env("ROUTER_CONFIG", path).env("ROUTER_OPS", "127.0.0.1:0");
+    let node = Node::run(command, discovery);
+    node.ready();
+    node
+}
+
+/// Time enough that no deadline of the node's decides anything.
+const LONG: [(&str, &str); 3] = [
+    (r#""deadlineUs":20000000,"goalTimeUs":2000000,"#, r#""deadlineUs":600000000,"goalTimeUs":600000000,"#),
+    (r#""deadlineUs":20000000,"goalTimeUs":1000000,"#, r#""deadlineUs":600000000,"goalTimeUs":600000000,"#),
+    (r#""connectTimeoutUs":5000000"#, r#""connectTimeoutUs":600000000"#),
+];
+
+/// A listener at which no connection comes up while the one that fills its queue is not accepted.
+struct Shut {
+    listener: TcpListener,
+    filler: TcpStream,
+}
+
+impl Shut {
+    fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).unwrap();
+        // The queue holds one: the next connection gets no answer until it is taken.
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let filler = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        Shut { listener, filler }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Takes the one that filled the queue: connections come up from now on.
+    fn open(self) -> TcpListener {
+        drop(self.listener.accept().unwrap());
+        drop(self.filler);
+        self.listener
+    }
+}
+
+fn reader(stream: TcpStream) -> BufReader<TcpStream> {
+    stream.set_read_timeout(Some(HUNG)).unwrap();
+    BufReader::new(stream)
+}
+
+/// The first command that comes on any connection.
+fn first(listener: TcpListener, read: fn(&mut BufReader<TcpStream>) -> Option<Vec<String>>) -> Vec<String> {
+    let (told, commands) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let told = told.clone();
+            thread::spawn(move || read(&mut reader(stream)).map(|asked| told.send(asked)));
+        }
+    });
+    commands.recv_timeout(HUNG).unwrap()
+}
+
+/// Ends a connection by a reset.
+fn reset(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+/// A client that has gone waits for nothing: what it asked for must not begin once a connection comes up.
+#[test]
+fn an_attempt_whose_client_leaves_while_its_connection_comes_up_is_never_sent() {
+    for leaves in [drop, |client: Client| reset(client.into_stream())] {
+        let shut = Shut::new();
+        let discovery = Discovery::start(&member("s-1", shut.address(), "m", "ready"));
+        let node = node("leaves-cache", &discovery, &LONG);
+        let mut gone = node.client();
+        gone.send(&["CACHE.GET", "k", "gone", "c=read,t=acme,d=600000"]);
+        node.figure_becomes("edge_router_in_flight", 1);
+        leaves(gone);
+        node.figure_becomes("edge_router_in_flight", 0);
+        let mut stays = node.client();
+        stays.send(&["CACHE.GET", "k", "stays", "c=read,t=acme,d=600000"]);
+        node.figure_becomes("edge_router_in_flight", 1);
+        assert_eq!(first(shut.open(), command)[2], "stays");
+    }
+}
+
+/// The same of a write, which goes to the origin.
+#[test]
+fn a_call_whose_client_leaves_while_its_connection_comes_up_is_never_made() {
+    let shut = Shut::new();
+    let discovery = Discovery::start(&member("o-1", shut.address(), "origin", "ready"));
+    let node = node("leaves-origin", &discovery, &LONG);
+    let mut gone = node.client();
+    gone.send(&["CACHE.SET", "gone", "i-1", "c=once,t=acme,d=600000", "value"]);
+    node.figure_becomes("edge_router_in_flight", 1);
+    drop(gone);
+    node.figure_becomes("edge_router_in_flight", 0);
+    node.figure_becomes("edge_router_origin_calls_out", 0);
+    let mut stays = node.client();
+    stays.send(&["CACHE.SET", "stays", "i-2", "c=once,t=acme,d=600000", "value"]);
+    node.figure_becomes("edge_router_in_flight", 1);
+    assert!(first(shut.open(), call)[0].starts_with("PUT /stays "));
+}
+
+/// After its final answer a request is over: what is sent on then counts as lost. A hedge that waits for its connection when
+/// the first attempt is answered must not go out on it.
+#[test]
+fn a_hedge_whose_request_is_answered_while_its_connection_comes_up_is_never_sent() {
+    let (go, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let (told, commands) = channel();
+    let told = report(told);
+    let slow = serve(command, move |asked| {
+        told(asked);
+        if asked[2] == "slow" {
+            let _ = wait.lock().unwrap().recv();
+        }
+        array(&asked[2])
+    });
+    let shut = Shut::new();
+    let first_server = |phase| member("s-1", slow, "m", phase);
+    let discovery = Discovery::start(&first_server("ready"));
+    // A hedge goes out after two fifths of the aim.
+    let aim = (r#""goalTimeUs":2000000"#, r#""goalTimeUs":6000000"#);
+    let node = node("hedge", &discovery, &[aim, LONG[2]]);
+    let mut client = node.client();
+    client.send(&["CACHE.GET", "k", "slow", "c=read,t=acme,d=20000"]);
+    assert_eq!(commands.recv_timeout(HUNG).unwrap()[2], "slow");
+    // What is sent later is answered: the first is overtaken, so that it is hedged.
+    assert_eq!(node.client().ask(&["CACHE.GET", "k", "quick", "c=read,t=acme,d=20000"]), "$quick");
+    discovery.change(2, &[first_server("ready"), member("s-2", shut.address(), "m", "ready")].join(","));
+    discovery.watched_after(2);
+    node.figure_becomes("edge_router_connects_total", 3);
+    go.send(()).unwrap();
+    assert_eq!(client.answer(), "$slow");
+    discovery.change(3, &[first_server("draining"), member("s-2", shut.address(), "m", "ready")].join(","));
+    discovery.watched_after(3);
+    node.figure_becomes("edge_router_in_flight", 0);
+    client.send(&["CACHE.GET", "k", "next", "c=read,t=acme,d=20000"]);
+    node.figure_becomes("edge_router_in_flight", 1);
+    assert_eq!(first(shut.open(), command)[2], "next");
+}
+
+/// A command that has begun to be written runs once its last byte has come. One whose client leaves before that must not be
+/// completed.
+#[test]
+fn a_command_half_written_when_its_client_leaves_is_never_completed() {
+    let server = TcpListener::bind("127.0.0.1:0").unwrap();
+    let discovery = Discovery::start(&member("s-1", server.local_addr().unwrap(), "m", "ready"));
+    // Writes go to cache servers where these fetch what they lack by themselves.
+    let through = (r#""mode":"aside""#, r#""mode":"through""#);
+    let node = node("half-written", &discovery, &[LONG[0], LONG[1], LONG[2], through]);
+    let value = "v".repeat(4 << 20);
+    let mut gone = node.client();
+    gone.send(&["CACHE.SET", "k", "gone", "c=once,t=acme,d=600000", &value]);
+    let mut stalled = reader(server.accept().unwrap().0);
+    // It has begun, and no more goes than the two machines hold while nothing is read.
+    let mut begun = [0; 64];
+    stalled.read_exact(&mut begun).unwrap();
+    node.figure_becomes("edge_router_in_flight", 1);
+    drop(gone);
+    node.figure_becomes("edge_router_in_flight", 0);
+    let mut rest = Vec::new();
+    let _ = stalled.read_to_end(&mut rest);
+    assert!(begun.len() + rest.len() < value.len(), "all of it came: {} bytes", rest.len());
+    assert_eq!(node.figure("edge_router_attempts_total"), Some(0));
+}
+
+/// What was written before a command that is taken back half-written is still answered on its connection.
+#[test]
+fn what_was_sent_before_a_command_taken_back_half_written_is_still_answered() {
+    let server = TcpListener::bind("127.0.0.1:0").unwrap();
+    let discovery = Discovery::start(&member("s-1", server.local_addr().unwrap(), "m", "ready"));
+    let through = (r#""mode":"aside""#, r#""mode":"through""#);
+    // One connection to a server.
+    let many = (r#""balancers":1"#, r#""balancers":32"#);
+    let node = node("half-behind", &discovery, &[LONG[0], LONG[1], LONG[2], through, many]);
+    let mut before = node.client();
+    before.send(&["CACHE.GET", "k", "before", "c=read,t=acme,d=600000"]);
+    let mut stream = server.accept().unwrap().0;
+    let mut stalled = reader(stream.try_clone().unwrap());
+    assert_eq!(command(&mut stalled).unwrap()[2], "before");
+    let mut gone = node.client();
+    gone.send(&["CACHE.SET", "k", "gone", "c=once,t=acme,d=600000", &"v".repeat(4 << 20)]);
+    let mut begun = [0; 64];
+    stalled.read_exact(&mut begun).unwrap();
+    drop(gone);
+    node.figure_becomes("edge_router_in_flight", 1);
+    let Reaction::Answer(bytes) = array("value") else { unreachable!() };
+    stream.write_all(&bytes).unwrap();
+    assert_eq!(before.answer(), "$value");
+    let mut rest = Vec::new();
+    let _ = stalled.read_to_end(&mut rest);
+    assert!(rest.len() < 4 << 20, "all of it came: {} bytes", rest.len());
+}
+
+/// A reset is no end: an answer of the origin without a length that is reset on its way is not whole.
+#[test]
+fn an_answer_without_a_length_that_is_reset_is_not_taken_for_whole() {
+    for head in ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"] {
+        let origin = TcpListener::bind("127.0.0.1:0").unwrap();
+        let members = member("o-1", origin.local_addr().unwrap(), "origin", "ready");
+        let discovery = Discovery::start(&members);
+        let node = node("no-length", &discovery, &[]);
+        let mut client = node.client();
+        client.send(&["CACHE.SET", "k", "i", "c=once,t=acme,d=9000", "value"]);
+        let stream = origin.accept().unwrap().0;
+        let mut from = reader(stream.try_clone().unwrap());
+        assert!(call(&mut from).unwrap()[0].starts_with("PUT /k "));
+        let mut to = stream;
+        to.write_all(head.as_bytes()).unwrap();
+        to.write_all(b"half of a receipt").unwrap();
+        drop(from);
+        reset(to);
+        assert_eq!(client.answer(), "-ERR failed");
+    }
+}
--- a/crates/mothpier/tests/world/mod.rs
+++ b/crates/mothpier/tests/world/mod.rs
@@ -361,6 +361,20 @@
         }
     }
 
+    /// Takes so many bytes of what comes.
+    pub fn take(&mut self, bytes: usize) {
+        self.0.read_exact(&mut vec![0; bytes]).unwrap();
+    }
+
+    /// Sends nothing more; what comes is still taken.
+    pub fn ends_sending(&self) {
+        self.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+    }
+
+    pub fn into_stream(self) -> TcpStream {
+        self.0.into_inner()
+    }
+
     pub fn ask(&mut self, words: &[&str]) -> String {
         self.send(words);
         self.answer()
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -68,6 +68,8 @@
     answer: oneshot::Sender<Answer>,
     ends: Instant,
     attempts: u16,
+    /// Of these, the ones without outcome.
+    out: Vec<AttemptId>,
     /// What the detector knows it by; 0 without one.
     fingerprint: u64,
 }
@@ -369,14 +371,16 @@
                 let now = self.clock.now();
                 let weather = self.parts.weather.as_mut();
                 let fingerprint = weather.map_or(0, |w| w.arrived(now, connection, &mut request));
-                let open = Open { command: command.into(), answer, ends, attempts: 0, fingerprint };
+                let open =
+                    Open { command: command.into(), answer, ends, attempts: 0, out: Vec::new(), fingerprint };
                 self.open.insert(request.id, open);
                 self.counters.asked += 1;
                 self.events.push_back(Event::Request(request));
             }
             Input::Client(Asked::Gone(id)) => {
-                if self.open.remove(&id).is_some() {
+                if let Some(open) = self.open.remove(&id) {
                     self.events.push_back(Event::ClientGone(id));
+                    self.withdraw(open.out);
                 }
             }
             Input::Server { server, number, event } => {
@@ -496,9 +500,13 @@
             Action::Send { request, server, give_up_after } => self.send(request, server, give_up_after),
             Action::Refuse { request, retry_after } => {
                 let wait = retry_after.min(self.site.max_retry_after).div_ceil(1000);
-                self.answer(request, Answer::Busy(wait));
+                let out = self.answer(request, Answer::Busy(wait));
+                self.withdraw(out);
+            }
+            Action::Fail(request) => {
+                let out = self.answer(request, Answer::Failed);
+                self.withdraw(out);
             }
-            Action::Fail(request) => self.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 let wanted = Some((request, attempt));
                 if let Some(id) = self.flights.iter().find(|(_, f)| f.attempt == wanted).map(|(id, _)| *id) {
@@ -530,21 +538,46 @@
         }
     }
 
-    fn answer(&mut self, request: RequestId, answer: Answer) {
-        if let Some(open) = self.open.remove(&request) {
-            if let Some(weather) = self.parts.weather.as_mut().filter(|_| !answer.serves()) {
-                weather.unserved(self.clock.now(), open.fingerprint);
+    /// Gives a request its final answer and returns its attempts that are out still.
+    fn answer(&mut self, request: RequestId, answer: Answer) -> Vec<AttemptId> {
+        let Some(open) = self.open.remove(&request) else { return Vec::new() };
+        if let Some(weather) = self.parts.weather.as_mut().filter(|_| !answer.serves()) {
+            weather.unserved(self.clock.now(), open.fingerprint);
+        }
+        match answer {
+            Answer::Value(_) | Answer::Stream(_) => self.counters.served += 1,
+            Answer::Busy(_) => {
+                self.counters.refused += 1;
+                self.counters.untried += u32::from(open.attempts == 0);
             }
-            match answer {
-                Answer::Value(_) | Answer::Stream(_) => self.counters.served += 1,
-                Answer::Busy(_) => {
-                    self.counters.refused += 1;
-                    self.counters.untried += u32::from(open.attempts == 0);
+            Answer::Failed => self.counters.failed += 1,
+        }
+        // A client that has just gone needs none.
+        let _ = open.answer.send(answer);
+        open.out
+    }
+
+    /// Takes back the attempts of a request that is over, as far as they have not been written whole: one that waits for its
+    /// connection would begin for nobody.
+    fn withdraw(&mut self, attempts: Vec<AttemptId>) {
+        for id in attempts {
+            let Some(flight) = self.flights.get_mut(&id) else { continue };
+            let server = flight.server;
+            let withdrawn = match flight.call.take() {
+                Some(call) if call.written() => {
+                    flight.call = Some(call);
+                    false
                 }
-                Answer::Failed => self.counters.failed += 1,
+                Some(call) => !call.give_up(),
+                None => {
+                    let withdrawn = self.parts.servers.withdraw(server, id);
+                    withdrawn.ended.into_iter().for_each(|(other, how)| self.server_ended(other, how));
+                    withdrawn.unwritten
+                }
+            };
+            if withdrawn {
+                self.end(id, Status::NotSent, Note::None, Load::default(), None);
             }
-            // A client that has just gone needs none.
-            let _ = open.answer.send(answer);
         }
     }
 
@@ -560,6 +593,7 @@
         };
         let number = open.attempts;
         open.attempts += 1;
+        open.out.push(id);
         let (command, left) = (open.command.clone(), open.ends.saturating_duration_since(sent));
         let wait = if give_up_after == 0 { left } else { left.min(Duration::from_micros(give_up_after)) };
         self.flights.insert(id, Flight { attempt: Some((request, number)), server, sent, call: None });
@@ -607,7 +641,11 @@
         let (server, call) = (flight.server, flight.call.take());
         let written = match call {
             Some(call) => call.give_up(),
-            None => self.parts.servers.give_up(server, id),
+            None => {
+                let given_up = self.parts.servers.give_up(server, id);
+                given_up.ended.into_iter().for_each(|(other, how)| self.server_ended(other, how));
+                !given_up.unwritten
+            }
         };
         let status = if written { status } else { Status::NotSent };
         self.end(id, status, Note::None, Load::default(), None);
@@ -677,9 +715,13 @@
         if let Some(weather) = self.parts.weather.as_mut().filter(|_| status != Status::NotSent) {
             weather.worked(took, self.open.contains_key(&request));
         }
-        if status == Status::Served {
-            self.answer(request, value.unwrap_or(Answer::Failed));
+        if let Some(open) = self.open.get_mut(&request) {
+            open.out.retain(|out| *out != id);
         }
+        let others = match status {
+            Status::Served => self.answer(request, value.unwrap_or(Answer::Failed)),
+            _ => Vec::new(),
+        };
         let over = !self.open.contains_key(&request);
         self.events.push_back(Event::Outcome(Outcome {
             request,
@@ -691,6 +733,8 @@
             took,
             load,
         }));
+        // Behind the outcome that ended the request.
+        self.withdraw(others);
     }
 }
 
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -69,6 +69,11 @@
 }
 
 impl Call {
+    /// Whether its writing has begun: it may run.
+    pub fn written(&self) -> bool {
+        self.written.get()
+    }
+
     /// Stops waiting, which closes its connection; whether it may have run.
     pub fn give_up(self) -> bool {
         self.task.abort();
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -92,6 +92,18 @@
     given_up: bool,
 }
 
+/// What a connection is writing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Writing {
+    #[default]
+    Nothing,
+    /// A command that has begun and is not whole.
+    Begun(AttemptId),
+    /// It was given up before it was whole: the rest must never be written, for then it would run. What was written before
+    /// it is still answered; then the connection ends.
+    Abandoned,
+}
+
 #[derive(Default)]
 struct Line {
     up: bool,
@@ -100,15 +112,20 @@
     /// A large value is passing: how long that takes is up to its client.
     streaming: bool,
     unsent: VecDeque<Command>,
-    /// Begun to be written.
-    writing: Option<AttemptId>,
+    writing: Writing,
     /// In order.
     sent: VecDeque<Sent>,
 }
 
 impl Line {
     fn load(&self) -> usize {
-        self.unsent.len() + self.sent.len() + usize::from(self.writing.is_some())
+        self.unsent.len() + self.sent.len() + usize::from(matches!(self.writing, Writing::Begun(_)))
+    }
+
+    /// Whether nothing on it is waited for any more, though something was.
+    fn in_vain(&self) -> bool {
+        let writes = !self.unsent.is_empty() || matches!(self.writing, Writing::Begun(_));
+        !writes && self.sent.iter().all(|s| s.given_up)
     }
 
     /// Whether something given up is ahead: what is written behind it may wait for ever.
@@ -120,6 +137,8 @@
 struct Shared {
     line: RefCell<Line>,
     wake: Notify,
+    /// What is being written is abandoned.
+    halt: Notify,
     figures: Arc<Figures>,
 }
 
@@ -181,6 +200,15 @@
     pub refused: u32,
 }
 
+/// What came of taking back an attempt.
+#[derive(Default)]
+pub struct Withdrawn {
+    /// It was not written whole, and won't be: it never ran.
+    pub unwritten: bool,
+    /// Others that this ends.
+    pub ended: Vec<(AttemptId, Ended)>,
+}
+
 /// All connections to cache servers.
 pub struct Servers<H> {
     host: H,
@@ -292,8 +320,8 @@
         let part = part.min((self.limits.descriptors / self.ready.max(1)).max(1));
         let open = pool.connections.iter().filter(|c| !c.retired).count();
         // A connection that is held up by what was given up does not count: it may never move again.
-        let moving =
-            pool.connections.iter().filter(|c| !c.shared.line.borrow().stalled() && !c.retired).count();
+        let moves = |line: &Line| !line.stalled() && line.writing != Writing::Abandoned;
+        let moving = pool.connections.iter().filter(|c| moves(&c.shared.line.borrow()) && !c.retired).count();
         let may_open = (moving == 0 || Instant::now() >= pool.alone_until) && open < 2 * part;
         if let Some(address) =
             pool.address.filter(|_| moving < part && may_open && self.all.get() < self.limits.descriptors)
@@ -355,23 +383,48 @@
         ended
     }
 
-    /// Stops waiting for an attempt; whether it may have run. Others on its connection go on: it is closed
-    /// only when nothing else is left on it.
-    pub fn give_up(&mut self, server: ServerId, attempt: AttemptId) -> bool {
-        let Some(pool) = self.pools.get_mut(&server) else { return false };
+    /// Takes back an attempt, unless it has been written whole: it never runs then. Others on its connection go on or find
+    /// another.
+    pub fn withdraw(&mut self, server: ServerId, attempt: AttemptId) -> Withdrawn {
+        let Some(pool) = self.pools.get_mut(&server) else { return Withdrawn::default() };
+        let mut withdrawn = Withdrawn::default();
+        let waiting = pool.waiting.len();
         pool.waiting.retain(|c| c.attempt != attempt);
-        let mut written = false;
+        withdrawn.unwritten = pool.waiting.len() < waiting;
         pool.connections.retain(|c| {
             let mut line = c.shared.line.borrow_mut();
+            let unsent = line.unsent.len();
             line.unsent.retain(|c| c.attempt != attempt);
-            let here = line.sent.iter_mut().find(|s| s.attempt == attempt);
-            let was_sent = here.map(|s| s.given_up = true).is_some();
-            written |= was_sent || line.writing == Some(attempt);
-            let idle = line.unsent.is_empty() && line.writing.is_none();
-            !(was_sent && idle && line.sent.iter().all(|s| s.given_up))
+            withdrawn.unwritten |= line.unsent.len() < unsent;
+            if line.writing != Writing::Begun(attempt) {
+                return true;
+            }
+            withdrawn.unwritten = true;
+            (line.writing, line.ending) = (Writing::Abandoned, true);
+            c.shared.halt.notify_one();
+            while let Some(command) = line.unsent.pop_back() {
+                pool.waiting.push_front(command);
+            }
+            !line.in_vain()
         });
+        pool.pump(self.limits.multiplex, &mut withdrawn.ended);
         self.tidy(server);
-        written
+        withdrawn
+    }
+
+    /// Stops waiting for an attempt. Others on its connection go on: it is closed only when nothing else is left on it.
+    pub fn give_up(&mut self, server: ServerId, attempt: AttemptId) -> Withdrawn {
+        let withdrawn = self.withdraw(server, attempt);
+        if let Some(pool) = self.pools.get_mut(&server).filter(|_| !withdrawn.unwritten) {
+            pool.connections.retain(|c| {
+                let mut line = c.shared.line.borrow_mut();
+                let here = line.sent.iter_mut().find(|s| s.attempt == attempt);
+                let was_sent = here.map(|s| s.given_up = true).is_some();
+                !(was_sent && line.in_vain())
+            });
+            self.tidy(server);
+        }
+        withdrawn
     }
 
     /// Closes the connections to a server that carry nothing.
@@ -395,15 +448,19 @@
         all: Rc<Cell<usize>>,
         figures: Arc<Figures>,
     ) {
-        let shared = Rc::new(Shared { line: RefCell::default(), wake: Notify::new(), figures });
+        let shared =
+            Rc::new(Shared { line: RefCell::default(), wake: Notify::new(), halt: Notify::new(), figures });
         let (host, line, events, within) =
             (host.clone(), shared.clone(), events.clone(), limits.connect_timeout);
         let task = tokio::task::spawn_local(async move {
             let refused = drive(&host, server, number, address, within, &line, &events).await;
             let mut state = std::mem::take(&mut *line.line.borrow_mut());
             let written = state.sent.drain(..).map(|s| s.attempt).collect();
-            let unwritten =
-                state.writing.take().into_iter().chain(state.unsent.drain(..).map(|c| c.attempt)).collect();
+            let begun = match state.writing {
+                Writing::Begun(attempt) => Some(attempt),
+                Writing::Nothing | Writing::Abandoned => None,
+            };
+            let unwritten = begun.into_iter().chain(state.unsent.drain(..).map(|c| c.attempt)).collect();
             let event = Event::Down { refused, written, unwritten };
             let _ = events.send(Input::Server { server, number, event }).await;
         });
@@ -489,9 +546,16 @@
     let reader = async {
         let mut buffer = BytesMut::new();
         loop {
+            let (nothing_sent, writing) = {
+                let line = shared.line.borrow();
+                (line.sent.is_empty(), line.writing)
+            };
+            if nothing_sent && writing == Writing::Abandoned {
+                return;
+            }
             // What lies behind an answer that nothing waits behind belongs to no command, and would be taken for the
             // beginning of the next answer: the connection is closed before anything more is written.
-            if !buffer.is_empty() && shared.line.borrow().sent.is_empty() {
+            if !buffer.is_empty() && nothing_sent {
                 return host.log(format_args!("{address}: more than was asked for"));
             }
             if let Some(large) = resp::large_answer(&buffer) {
@@ -540,13 +604,19 @@
             tokio::task::yield_now().await;
             let next = shared.line.borrow_mut().unsent.pop_front();
             let Some(Command { attempt, bytes, probe }) = next else { continue };
-            shared.line.borrow_mut().writing = Some(attempt);
-            if writing.write_all(&bytes).await.is_err() {
+            shared.line.borrow_mut().writing = Writing::Begun(attempt);
+            let written = tokio::select! {
+                biased;
+                // The reader ends the connection once what was sent before has been answered.
+                () = shared.halt.notified() => std::future::pending().await,
+                written = writing.write_all(&bytes) => written,
+            };
+            if written.is_err() {
                 return;
             }
             // No await since the last byte was written: it is on record before an answer can be read.
             let mut line = shared.line.borrow_mut();
-            line.writing = None;
+            line.writing = Writing::Nothing;
             if !probe {
                 shared.figures.attempt();
             }
