Clients: whoever leaves is noticed while an answer is written and behind a spoilt command

Need: a client that closes its connection has gone, and what it asked for must not begin later. Read line by line: Session::serve did not read behind the end of a client's commands (QUIT, a protocol error), and write and pass_on read nothing for up to 10 s while a client takes no answer, so that its end was not seen and requests behind stayed open for as long as their deadlines.

Change: what comes behind the end is read and dropped, 1 MiB at the most; while an answer is written what comes is read ahead, 64 KiB at the most. At the end of the stream all that is open is given up at once; the answer that is being written goes on, for a client that only ended its sending may still take it.

Measured: two tests in crossings.rs; without the mend both fail (edge_router_in_flight stays 1; origin_calls_out stays 1).

--- a/crates/mothpier/tests/crossings.rs
+++ b/crates/mothpier/tests/crossings.rs
@@ -217,6 +217,47 @@
     assert!(rest.len() < 4 << 20, "all of it came: {} bytes", rest.len());
 }
 
+/// Behind the end of its commands a client is still there, or not.
+#[test]
+fn a_client_that_leaves_behind_a_spoilt_command_is_noticed() {
+    for flood in [0, 200_000] {
+        let (server, commands, _go) = held(|asked| asked[2].clone());
+        let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+        let node = node("spoilt", &discovery, &LONG);
+        let mut client = node.client();
+        client.send(&["CACHE.GET", "k", "i", "c=read,t=acme,d=600000"]);
+        client.write("this is no command\r\n");
+        assert_eq!(commands.recv_timeout(HUNG).unwrap()[2], "i");
+        node.figure_becomes("edge_router_in_flight", 1);
+        client.write("x".repeat(flood));
+        drop(client);
+        node.figure_becomes("edge_router_in_flight", 0);
+    }
+}
+
+/// It goes with an answer half taken and another request open.
+#[test]
+fn a_client_that_leaves_while_an_answer_is_being_written_is_noticed() {
+    let large = "v".repeat(3 << 20);
+    let server = serve(command, move |_| array(&large));
+    let shut = Shut::new();
+    let members = [member("s-1", server, "m", "ready"), member("o-1", shut.address(), "origin", "ready")];
+    let discovery = Discovery::start(&members.join(","));
+    let node = node("half-taken", &discovery, &LONG);
+    let mut gone = node.client();
+    gone.send(&["CACHE.GET", "large", "i-1", "c=read,t=acme,d=600000"]);
+    // Some of it has come, and nothing more is taken.
+    gone.take(1024);
+    gone.send(&["CACHE.SET", "gone", "i-2", "c=once,t=acme,d=600000", "value"]);
+    node.figure_becomes("edge_router_origin_calls_out", 1);
+    gone.ends_sending();
+    node.figure_becomes("edge_router_origin_calls_out", 0);
+    let mut stays = node.client();
+    stays.send(&["CACHE.SET", "stays", "i-3", "c=once,t=acme,d=600000", "value"]);
+    node.figure_becomes("edge_router_origin_calls_out", 1);
+    assert!(first(shut.open(), call)[0].starts_with("PUT /stays "));
+}
+
 /// A reset is no end: an answer of the origin without a length that is reset on its way is not whole.
 #[test]
 fn an_answer_without_a_length_that_is_reset_is_not_taken_for_whole() {
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -50,6 +50,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// When a request that finds the node's memory full may come back, milliseconds.
 const FULL_RETRY_MS: u64 = 100;
+/// Read from a client while an answer is being written to it: enough to notice that it has gone, and no more than one that
+/// takes no answers may make the node hold.
+const AHEAD: usize = 64 * 1024;
+/// Dropped of what a client sends behind the end of its commands, while answers before that are owed: enough to notice that
+/// it has gone; one that goes on beyond is read no further.
+const FLOOD: usize = 1024 * 1024;
 /// Memory that an open request counts for until its answer is written, beside its own value: half of the largest
 /// answer that is held whole, for few are large; the pieces of one that passes are no more.
 const REQUEST_KB: usize = WHOLE / 2 / 1024;
@@ -333,13 +339,10 @@
                 ended: false,
                 coming: Coming::Head,
                 room: None,
+                dropped: 0,
             };
             session.run(stream, evict).await;
-            for slot in &session.pending {
-                if let Wait::Node(id, _) = slot.wait {
-                    let _ = self.events.send(Input::Client(Asked::Gone(id))).await;
-                }
-            }
+            session.gone().await;
             if !session.known {
                 self.half_known.set(self.half_known.get() - 1);
             }
@@ -488,6 +491,18 @@
     coming: Coming,
     /// Reserved for the value that is coming.
     room: Option<OwnedSemaphorePermit>,
+    /// Bytes that came behind the end of its commands.
+    dropped: usize,
+}
+
+/// What comes from a client.
+struct Inbox<'a, R> {
+    reading: &'a R,
+    buffer: BytesMut,
+    /// When the last of it was read.
+    came: Micros,
+    /// The client has closed its side.
+    closed: bool,
 }
 
 impl<H: Host> Session<H> {
@@ -506,8 +521,7 @@
         evict: Rc<Notify>,
     ) -> Parting {
         let clients = self.clients.clone();
-        let mut buffer = BytesMut::new();
-        let mut came = (clients.now)();
+        let mut inbox = Inbox { reading, buffer: BytesMut::new(), came: (clients.now)(), closed: false };
         let connected = Instant::now();
         // When the command that has not all come yet began to.
         let mut begun = None;
@@ -519,17 +533,17 @@
         let mut answered = false;
         loop {
             // Wherever it was read: none of it is a command.
-            self.skip(&mut buffer);
-            while !self.ended && !buffer.is_empty() {
-                match resp::take_frame(&mut buffer, MAX_VALUE) {
+            self.skip(&mut inbox.buffer);
+            while !self.ended && !inbox.buffer.is_empty() {
+                match resp::take_frame(&mut inbox.buffer, MAX_VALUE) {
                     Ok(Some(frame)) => {
                         (begun, pieces) = (None, 0);
-                        self.command(frame, came).await;
+                        self.command(frame, inbox.came).await;
                         // What was reserved went with the request, or was for none.
                         (self.coming, self.room) = (Coming::Head, None);
                     }
                     Ok(None) => {
-                        self.large(&mut buffer, came);
+                        self.large(&mut inbox.buffer, inbox.came);
                         break;
                     }
                     Err(e) => self.protocol_error(e),
@@ -538,9 +552,12 @@
                     self.protocol_error(Malformed("too many commands at once"));
                 }
             }
-            if self.ended || (buffer.is_empty() && self.coming == Coming::Head) {
+            if self.ended {
+                self.dropped += inbox.buffer.len();
+            }
+            if self.ended || (inbox.buffer.is_empty() && self.coming == Coming::Head) {
                 // An idle connection must not keep the room that its largest command took.
-                (buffer, begun) = (BytesMut::new(), None);
+                (inbox.buffer, begun) = (BytesMut::new(), None);
             } else {
                 begun.get_or_insert_with(Instant::now);
             }
@@ -554,6 +571,10 @@
             if let Some(entry) = clients.open.borrow_mut().get_mut(&self.number) {
                 (entry.idle, entry.doing) = (idle.then_some(rests), doing);
             }
+            // Behind what was written meanwhile, which the client may still read.
+            if inbox.closed {
+                return Parting::Close;
+            }
             if self.ended && idle {
                 return Parting::HalfClose;
             }
@@ -583,8 +604,8 @@
                 biased;
                 ready = ready_answers(&mut self.pending), if !idle => {
                     let whole = match ready {
-                        0 => self.pass_on(writing).await,
-                        ready => self.write(ready, writing).await,
+                        0 => self.pass_on(&mut inbox, writing).await,
+                        ready => self.write(ready, &mut inbox, writing).await,
                     };
                     rests = Instant::now();
                     answered = clients.retiring.leaving() >= Leaving::Answered;
@@ -592,23 +613,25 @@
                         return Parting::Close;
                     }
                 }
-                more = read(reading, &mut buffer), if !self.ended => {
+                more = read(reading, &mut inbox.buffer), if self.dropped < FLOOD => {
                     // A client that closes has gone away: what it asked for is not wanted any more.
                     if !more {
                         return Parting::Close;
                     }
-                    (came, rests) = ((clients.now)(), Instant::now());
-                    pieces += 1;
+                    if !self.ended {
+                        (inbox.came, rests) = ((clients.now)(), Instant::now());
+                        pieces += 1;
+                    }
                 }
                 () = evict.notified(), if idle => {
-                    if quiet(reading, &mut buffer).await {
+                    if quiet(reading, &mut inbox.buffer).await {
                         return Parting::Close;
                     }
-                    (came, rests) = ((clients.now)(), Instant::now());
+                    (inbox.came, rests) = ((clients.now)(), Instant::now());
                 }
                 () = sleep_until(limit.unwrap_or(now)), if limit.is_some() => {
-                    if !quiet(reading, &mut buffer).await {
-                        (came, rests) = ((clients.now)(), Instant::now());
+                    if !quiet(reading, &mut inbox.buffer).await {
+                        (inbox.came, rests) = ((clients.now)(), Instant::now());
                     } else if half.is_some_and(|half| half <= Instant::now()) {
                         self.protocol_error(Malformed("the rest of the command has not come"));
                     } else if first.is_some_and(|first| first <= Instant::now())
@@ -626,7 +649,11 @@
 
     /// Passes on the large value at the front as it comes; whether all of it has gone. Where it is cut the connection must
     /// end, for nothing else tells the client that it is.
-    async fn pass_on(&mut self, writing: &mut <H::Stream as Stream>::Writing) -> bool {
+    async fn pass_on<R: Reading>(
+        &mut self,
+        inbox: &mut Inbox<'_, R>,
+        writing: &mut <H::Stream as Stream>::Writing,
+    ) -> bool {
         let Some(Slot { wait: Wait::Stream(mut value), memory, ticket }) = self.pending.pop_front() else {
             return false;
         };
@@ -635,7 +662,7 @@
         let mut piece = resp::value_header(left);
         let mut taken = true;
         loop {
-            taken = taken && matches!(timeout(SLOW_READER, writing.write_all(&piece)).await, Ok(Ok(())));
+            taken = taken && self.deliver(&piece, inbox, writing).await;
             if left == 0 || !taken {
                 break;
             }
@@ -646,9 +673,7 @@
             }
             left -= piece.len();
         }
-        let whole = left == 0
-            && taken
-            && matches!(timeout(SLOW_READER, writing.write_all(b"\r\n")).await, Ok(Ok(())));
+        let whole = left == 0 && taken && self.deliver(b"\r\n", inbox, writing).await;
         if let Some((ticket, _)) = ticket
             && (whole || taken)
         {
@@ -659,9 +684,14 @@
     }
 
     /// Writes answers that are ready; whether all of them have gone.
-    async fn write(&mut self, ready: usize, writing: &mut <H::Stream as Stream>::Writing) -> bool {
+    async fn write<R: Reading>(
+        &mut self,
+        ready: usize,
+        inbox: &mut Inbox<'_, R>,
+        writing: &mut <H::Stream as Stream>::Writing,
+    ) -> bool {
         let bytes = self.take_answers(ready);
-        let whole = matches!(timeout(SLOW_READER, writing.write_all(&bytes)).await, Ok(Ok(())));
+        let whole = self.deliver(&bytes, inbox, writing).await;
         for slot in self.pending.drain(..ready) {
             // What could not be written was abandoned: that is no end.
             if let Some((ticket, end)) = slot.ticket.filter(|_| whole) {
@@ -671,6 +701,40 @@
         whole
     }
 
+    /// Writes to the client; whether it has taken all of it. What it sends meanwhile is read, so that it is noticed at once
+    /// when it goes: it may do so with an answer half read and other requests open.
+    async fn deliver<R: Reading>(
+        &mut self,
+        bytes: &[u8],
+        inbox: &mut Inbox<'_, R>,
+        writing: &mut <H::Stream as Stream>::Writing,
+    ) -> bool {
+        let mut written = std::pin::pin!(timeout(SLOW_READER, writing.write_all(bytes)));
+        loop {
+            let ahead = !inbox.closed && !self.ended && inbox.buffer.len() < AHEAD;
+            tokio::select! {
+                biased;
+                written = &mut written => return matches!(written, Ok(Ok(()))),
+                more = read(inbox.reading, &mut inbox.buffer), if ahead => {
+                    inbox.came = (self.clients.now)();
+                    if !more {
+                        inbox.closed = true;
+                        self.gone().await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Nobody waits any more for what is open.
+    async fn gone(&mut self) {
+        for slot in &mut self.pending {
+            if let Wait::Node(id, _) = slot.wait {
+                let _ = self.clients.events.send(Input::Client(Asked::Gone(id))).await;
+            }
+        }
+    }
+
     /// Marks the answers as taken and gives their bytes.
     fn take_answers(&mut self, ready: usize) -> Bytes {
         let mut all = BytesMut::new();
