Node: what is read while it ends is answered before it ends, and SIGTERM is never dropped

Cause, by reading: a connection with a request open at every moment never rests, so it was read from until the process ended (service.rs: timeout_at(kill)), and a request got its whole deadline however little of that was left (clients.rs: time_left). Beside it, main.rs dropped a SIGTERM for which the control channel had no room.

SIGTERM waits for room.

Measured: a_client_that_never_rests_is_answered_whole_before_the_process_ends fails without the mend (the third request meets the end of the connection); signals that come together, each twice, end it in order with and without it.

--- a/crates/mothpier/src/main.rs
+++ b/crates/mothpier/src/main.rs
@@ -167,11 +167,26 @@
     };
     let start = Start { recorder: recorder(&config), listener, handover };
     let mut node = std::pin::pin!(run(HOST, config, desk, told, start));
+    // Told to end: that waits for room where other words are before it, and is said once.
+    let (mut ends, mut said) = (false, false);
     loop {
         let tell = tokio::select! {
             ended = &mut node => return ended,
-            _ = terminate.recv() => Control::Stop,
-            _ = interrupt.recv() => Control::Stop,
+            room = control.reserve(), if ends && !said => {
+                said = true;
+                if let Ok(room) = room {
+                    room.send(Control::Stop);
+                }
+                continue;
+            }
+            _ = terminate.recv() => {
+                ends = true;
+                continue;
+            }
+            _ = interrupt.recv() => {
+                ends = true;
+                continue;
+            }
             // All but discovery's address and whether to record is fixed at the start. A file that can't be read must not cost the node
             // what it has.
             Some(()) = hangup.recv() => match read(Precedence::File) {
--- a/crates/mothpier/tests/crossings.rs
+++ b/crates/mothpier/tests/crossings.rs
@@ -279,3 +279,62 @@
         assert_eq!(client.answer(), "-ERR failed");
     }
 }
+
+/// Clients go on sending on connections that stay open. Whoever always has a request open is read from no longer than it can
+/// be answered, and what was read is answered.
+#[test]
+fn a_client_that_never_rests_is_answered_whole_before_the_process_ends() {
+    let (told, calls) = channel();
+    let told = report(told);
+    let origin = serve(call, move |asked| {
+        told(asked);
+        Reaction::Silence
+    });
+    let discovery = Discovery::start(&member("o-1", origin, "origin", "ready"));
+    let short = (
+        r#""deadlineUs":400000,"goalTimeUs":400000,"#,
+        r#""deadlineUs":1500000,"goalTimeUs":1500000,"lateValue":1.0,"#,
+    );
+    let long =
+        (r#""deadlineUs":20000000,"goalTimeUs":2000000,"#, r#""deadlineUs":4000000,"goalTimeUs":4000000,"#);
+    let once =
+        (r#""deadlineUs":20000000,"goalTimeUs":1000000,"#, r#""deadlineUs":4000000,"goalTimeUs":1000000,"#);
+    let mut node = node("never-rests", &discovery, &[short, long, once]);
+    let mut client = node.client();
+    client.send(&["CACHE.SET", "k-0", "i-0", "c=brief,t=acme,d=1500", "value"]);
+    calls.recv_timeout(HUNG).unwrap();
+    node.signal("TERM");
+    // It takes no new connection any more: the time in which what rests is closed has come.
+    while TcpStream::connect(node.address).is_ok() {
+        thread::sleep(Duration::from_millis(5));
+    }
+    client.send(&["CACHE.SET", "k-1", "i-1", "c=brief,t=acme,d=1500", "value"]);
+    assert!(client.answer().starts_with('-'), "nobody answers the first");
+    // It may take longer than the process lives: it must be answered all the same.
+    client.send(&["CACHE.SET", "k-2", "i-2", "c=read,t=acme,d=4000", "value"]);
+    for request in ["i-1", "i-2"] {
+        let answer = client.answer();
+        assert!(answer.starts_with('-'), "{request}: {answer}");
+    }
+    assert_eq!(calls.iter().take(2).count(), 2, "all three were sent on");
+    assert_eq!(client.answer(), "end");
+    assert!(node.ended().success());
+}
+
+/// Both at once, and each a second time: it ends in order.
+#[test]
+fn signals_that_come_together_end_it_in_order() {
+    let (server, commands, go) = held(|asked| asked[2].clone());
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let mut node = node("signals", &discovery, &[]);
+    let mut client = node.client();
+    client.send(&["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"]);
+    commands.recv_timeout(HUNG).unwrap();
+    for signal in ["HUP", "TERM", "HUP", "TERM"] {
+        node.signal(signal);
+    }
+    go.send(()).unwrap();
+    assert_eq!(client.answer(), "$i");
+    assert_eq!(client.answer(), "end");
+    assert!(node.ended().success());
+}
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -284,6 +284,7 @@
     desk.lifecycle.step(Step::Stop);
     host.log(format_args!("stopping"));
     let kill = Instant::now() + Duration::from_micros(longest) + KEEP_ACCEPTING;
+    retiring.end_at(kill);
     // On a shared listener another process takes what comes, but only where there is one: a node that is simply told to stop
     // would leave in the queue what nobody comes for.
     if shared && side.succeeded() {
