Discovery: a watch that falls silent is given up sooner and opened anew at once

Need: what a silent watch misses counts as told 6 s after it fell silent. Cause, by reading: at a service of all nodes a watch was given up 4.5 s after its call, told to the module as a failure, and called again after a pause of up to 0.9 s, with up to 2 s in the service's queue behind that. Change: the first call of a watch waits half a second at the other side and is given up after 3 s; one that goes on from an answer, for which nobody waits in turn, after 3.5 s; and where it had gone on before it is opened anew at once, on a new connection, without a pause.

Measured: a_watch_that_falls_silent_is_opened_anew_at_once fails without the mend (no third call to a discovery that is silent at the second: the module pauses).

--- a/crates/mothpier/tests/crossings.rs
+++ b/crates/mothpier/tests/crossings.rs
@@ -338,3 +338,37 @@
     assert_eq!(client.answer(), "end");
     assert!(node.ended().success());
 }
+
+/// A watch that has gone on and falls silent is opened anew at once, and its module is told of no failure, after which it
+/// would pause.
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_at_once() {
+    let (told, calls) = channel();
+    let told = report(told);
+    let count = Mutex::new(0);
+    let discovery = serve(call, move |asked| {
+        told(asked);
+        let mut count = count.lock().unwrap();
+        *count += 1;
+        match *count {
+            1 => http("200 OK", r#"{"revision":8,"complete":true,"members":[]}"#),
+            2 => Reaction::Silence,
+            3 => http("200 OK", r#"{"revision":9,"complete":false,"members":[]}"#),
+            _ => Reaction::Silence,
+        }
+    });
+    let path = format!("{}/falls-silent-crossing.json", env!("CARGO_TARGET_TMPDIR"));
+    let text = config("falls-silent", discovery, 1024)
+        .replace(r#""settings""#, r#""known":{"revision":7,"complete":true,"members":[]},"settings""#)
+        .replace(r#""discovery":"push""#, r#""discovery":"ask""#)
+        .replace(r#""coldUs""#, r#""askWithinUs":600000000,"coldUs""#);
+    std::fs::write(&path, text).unwrap();
+    let mut command = node_command("falls-silent", discovery, 1024, "");
+    command.env("ROUTER_CONFIG", path).env("ROUTER_OPS", "127.0.0.1:0");
+    let node = Node::spawn(command);
+    for after in ["after=7&", "after=8&", "after=8&", "after=9&"] {
+        let call = calls.recv_timeout(HUNG).unwrap();
+        assert!(call[0].contains(after), "{} instead of {after}", call[0]);
+    }
+    assert_eq!(node.figure("edge_router_list_calls_failed_total"), Some(0));
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -17,10 +17,14 @@
 use crate::http::{self, Connection};
 use crate::input::{Heard, Input};
 
-/// How long a watch waits at the other side: short, so that a silent agent is noticed soon.
+/// How long a watch waits at the other side: short, so that a silent one is noticed soon. What it misses counts as told 6 s
+/// after it fell silent, and until then it must have been given up, opened anew and answered.
 const WAIT: Duration = Duration::from_millis(2000);
-/// An answer of an agent that is this late after the wait will not come.
-const AGENT_LATE: Duration = Duration::from_millis(1500);
+/// The same of the first call of a watch at a service, which may have to wait for its turn beside that.
+const FIRST_WAIT: Duration = Duration::from_millis(500);
+/// An answer of an agent that is this late after the wait will not come; nor will one on a watch that a service has
+/// answered before, for only its first call waits for its turn.
+const WATCH_LATE: Duration = Duration::from_millis(1500);
 /// A service for all nodes takes calls in turn and fails those that have waited 2 s. Who gives up before loses what it has
 /// waited for and costs the service the call all the same: where many do, nobody gets an answer any more.
 const SERVICE_LATE: Duration = Duration::from_millis(2500);
@@ -164,11 +168,37 @@
 }
 
 impl Teller {
-    /// How long after its wait a call is given up.
-    fn late(self) -> Duration {
+    /// How long a call waits at the other side where nothing has changed, and how long after that it is given up.
+    fn patience(self, stage: Stage) -> (Duration, Duration) {
+        match (self, stage) {
+            (Teller::Agent, _) | (Teller::Service, Stage::Goes) => (WAIT, WATCH_LATE),
+            (Teller::Service, Stage::Opens) => (FIRST_WAIT, SERVICE_LATE),
+        }
+    }
+}
+
+/// How far a watch has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Nothing has been answered on this connection yet.
+    Opens,
+    /// It goes on from an answer.
+    Goes,
+}
+
+/// Why a call brought no list.
+enum Failure {
+    /// Nothing came: where the watch had gone on before, it has fallen silent.
+    Silent,
+    /// It was answered otherwise, or broke.
+    Failed(String),
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Teller::Agent => AGENT_LATE,
-            Teller::Service => SERVICE_LATE,
+            Failure::Silent => f.write_str("no answer"),
+            Failure::Failed(why) => f.write_str(why),
         }
     }
 }
@@ -187,6 +217,7 @@
     // service for all, only what changed since is asked for.
     let mut first = teller == Teller::Agent;
     let mut moved = false;
+    let mut stage = Stage::Opens;
     loop {
         let now = *wanted.borrow_and_update();
         if addresses.has_changed().unwrap_or(false) {
@@ -196,7 +227,7 @@
         if moved {
             // Another service: its revisions have nothing to do with the old ones, so the whole list is asked for,
             // and what the old one has still to say is not waited for.
-            (connection, revision, failing) = (None, None, false);
+            (connection, revision, failing, stage) = (None, None, false, Stage::Opens);
         }
         if !now.watch && now.calls == calls && !moved {
             tokio::select! {
@@ -214,18 +245,24 @@
                 moved = true;
                 continue;
             }
-            answer = call(&host, teller.late(), &mut connection, address, revision.filter(|_| !whole)) => answer,
+            answer = call(&host, teller.patience(stage), &mut connection, address, revision.filter(|_| !whole)) => answer,
         };
         moved = false;
         let heard = match answer {
             Ok(list) => {
-                (first, failing) = (false, false);
+                (first, failing, stage) = (false, false, Stage::Goes);
                 revision = Some(list.revision);
                 Heard::List(list)
             }
+            // It has to be opened anew at once: what it misses counts as told soon, and there is no pause in that time.
+            Err(Failure::Silent) if stage == Stage::Goes => {
+                host.log(format_args!("discovery: the watch has fallen silent; opening it anew"));
+                (connection, stage) = (None, Stage::Opens);
+                continue;
+            }
             Err(e) => {
-                // A silent or broken agent must not hang the watch: begin again on a new connection.
-                connection = None;
+                // A broken one must not hang the watch: begin again on a new connection.
+                (connection, stage) = (None, Stage::Opens);
                 if !failing {
                     host.log(format_args!("discovery: {e}; trying again until it answers"));
                 }
@@ -244,24 +281,27 @@
 
 async fn call<H: Host>(
     host: &H,
-    late: Duration,
+    (wait, late): (Duration, Duration),
     open: &mut Option<Connection>,
     address: SocketAddr,
     after: Option<u64>,
-) -> Result<List, String> {
+) -> Result<List, Failure> {
+    let failed = |why: String| Failure::Failed(why);
     let path = match after {
-        Some(revision) => format!("/api/targets?after={revision}&wait_ms={}", WAIT.as_millis()),
+        Some(revision) => format!("/api/targets?after={revision}&wait_ms={}", wait.as_millis()),
         None => "/api/targets".into(),
     };
     if open.as_ref().is_none_or(|c| !c.sender.is_ready()) {
-        *open = Some(http::connect(host, address, late).await.map_err(|e| format!("no connection: {e}"))?);
+        *open = Some(
+            http::connect(host, address, late).await.map_err(|e| failed(format!("no connection: {e}")))?,
+        );
     }
-    let Some(connection) = open else { return Err("no connection".into()) };
+    let Some(connection) = open else { return Err(failed("no connection".into())) };
     let request =
         hyper::Request::get(path).header("Host", address.to_string()).body(Full::<Bytes>::default());
-    let request = request.map_err(|e| e.to_string())?;
+    let request = request.map_err(|e| failed(e.to_string()))?;
     // No call for a whole list waits at the other side: a longer one would take up the time in which a move must be done.
-    let within = if after.is_some() { WAIT + late } else { late };
+    let within = if after.is_some() { wait + late } else { late };
     let answer = timeout(within, async {
         let response = connection.sender.send_request(request).await.map_err(|e| e.to_string())?;
         if response.status() != 200 {
@@ -269,7 +309,7 @@
         }
         http::body(response.into_body(), MAX_LIST, None).await
     });
-    let body = answer.await.map_err(|_| "no answer")??;
+    let body = answer.await.map_err(|_| Failure::Silent)?.map_err(failed)?;
     let _ = tokio::time::timeout(PAUSE, connection.sender.ready()).await;
-    serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))
+    serde_json::from_slice(&body).map_err(|e| failed(format!("unreadable list: {e}")))
 }
