World: nothing is sent on for what is over, as a rule of the checker with a mutant that it catches

Need: a request that has been answered, or whose client has gone, must not be sent on 0.1 s later; the checker did not look at it. Change: rule 11, from what boxes and the origin see; the mutant deaf-to-leaving, a machine that never tells the end of a client's connection.

--- a/crates/world/src/mutant.rs
+++ b/crates/world/src/mutant.rs
@@ -55,11 +55,13 @@
     ComesBackAtOnce,
     /// It does not know that classes are bound to zones.
     IgnoresBounds,
+    /// It does not notice that clients leave.
+    DeafToLeaving,
 }
 
 impl Mutant {
     /// All of them, with the rule that each breaks.
-    pub const ALL: [(Mutant, Rule); 12] = [
+    pub const ALL: [(Mutant, Rule); 13] = [
         (Mutant::AnswersTwice, Rule::OneAnswer),
         (Mutant::NeverAnswers, Rule::OneAnswer),
         (Mutant::WrongValue, Rule::OneAnswer),
@@ -72,6 +74,7 @@
         (Mutant::VotesAlone, Rule::OnePlan),
         (Mutant::ComesBackAtOnce, Rule::NoSwinging),
         (Mutant::IgnoresBounds, Rule::BoundToZones),
+        (Mutant::DeafToLeaving, Rule::Over),
     ];
 
     /// The settings that its node is told.
@@ -201,6 +204,9 @@
 pub struct MutantReading {
     reading: Option<SimReading>,
     keep: bool,
+    /// It does not tell the end.
+    deaf: bool,
+    ended: Cell<bool>,
 }
 
 /// Its half that is written to.
@@ -241,21 +247,29 @@
         } else {
             Writing::Plain(writing)
         };
-        (MutantReading { reading: Some(reading), keep }, MutantWriting { to, host: self.host })
+        let deaf = self.client && mutant == Mutant::DeafToLeaving;
+        let reading = MutantReading { reading: Some(reading), keep, deaf, ended: Cell::new(false) };
+        (reading, MutantWriting { to, host: self.host })
     }
 }
 
 impl Reading for MutantReading {
     async fn readable(&self) -> io::Result<()> {
         match &self.reading {
-            Some(reading) => reading.readable().await,
-            None => std::future::pending().await,
+            Some(reading) if !self.ended.get() => reading.readable().await,
+            _ => std::future::pending().await,
         }
     }
 
     fn try_read_buf(&self, buffer: &mut BytesMut) -> io::Result<usize> {
         match &self.reading {
-            Some(reading) => reading.try_read_buf(buffer),
+            Some(reading) => match reading.try_read_buf(buffer) {
+                Ok(0) if self.deaf => {
+                    self.ended.set(true);
+                    Err(io::ErrorKind::WouldBlock.into())
+                }
+                read => read,
+            },
             None => Err(io::ErrorKind::WouldBlock.into()),
         }
     }
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -13,6 +13,7 @@
 //!    it lives.
 //! 9. **No swinging.** No zone is given up more than a few times within some seconds.
 //! 10. **Bound to zones.** A request of a class that is bound to zones reaches no box outside them.
+//! 11. **Over.** What has been answered, or whose client has gone, is not sent on: no attempt begins later.
 //!
 //! The caps of rule 5 are those of the decision module's gate (its constants are no part of its interface): a part of
 //! 80 calls out, or of a tenth of all quotas a second, for each node, 2 to 20 of them, and in a window the greater of
@@ -30,6 +31,8 @@
 
 /// On top of each limit: two ways across zones, and the grain of the clock.
 const SLACK: Duration = Duration::from_millis(50);
+/// After its end no attempt of a request begins later than this.
+const OVER: Duration = Duration::from_millis(100);
 /// Calls out of all nodes together, of which each has its part: at least, and in seconds of all quotas.
 const CAP: (f64, f64) = (80.0, 0.1);
 /// The bounds of a node's part.
@@ -71,6 +74,8 @@
     NoSwinging,
     /// Bound to zones.
     BoundToZones,
+    /// Nothing is sent on for what is over.
+    Over,
 }
 
 /// A rule that was broken.
@@ -114,6 +119,8 @@
     life: u64,
     answered: bool,
     over: bool,
+    /// When it was answered, or its client left.
+    ended: Option<Duration>,
     executed: u32,
     attempts: Vec<Attempt>,
     /// When something about it last happened at a box or the origin.
@@ -274,6 +281,7 @@
                     life,
                     answered: false,
                     over: false,
+                    ended: None,
                     executed: 0,
                     attempts: Vec::new(),
                     stirred: now,
@@ -328,6 +336,7 @@
                 }
             }
             Seen::Left { request, early } => {
+                self.requests.entry(*request).and_modify(|r| r.ended = Some(now));
                 if *early {
                     if let Some(r) = self.requests.get_mut(request) {
                         r.over = true;
@@ -432,6 +441,7 @@
     fn answered(&mut self, now: Duration, id: RequestNo, reply: Reply, slow: bool) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         let twice = std::mem::replace(&mut r.answered, true);
+        r.ended.get_or_insert(now);
         let late = now.saturating_sub(r.asked + r.patience);
         let (effect, _, aim) = self.classes[r.class];
         let asked = r.asked;
@@ -602,6 +612,13 @@
             && !self.bound[class].contains(&(at % self.zones));
         let ran = r.attempts.iter().find(|a| a.fate != Fate::NotRun).map(|a| (a.at, a.arrived));
         let count = r.attempts.len() + 1;
+        // What was written to a box that could not be reached comes when it can.
+        let late = r.ended.map(|end| now.saturating_sub(end)).filter(|late| *late > OVER + SLACK);
+        if let Some(late) = late.filter(|_| !mended && !away) {
+            let what = format!("request {id:x} was sent on {late:?} after it was over");
+            self.broken(now, Rule::Over, what);
+        }
+        let Some(r) = self.requests.get_mut(&id) else { return };
         r.attempts.push(Attempt { at, arrived: now, fate: Fate::Out, unheard: away });
         if outside {
             self.broken(now, Rule::BoundToZones, format!("request {id:x}, bound to zones, reached box {at}"));
--- a/crates/world/tests/seeds.rs
+++ b/crates/world/tests/seeds.rs
@@ -125,6 +125,13 @@
         let what = What::Clients { leavers: 1.0, slow: 0.0, for_ms: 9_000 };
         return (scenario, Some(vec![Fault { at_ms: 0, what }]));
     }
+    if mutant == Mutant::DeafToLeaving {
+        // Most reads miss, and wait for a gate that is shut: those who asked leave meanwhile.
+        (scenario.load.keys, scenario.load.rate) = (100_000, 200.0);
+        (scenario.origin.slots, scenario.origin.time_ms) = (4, [200.0, 300.0]);
+        let what = What::Clients { leavers: 0.5, slow: 0.0, for_ms: 9_000 };
+        return (scenario, Some(vec![Fault { at_ms: 0, what }]));
+    }
     if mutant == Mutant::IgnoresCold {
         // One box comes back cold into a fleet that is well loaded, and all are told at once.
         (scenario.load.rate, scenario.load.keys, scenario.boxes.keys) = (520.0, 400, 600);
