Handover: what the old process is told of the list the new one is told, too

Change: beside what it would leave behind, the old process sends its state again, without the module's, when its list has changed; the new one takes in a list that is newer than its own. A process of the version before passes such a message over.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -2,7 +2,8 @@
 //! whatever else comes is told apart and never guessed at. Nothing here does I/O.
 //!
 //! The new process says [`Message::Hello`]; the old one answers with [`Message::State`], or [`Message::Declined`], and
-//! goes on with [`Message::Left`] for as long as both live. The end of the connection is the end of the other process.
+//! goes on with [`Message::Left`] for as long as both live, and with another [`Message::State`], without the module's, when it
+//! is told of a change of the list. The end of the connection is the end of the other process.
 
 use std::fmt;
 
@@ -39,7 +40,7 @@
 /// What the old process knows.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct State {
-    /// The version of its list of servers.
+    /// The version of its list of servers; told to the node itself also where nothing else of this is.
     pub revision: u64,
     /// The list, in discovery's form.
     pub list: Vec<u8>,
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -143,9 +143,17 @@
         let mut last = first;
         let mut news = false;
         while let Some(message) = link.inbox.recv().await {
-            if let Message::Left(left) = message {
-                self.divide(room(left.descriptors)).await;
-                (last, news) = (left, true);
+            match message {
+                Message::Left(left) => {
+                    self.divide(room(left.descriptors)).await;
+                    (last, news) = (left, true);
+                }
+                // What the old process is told of the list counts as told to the node.
+                Message::State(state) => match list(&state) {
+                    Ok(list) => self.tell(Input::Told(list)).await,
+                    Err(e) => self.host.log(format_args!("handover: {e}")),
+                },
+                Message::Hello { .. } | Message::Declined(_) => {}
             }
         }
         self.alone(reserve).await;
@@ -177,6 +185,7 @@
                 state.module.clear();
             }
             self.host.log(format_args!("a new process takes over: {} bytes of state", state.module.len()));
+            let mut revision = state.revision;
             let mut told = link.outbox.send(Message::State(state)).await.is_ok();
             *self.successor.borrow_mut() = Some(link.outbox.clone());
             while told {
@@ -186,6 +195,12 @@
                     _ = link.inbox.recv() => told = false,
                     () = sleep(WORD) => {
                         let Some(state) = self.ask(false).await else { return };
+                        if state.revision != revision {
+                            let Some(mut news) = self.ask(true).await else { return };
+                            news.module.clear();
+                            revision = news.revision;
+                            let _ = link.outbox.send(Message::State(news)).await;
+                        }
                         told = link.outbox.send(Message::Left(state.left)).await.is_ok();
                     }
                 }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -40,6 +40,8 @@
     Sharing(u32),
     /// So many connections to servers may be open.
     Descriptors(usize),
+    /// The list as another process of this node has been told.
+    Told(List),
     /// What another process of this node has left behind.
     Inherit(Legacy),
     /// What would be left behind, and with `whole` all that is known.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -351,6 +351,9 @@
                 accord.tick(near)
             }),
             Input::Order(wish) => self.agree(|accord, near| accord.order(wish, near)),
+            // One that it knows already, or a newer one, it has heard from discovery itself.
+            Input::Told(list) if list.revision > self.revision => self.list(list, ListKind::Cached),
+            Input::Told(_) => {}
             Input::Sharing(processes) => self.events.push_back(Event::Sharing(processes)),
             Input::Inherit(left) => self.events.push_back(Event::Legacy(left)),
             Input::Descriptors(most) => self.parts.servers.set_descriptors(most * SERVERS.0 / SERVERS.1),
@@ -424,7 +427,7 @@
         let (servers, origins) = (self.parts.servers.open(), self.parts.origins.open());
         let left = Left { legacy: self.policy.legacy(), descriptors: (servers + origins) as u32 };
         if !whole {
-            return State { left, ..State::default() };
+            return State { revision: self.revision, left, ..State::default() };
         }
         let members: Vec<&Member> = self.members.values().collect();
         State {
--- a/crates/world/tests/seeds.rs
+++ b/crates/world/tests/seeds.rs
@@ -88,6 +88,8 @@
     for seed in [170, 185] {
         kept(&drawn(&scenario("site"), seed, None));
     }
+    // What the old of two processes was told of the list the new one did not know, and sent on to a box that drained.
+    kept(&drawn(&scenario("operate"), 1151, None));
     // Clients that ask on a connection of a process that was killed a moment ago, before its end reaches them: the fault was
     // the checker's.
     for (name, seed) in [("operate", 714), ("operate", 7_700_312), ("crowded", 7_700_399)] {
