--- a/crates/mothpier/tests/crossings.rs
+++ b/crates/mothpier/tests/crossings.rs
@@ -295,11 +295,10 @@
         r#""deadlineUs":400000,"goalTimeUs":400000,"#,
         r#""deadlineUs":1500000,"goalTimeUs":1500000,"lateValue":1.0,"#,
     );
-    let long =
-        (r#""deadlineUs":20000000,"goalTimeUs":2000000,"#, r#""deadlineUs":4000000,"goalTimeUs":4000000,"#);
-    let once =
-        (r#""deadlineUs":20000000,"goalTimeUs":1000000,"#, r#""deadlineUs":4000000,"goalTimeUs":1000000,"#);
-    let mut node = node("never-rests", &discovery, &[short, long, once]);
+    let mut node = node("never-rests", &discovery, &[short, LONG[0], LONG[1]]);
+    let mut early = node.client();
+    early.send(&["CACHE.SET", "early", "i", "c=read,t=acme,d=600000", "value"]);
+    calls.recv_timeout(HUNG).unwrap();
     let mut client = node.client();
     client.send(&["CACHE.SET", "k-0", "i-0", "c=brief,t=acme,d=1500", "value"]);
     calls.recv_timeout(HUNG).unwrap();
@@ -310,14 +309,15 @@
     }
     client.send(&["CACHE.SET", "k-1", "i-1", "c=brief,t=acme,d=1500", "value"]);
     assert!(client.answer().starts_with('-'), "nobody answers the first");
-    // It may take longer than the process lives: it must be answered all the same.
-    client.send(&["CACHE.SET", "k-2", "i-2", "c=read,t=acme,d=4000", "value"]);
+    // It may take longer than the process is left to live: it must be answered all the same.
+    client.send(&["CACHE.SET", "k-2", "i-2", "c=read,t=acme,d=600000", "value"]);
     for request in ["i-1", "i-2"] {
         let answer = client.answer();
         assert!(answer.starts_with('-'), "{request}: {answer}");
     }
     assert_eq!(calls.iter().take(2).count(), 2, "all three were sent on");
     assert_eq!(client.answer(), "end");
+    assert_eq!((early.answer().as_str(), early.answer().as_str()), ("-ERR failed", "end"));
     assert!(node.ended().success());
 }
 
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -56,8 +56,8 @@
 /// Dropped of what a client sends behind the end of its commands, while answers before that are owed: enough to notice that
 /// it has gone; one that goes on beyond is read no further.
 const FLOOD: usize = 1024 * 1024;
-/// At the end of the process what was taken is answered so long before, that the answer goes out; and nothing more is read
-/// from this long before, that it can be asked for at all.
+/// Before a process must have ended, all that is still open fails so long before, that the answers go out; and nothing more is
+/// read from this long before, that it can be asked for at all.
 const LAST: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(250));
 /// Memory that an open request counts for until its answer is written, beside its own value: half of the largest
 /// answer that is held whole, for few are large; the pieces of one that passes are no more.
@@ -107,7 +107,7 @@
     leaving: Cell<Leaving>,
     /// Nothing more is accepted.
     listening: Cell<Listening>,
-    /// When the process ends, whatever is open then.
+    /// When the process must have ended: all is answered before.
     ends: Cell<Option<Instant>>,
     changed: Notify,
 }
@@ -125,19 +125,12 @@
         self.changed.notify_waiters();
     }
 
-    /// The process ends at that time, whatever is open then.
-    pub fn end_at(&self, time: Instant) {
+    /// The process must have ended by then: nothing may be open any more.
+    pub fn end_by(&self, time: Instant) {
         self.ends.set(Some(time));
         self.changed.notify_waiters();
     }
 
-    /// What is left of a time before the end of the process, and a margin before it.
-    fn left(&self, time: Micros, margin: Duration) -> Micros {
-        let left =
-            |end: Instant| end.saturating_duration_since(Instant::now() + margin).as_micros() as Micros;
-        self.ends.get().map_or(time, |end| time.min(left(end)))
-    }
-
     /// Which connections go now.
     pub fn leaving(&self) -> Leaving {
         self.leaving.get()
@@ -424,7 +417,7 @@
             write,
             repeat: extra("r") == Some("1"),
             // The client's wait began before its command was read whole.
-            time_left: self.retiring.left(time_left.saturating_sub((self.now)() - came), LAST.0),
+            time_left: time_left.saturating_sub((self.now)() - came),
             cost: figure("h").map_err(rejected)?.map(|us| us as Micros),
             size: figure("size").map_err(rejected)?.unwrap_or_default() as f32,
         };
@@ -597,7 +590,8 @@
                 return Parting::HalfClose;
             }
             // Whoever always has a request open would be read from to the end, and not answered.
-            let last = clients.retiring.ends.get().filter(|_| !idle && !self.ended).map(|end| end - LAST.1);
+            let last = clients.retiring.ends.get().filter(|_| !idle);
+            let last = last.map(|end| end - if self.ended { LAST.0 } else { LAST.1 });
             let leaving = match clients.retiring.leaving() {
                 Leaving::None => false,
                 Leaving::Answered => answered,
@@ -653,7 +647,9 @@
                     if !quiet(reading, &mut inbox.buffer).await {
                         (inbox.came, rests) = ((clients.now)(), Instant::now());
                     } else if last.is_some_and(|last| last <= Instant::now()) {
-                        self.ended = true;
+                        if std::mem::replace(&mut self.ended, true) {
+                            self.fail_open().await;
+                        }
                     } else if half.is_some_and(|half| half <= Instant::now()) {
                         self.protocol_error(Malformed("the rest of the command has not come"));
                     } else if first.is_some_and(|first| first <= Instant::now())
@@ -748,6 +744,16 @@
         }
     }
 
+    /// Fails what is open: nothing is left of the time in which it could be answered otherwise.
+    async fn fail_open(&mut self) {
+        self.gone().await;
+        for slot in &mut self.pending {
+            if let Wait::Node(..) = slot.wait {
+                slot.wait = Wait::Ready(resp::error("ERR failed"));
+            }
+        }
+    }
+
     /// Nobody waits any more for what is open.
     async fn gone(&mut self) {
         for slot in &mut self.pending {
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -29,6 +29,8 @@
 const QUEUE: usize = 1024;
 /// After SIGTERM new connections come for 0.4 s at most; this much longer they are still taken.
 const KEEP_ACCEPTING: Duration = Duration::from_millis(600);
+/// SIGKILL comes no sooner after SIGTERM than the longest deadline and 0.7 s more; a longer one counts as this.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
 /// When connections begin to leave behind their answers, and when those that rest leave too. New ones come for 0.2 s after
 /// a drain and for 0.4 s after SIGTERM; a drained node may hold nothing at 4 s that was used since 2 s.
 const DRAIN: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(1200));
@@ -284,7 +286,8 @@
     desk.lifecycle.step(Step::Stop);
     host.log(format_args!("stopping"));
     let kill = Instant::now() + Duration::from_micros(longest) + KEEP_ACCEPTING;
-    retiring.end_at(kill);
+    let counted = Duration::from_micros(longest).min(LONGEST_COUNTED);
+    retiring.end_by(Instant::now() + counted + KEEP_ACCEPTING);
     // On a shared listener another process takes what comes, but only where there is one: a node that is simply told to stop
     // would leave in the queue what nobody comes for.
     if shared && side.succeeded() {
