Module: discovery is asked within the time that the settings give, also where aims are longer

Need: a class's aim, window and deadline are as the settings say; the properties over random events knew one deployment's. Change to the test: 30 and 300 nodes, aims of nothing and beyond the deadline, windows of 0, shorter and longer than the deadline, classes in another order or one alone, 60 s between calls to discovery. It found one fault: with an aim of 2 s and 1 s for asking, a node without a watch asked every 2 s (subscribe in policy.rs took the longer of both) and was held to changes it had not heard.

--- a/crates/brassrouter/src/policy.rs
+++ b/crates/brassrouter/src/policy.rs
@@ -727,8 +727,8 @@
     fn subscribe(&mut self, out: &mut Vec<Action>) {
         if self.settings.ask_discovery && !self.subscribed && self.now >= self.ask_at {
             out.push(Action::Subscribe(true));
-            self.ask_at = self.now + self.settings.ask_within.max(self.aim);
-            self.wake(self.settings.ask_within.max(self.aim), Wake::Subscribe);
+            self.ask_at = self.now + self.settings.ask_within.max(ASK_AGAIN / 16); // Never without a pause.
+            self.wakes.at(self.ask_at, Wake::Subscribe);
         }
     }
 
--- a/crates/brassrouter/tests/properties.rs
+++ b/crates/brassrouter/tests/properties.rs
@@ -45,7 +45,15 @@
 fn config() -> impl Strategy<Value = Settings> {
     let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
     let rules = (any::<bool>(), 0..3u8, any::<bool>());
-    (flags, 1..5u32, 1..5u32, 0..4usize, 0..3u8, 0.0..1.0f64, rules).prop_map(
+    // Figures of other deployments: one node or hundreds, aims beyond deadlines, windows of nothing or shorter than both,
+    // classes in another order or one alone, discovery that may hardly be left unasked.
+    let balancers = prop_oneof![4 => 1..5u32, 1 => Just(30), 1 => Just(300)];
+    let window = prop_oneof![1 => Just(0), 1 => Just(100_000), 2 => Just(300_000), 1 => Just(5_000_000)];
+    let aim = prop_oneof![2 => Just(200_000), 1 => Just(1), 1 => Just(2_000_000)];
+    let ask_within = prop_oneof![3 => Just(1_000_000), 1 => Just(60_000_000)];
+    let times = (window, aim, ask_within);
+    let classes = (0..3usize, 1..4usize);
+    (flags, 1..5u32, balancers, 0..4usize, 0..3u8, 0.0..1.0f64, rules, times, classes).prop_map(
         |(
             (aside, duplicate, ask, peers, sizes),
             max_attempts,
@@ -54,26 +62,28 @@
             group,
             cold_share,
             (cancel, bound, close),
+            (window, aim, ask_within),
+            (turned, kept),
         )| {
             let group = [Group::All, Group::Zone, Group::Cell][usize::from(group)];
             let class = |effect| Class {
-                aim: 200_000,
+                aim,
                 deadline: 900_000,
                 effect,
                 only_zones: (bound == 1).then(|| vec![1]),
                 only_kinds: (bound == 2).then(|| vec![0]),
                 ..Class::default()
             };
+            let mut classes =
+                vec![class(Effect::Safe), class(Effect::Keyed { group, window }), class(Effect::Unsafe)];
+            classes.rotate_left(turned);
+            classes.truncate(kept);
             Settings {
                 balancers,
-                classes: vec![
-                    class(Effect::Safe),
-                    class(Effect::Keyed { group, window: 300_000 }),
-                    class(Effect::Unsafe),
-                ],
+                classes,
                 tenants: vec![Tenant { quota_per_s: 5.0 }; tenants],
                 ask_discovery: ask,
-                ask_within: 1_000_000,
+                ask_within,
                 origin_kind: aside.then_some(ORIGIN_KIND),
                 weights_are_sizes: sizes,
                 max_attempts,
@@ -267,16 +277,17 @@
             Step::Wait(time) => self.pass(*time),
             Step::Ask { class, tenant, key, write, budget } => {
                 let tenant = tenant % self.settings.tenants.len().max(1);
+                let class = class % self.settings.classes.len();
                 let request = Request {
                     id: self.next,
-                    class: *class,
+                    class,
                     tenant,
                     key: *key,
                     write: *write,
                     time_left: *budget,
                     ..Request::default()
                 };
-                let owed = Owed { class: *class, ends: self.now + budget, sent: Vec::new() };
+                let owed = Owed { class, ends: self.now + budget, sent: Vec::new() };
                 self.owed.insert(self.next, owed);
                 self.next += 1;
                 self.event(Event::Request(request));
