Config: a list from before that can't be read is said and not used, and keeps no node from its start

Need: restarted processes are ready also where known is old or empty. Cause: known was read with the rest of the file, so that {} in its place ended the start with code 2. Change: what can't be read of it is a line of the log. Measured: the new test in node.rs, red without the mend (the node ended at its start). Beside it: idle clients that fill 64 descriptors while discovery is silent keep neither discovery nor servers, the origin or a new client out at its return; found safe (service.rs divides them), a test in crossings.rs.

--- a/crates/mothpier/tests/crossings.rs
+++ b/crates/mothpier/tests/crossings.rs
@@ -372,3 +372,49 @@
     }
     assert_eq!(node.figure("edge_router_list_calls_failed_total"), Some(0));
 }
+
+/// Idle clients fill all that there is while discovery does not answer: at its return it is heard, and servers, the origin
+/// and a new client get theirs. What was taken before stays.
+#[test]
+fn idle_clients_that_fill_the_descriptors_keep_neither_discovery_nor_servers_out() {
+    let (server, commands, go) = held(|asked| asked[2].clone());
+    let origin = serve(call, |_| http("200 OK", "receipt"));
+    let away = TcpListener::bind("127.0.0.1:0").unwrap();
+    let path = format!("{}/filled-crossing.json", env!("CARGO_TARGET_TMPDIR"));
+    let known = format!(
+        r#""known":{{"revision":1,"complete":true,"members":[{}]}},"settings""#,
+        member("s-1", server, "m", "ready")
+    );
+    let text = config("filled", away.local_addr().unwrap(), 64).replace(r#""settings""#, &known);
+    std::fs::write(&path, text.replace(LONG[0].0, LONG[0].1)).unwrap();
+    let mut command = node_command("filled", away.local_addr().unwrap(), 64, "ulimit -n 64;");
+    command.env("ROUTER_CONFIG", path);
+    let node = Node::spawn(command);
+    let mut before = node.client();
+    before.send(&["CACHE.GET", "k", "before", "c=read,t=acme,d=600000"]);
+    assert_eq!(commands.recv_timeout(HUNG).unwrap()[2], "before");
+    let idle: Vec<Client> = (0..200).map(|_| node.client()).collect();
+    let mut client = node.client();
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+    // It returns, with an origin that the node has not known.
+    let members = [member("s-1", server, "m", "ready"), member("o-1", origin, "origin", "ready")].join(",");
+    let list = format!(r#"{{"revision":2,"complete":true,"members":[{members}]}}"#);
+    let (told, calls) = channel();
+    let told = report(told);
+    serve_on(away, call, move |asked| {
+        told(asked);
+        if asked[0].contains("after=2&") { Reaction::Silence } else { http("200 OK", &list) }
+    });
+    while !calls.recv_timeout(HUNG).unwrap()[0].contains("after=2&") {}
+    let written = loop {
+        // The list has been written to the node, and may be taken in a moment later.
+        let answer = node.client().ask(&["CACHE.SET", "k", "i", "c=read,t=acme,d=9000", "value"]);
+        if !answer.starts_with("-BUSY") {
+            break answer;
+        }
+    };
+    assert_eq!(written, "$receipt");
+    go.send(()).unwrap();
+    assert_eq!(before.answer(), "$before", "what was taken before is not evicted");
+    drop(idle);
+}
--- a/crates/mothpier/tests/node.rs
+++ b/crates/mothpier/tests/node.rs
@@ -269,6 +269,25 @@
     }
 }
 
+/// What it was given from before may be anything: it must not keep the node from its start.
+#[test]
+fn a_list_from_before_that_cannot_be_read_is_said_and_not_used() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    for (number, known) in
+        ["{}", "[]", "7", r#"{"revision":-1,"complete":true,"members":[]}"#].iter().enumerate()
+    {
+        let path = format!("{}/unreadable-{number}.json", env!("CARGO_TARGET_TMPDIR"));
+        let text = config("unreadable", discovery.address, 1024);
+        std::fs::write(&path, text.replace(r#""settings""#, &format!(r#""known":{known},"settings""#)))
+            .unwrap();
+        let mut command = node_command("unreadable", discovery.address, 1024, "");
+        command.env("ROUTER_CONFIG", path);
+        let node = Node::run(command, &discovery);
+        assert_eq!(node.client().ask(&["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"]), "$i", "{known}");
+    }
+}
+
 /// A discovery at which each call has to wait nearly as long as calls may: where it is, and the calls made.
 fn answers_in_turn(revision: u64, members: &str) -> (std::net::SocketAddr, Receiver<Vec<String>>) {
     let (told, calls) = channel();
--- a/crates/mothpier/tests/world/mod.rs
+++ b/crates/mothpier/tests/world/mod.rs
@@ -91,7 +91,15 @@
 
 /// A server: each thing asked is given to `react`, whose answer goes back. Returns where it listens.
 pub fn serve(read: Reader, react: impl Fn(&[String]) -> Reaction + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    serve_on(TcpListener::bind("127.0.0.1:0").unwrap(), read, react)
+}
+
+/// The same at a listener that is there already.
+pub fn serve_on(
+    listener: TcpListener,
+    read: Reader,
+    react: impl Fn(&[String]) -> Reaction + Send + Sync + 'static,
+) -> SocketAddr {
     let address = listener.local_addr().unwrap();
     let react = Arc::new(react);
     thread::spawn(move || {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -59,7 +59,7 @@
     #[serde(default)]
     peers: Vec<String>,
     peers_all: Option<String>,
-    known: Option<List>,
+    known: Option<serde_json::Value>,
     settings: serde_json::Value,
 }
 
@@ -125,6 +125,11 @@
         return Err(format!("limits.sockets: {} are too few to work with", file.limits.sockets));
     }
     let mut notes = Vec::new();
+    // Discovery has it anyhow: what can't be read of it must not keep the node from its start.
+    let known = file.known.and_then(|known| {
+        let list = serde_json::from_value(known);
+        list.map_err(|e| notes.push(format!("known: unreadable, and not used: {e}"))).ok()
+    });
     if let (Some(env), Some(file)) = (&env.ops, &file.ops)
         && env != file
     {
@@ -142,7 +147,7 @@
         peer_listen: optional("peer_listen", file.peer_listen)?,
         peers: file.peers.into_iter().map(|p| address("peers", Some(p))).collect::<Result<_, _>>()?,
         peers_all: optional("peers_all", file.peers_all)?,
-        known: file.known,
+        known,
         site,
         operator: Operator::default(),
         keys: Keys::default(),
