--- /dev/null
+++ b/crates/node/tests/unit/servers.rs
@@ -0,0 +1,116 @@
+//! Connections to cache servers, told apart from the node that drives them.
+
+use std::io::Read;
+
+use mothpier_host::Machine;
+use mothpier_ops::Desk;
+
+use super::*;
+
+/// Answers come in the order of the commands: one that is slow or lost must not hold up seven others.
+#[test]
+fn a_node_uses_its_part_of_the_connections_before_it_queues_behind_an_answer() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        for (balancers, descriptors, connections) in [(4, 64, 8), (2, 64, 16), (2, 6, 6), (64, 64, 1)] {
+            let (events, _inputs) = mpsc::channel(8);
+            let limits = Limits {
+                balancers,
+                multiplex: 32,
+                idle_close: Duration::from_secs(60),
+                connect_timeout: Duration::from_secs(30),
+                descriptors,
+            };
+            let mut servers = Servers::new(
+                Machine { program: "test" },
+                limits,
+                Desk::new(["read"]).figures.clone(),
+                events,
+            );
+            assert!(servers.listed(7, Some(address), true).is_empty());
+            for attempt in 1..=20 {
+                let bytes = resp::command(["PING".into()]);
+                assert!(servers.send(7, Command { attempt, bytes, probe: true }));
+            }
+            assert_eq!(servers.pools[&7].connections.len(), connections);
+            assert_eq!(servers.connects(), Connects { begun: connections as u32, refused: 0 });
+            assert_eq!(servers.connects(), Connects::default(), "told once");
+        }
+    });
+}
+
+/// A rule of drains: what still waits for its connection when the notice comes is never written.
+#[test]
+fn what_waits_for_a_connection_is_not_sent_after_the_notice_of_a_drain() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let (events, mut inputs) = mpsc::channel(8);
+        let limits = Limits {
+            balancers: 1,
+            multiplex: 32,
+            idle_close: Duration::from_secs(60),
+            connect_timeout: Duration::from_secs(30),
+            descriptors: 8,
+        };
+        let mut servers =
+            Servers::new(Machine { program: "test" }, limits, Desk::new(["read"]).figures.clone(), events);
+        let ping = |attempt| Command { attempt, bytes: resp::command(["PING".into()]), probe: true };
+        assert!(servers.listed(7, Some(address), true).is_empty());
+        assert!(servers.send(7, ping(1)));
+        assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
+        // Up, but the node has not been told yet: the attempt still waits.
+        assert_eq!(servers.listed(7, Some(address), false), [1]);
+        assert!(!servers.send(7, ping(2)), "taken for a server that drains");
+        assert!(servers.event(7, 1, Event::Up).is_empty());
+    });
+    let mut written = Vec::new();
+    listener.accept().unwrap().0.read_to_end(&mut written).unwrap();
+    assert_eq!(written, b"");
+}
+
+/// Its answer, or the end of its connection, may be on its way to the node when its deadline fires: nothing says that it
+/// never ran then.
+#[test]
+fn an_attempt_that_is_given_up_as_its_answer_comes_may_have_run() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    for answer in [&b"$0\r\n\r\n"[..], b""] {
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (events, mut inputs) = mpsc::channel(8);
+            let limits = Limits {
+                balancers: 1,
+                multiplex: 32,
+                idle_close: Duration::from_secs(60),
+                connect_timeout: Duration::from_secs(30),
+                descriptors: 8,
+            };
+            let figures = Desk::new(["read"]).figures.clone();
+            let mut servers = Servers::new(Machine { program: "test" }, limits, figures, events);
+            assert!(servers.listed(7, Some(address), true).is_empty());
+            let bytes = resp::command(["INFO".into(), "load".into()]);
+            assert!(servers.send(7, Command { attempt: 1, bytes, probe: true }));
+            assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
+            assert!(servers.event(7, 1, Event::Up).is_empty());
+            let (mut stream, _) = listener.accept().unwrap();
+            tokio::task::yield_now().await;
+            let mut asked = [0; 4];
+            while matches!(stream.set_nonblocking(true).and_then(|()| stream.read(&mut asked)), Err(e) if e.kind() == ErrorKind::WouldBlock)
+            {
+                tokio::task::yield_now().await;
+            }
+            stream.set_nonblocking(false).unwrap();
+            std::io::Write::write_all(&mut stream, answer).unwrap();
+            drop(stream);
+            // It has been taken from the connection, and waits to be told to the node.
+            while inputs.is_empty() {
+                tokio::task::yield_now().await;
+            }
+            assert!(!servers.give_up(7, 1).unwritten, "said never to have run");
+        });
+    }
+}
