Tests: requests that cross SIGTERM, and answers that cross the leaving of their clients

Need: crossings forced, in both orders. The process is stopped while both things happen, so that it finds them at once. Found safe: what came on a new connection, on one that rests and the rest of a command that has begun is answered whole and then meets the end; nothing stays in flight, at the origin neither, and both connections serve on.

--- a/crates/mothpier/tests/crossings.rs
+++ b/crates/mothpier/tests/crossings.rs
@@ -418,3 +418,88 @@
     assert_eq!(before.answer(), "$before", "what was taken before is not evicted");
     drop(idle);
 }
+
+/// Stops the node's process while other things happen, so that it finds all of them at once.
+fn while_stopped(node: &Node, happens: impl FnOnce()) {
+    node.signal("STOP");
+    happens();
+    node.signal("CONT");
+}
+
+/// A request that comes in the moment of SIGTERM, on a new connection or one that rests, before or after it: it is answered
+/// whole, and then its connection ends.
+#[test]
+fn a_request_that_crosses_sigterm_is_answered_whole() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let get = ["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"];
+    for term_first in [false, true] {
+        let mut node = node("crosses-term", &discovery, &[]);
+        let mut rests = node.client();
+        assert_eq!(rests.ask(&["PING"]), "+PONG");
+        let mut halfway = node.client();
+        halfway.write("*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$1\r\nh\r\n");
+        let mut new = None;
+        while_stopped(&node, || {
+            if term_first {
+                node.signal("TERM");
+            }
+            rests.send(&get);
+            halfway.write("$20\r\nc=read,t=acme,d=9000\r\n");
+            let mut client = node.client();
+            client.send(&["CACHE.GET", "k", "n", "c=read,t=acme,d=9000"]);
+            new = Some(client);
+            if !term_first {
+                node.signal("TERM");
+            }
+        });
+        for (client, answer) in [(&mut rests, "$i"), (&mut halfway, "$h"), (&mut new.unwrap(), "$n")] {
+            assert_eq!((client.answer().as_str(), client.answer().as_str()), (answer, "end"));
+        }
+        assert!(node.ended().success());
+    }
+}
+
+/// The answer comes as its client leaves, in either order: nothing stays open, and the connection to the server serves on.
+#[test]
+fn an_answer_that_crosses_its_clients_leaving_leaves_nothing_open() {
+    let (server, commands, go) = held(|asked| asked[2].clone());
+    let (told, calls) = channel();
+    let told = report(told);
+    let (goes, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let origin = serve(call, move |asked| {
+        told(asked);
+        let _ = wait.lock().unwrap().recv();
+        http("200 OK", "receipt")
+    });
+    let members = [member("s-1", server, "m", "ready"), member("o-1", origin, "origin", "ready")].join(",");
+    let discovery = Discovery::start(&members);
+    let node = node("answer-leaving", &discovery, &LONG);
+    for answer_first in [false, true] {
+        let (mut reads, mut writes) = (node.client(), node.client());
+        reads.send(&["CACHE.GET", "k", "r", "c=read,t=acme,d=600000"]);
+        writes.send(&["CACHE.SET", "k", "w", "c=once,t=acme,d=600000", "value"]);
+        commands.recv_timeout(HUNG).unwrap();
+        calls.recv_timeout(HUNG).unwrap();
+        while_stopped(&node, || {
+            let answer = || {
+                go.send(()).unwrap();
+                goes.send(()).unwrap();
+            };
+            if answer_first {
+                answer();
+            }
+            drop((reads, writes));
+            if !answer_first {
+                answer();
+            }
+        });
+        node.figure_becomes("edge_router_in_flight", 0);
+        node.figure_becomes("edge_router_origin_calls_out", 0);
+    }
+    go.send(()).unwrap();
+    goes.send(()).unwrap();
+    assert_eq!(node.client().ask(&["CACHE.GET", "k", "last", "c=read,t=acme,d=9000"]), "$last");
+    assert_eq!(node.client().ask(&["CACHE.SET", "k", "l", "c=once,t=acme,d=9000", "value"]), "$receipt");
+}
