Clients: a flood does not put off the end of reading, and less is read ahead of an answer

Read over: at the end of a process the end of reading was looked at behind what had come, so that whoever sends on and on would have all of it read; and 64 KiB could be read ahead on each connection whose client takes no answer, which hundreds of them may do. Change: the end of reading is looked at first; 16 KiB are read ahead.

--- a/crates/mothpier/tests/crossings.rs
+++ b/crates/mothpier/tests/crossings.rs
@@ -299,6 +299,12 @@
     let mut early = node.client();
     early.send(&["CACHE.SET", "early", "i", "c=read,t=acme,d=600000", "value"]);
     calls.recv_timeout(HUNG).unwrap();
+    // One that sends on and on, an unread answer to each behind the one that is open.
+    let mut floods = node.client();
+    floods.send(&["CACHE.SET", "floods", "f", "c=read,t=acme,d=600000", "value"]);
+    calls.recv_timeout(HUNG).unwrap();
+    let mut flood = floods.sending();
+    let flooding = thread::spawn(move || while flood.write_all(b"*1\r\n$4\r\nPING\r\n").is_ok() {});
     let mut client = node.client();
     client.send(&["CACHE.SET", "k-0", "i-0", "c=brief,t=acme,d=1500", "value"]);
     calls.recv_timeout(HUNG).unwrap();
@@ -318,7 +324,9 @@
     assert_eq!(calls.iter().take(2).count(), 2, "all three were sent on");
     assert_eq!(client.answer(), "end");
     assert_eq!((early.answer().as_str(), early.answer().as_str()), ("-ERR failed", "end"));
+    assert_eq!(floods.answer(), "-ERR failed");
     assert!(node.ended().success());
+    flooding.join().unwrap();
 }
 
 /// Both at once, and each a second time: it ends in order.
--- a/crates/mothpier/tests/world/mod.rs
+++ b/crates/mothpier/tests/world/mod.rs
@@ -379,6 +379,11 @@
         self.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
     }
 
+    /// The side that sends, for another thread.
+    pub fn sending(&self) -> TcpStream {
+        self.0.get_ref().try_clone().unwrap()
+    }
+
     pub fn into_stream(self) -> TcpStream {
         self.0.into_inner()
     }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -52,7 +52,7 @@
 const FULL_RETRY_MS: u64 = 100;
 /// Read from a client while an answer is being written to it: enough to notice that it has gone, and no more than one that
 /// takes no answers may make the node hold.
-const AHEAD: usize = 64 * 1024;
+const AHEAD: usize = 16 * 1024;
 /// Dropped of what a client sends behind the end of its commands, while answers before that are owed: enough to notice that
 /// it has gone; one that goes on beyond is read no further.
 const FLOOD: usize = 1024 * 1024;
@@ -592,6 +592,11 @@
             // Whoever always has a request open would be read from to the end, and not answered.
             let last = clients.retiring.ends.get().filter(|_| !idle);
             let last = last.map(|end| end - if self.ended { LAST.0 } else { LAST.1 });
+            if last.is_some_and(|last| last <= now)
+                && (!std::mem::replace(&mut self.ended, true) || self.fail_open().await)
+            {
+                continue;
+            }
             let leaving = match clients.retiring.leaving() {
                 Leaving::None => false,
                 Leaving::Answered => answered,
@@ -647,9 +652,7 @@
                     if !quiet(reading, &mut inbox.buffer).await {
                         (inbox.came, rests) = ((clients.now)(), Instant::now());
                     } else if last.is_some_and(|last| last <= Instant::now()) {
-                        if std::mem::replace(&mut self.ended, true) {
-                            self.fail_open().await;
-                        }
+                        continue;
                     } else if half.is_some_and(|half| half <= Instant::now()) {
                         self.protocol_error(Malformed("the rest of the command has not come"));
                     } else if first.is_some_and(|first| first <= Instant::now())
@@ -744,14 +747,11 @@
         }
     }
 
-    /// Fails what is open: nothing is left of the time in which it could be answered otherwise.
-    async fn fail_open(&mut self) {
+    /// Fails what is open: nothing is left of the time in which it could be answered otherwise. Whether there was any.
+    async fn fail_open(&mut self) -> bool {
         self.gone().await;
-        for slot in &mut self.pending {
-            if let Wait::Node(..) = slot.wait {
-                slot.wait = Wait::Ready(resp::error("ERR failed"));
-            }
-        }
+        let open = self.pending.iter_mut().filter(|slot| matches!(slot.wait, Wait::Node(..)));
+        open.map(|slot| slot.wait = Wait::Ready(resp::error("ERR failed"))).count() > 0
     }
 
     /// Nobody waits any more for what is open.
