--- a/crates/mothpier/tests/crossings.rs
+++ b/crates/mothpier/tests/crossings.rs
@@ -511,3 +511,72 @@
     assert_eq!(node.client().ask(&["CACHE.GET", "k", "last", "c=read,t=acme,d=9000"]), "$last");
     assert_eq!(node.client().ask(&["CACHE.SET", "k", "l", "c=once,t=acme,d=9000", "value"]), "$receipt");
 }
+
+/// Told to end before there is any list, with a request that comes at once: it is refused whole, and the process ends.
+#[test]
+fn a_request_that_crosses_sigterm_before_the_first_list_is_refused_whole() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    for term_first in [false, true] {
+        let mut node = Node::spawn(node_command("before-list", silent.local_addr().unwrap(), 1024, ""));
+        let mut client = None;
+        while_stopped(&node, || {
+            if term_first {
+                node.signal("TERM");
+            }
+            let mut new = node.client();
+            new.send(&["CACHE.GET", "k", "i", "c=read,t=acme,d=9000"]);
+            client = Some(new);
+            if !term_first {
+                node.signal("TERM");
+            }
+        });
+        let mut client = client.unwrap();
+        let answer = client.answer();
+        assert!(answer.starts_with("-BUSY"), "{answer}");
+        assert_eq!(client.answer(), "end");
+        assert!(node.ended().success());
+    }
+}
+
+/// At the limit of connections one that rests gives way to one that comes. A request that has come on it meanwhile is not
+/// lost with it.
+#[test]
+fn requests_that_cross_an_eviction_are_answered() {
+    let server = serve(command, |asked| array(&asked[2]));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let node = Node::run(node_command("evicts", discovery.address, 64, ""), &discovery);
+    let get = |client: &mut Client, id: &str| client.send(&["CACHE.GET", "k", id, "c=read,t=acme,d=9000"]);
+    let mut resting = Vec::new();
+    // As many as there is room for: the first of them gives way to the last.
+    loop {
+        let mut client = node.client();
+        get(&mut client, "rests");
+        assert_eq!(client.answer(), "$rests");
+        resting.push(client);
+        assert!(resting.len() < 64, "nobody gives way");
+        let first: &mut Client = &mut resting[0];
+        if first.has_ended() {
+            break;
+        }
+    }
+    resting.remove(0);
+    let mut new: Vec<Client> = Vec::new();
+    while_stopped(&node, || {
+        for number in 0..4 {
+            let mut client = node.client();
+            get(&mut client, &format!("new-{number}"));
+            new.push(client);
+        }
+        for (number, client) in resting.iter_mut().enumerate() {
+            get(client, &format!("{number}"));
+        }
+    });
+    for (number, client) in new.iter_mut().enumerate() {
+        assert_eq!(client.answer(), format!("$new-{number}"));
+    }
+    for (number, client) in resting.iter_mut().enumerate() {
+        // One that had given way before it was stopped meets the end, and asks again elsewhere.
+        let answer = client.answer();
+        assert!(answer == format!("${number}") || answer == "end", "{answer}");
+    }
+}
--- a/crates/mothpier/tests/world/mod.rs
+++ b/crates/mothpier/tests/world/mod.rs
@@ -384,6 +384,15 @@
         self.0.get_ref().try_clone().unwrap()
     }
 
+    /// Whether the node has ended the connection by now.
+    pub fn has_ended(&self) -> bool {
+        let stream = self.0.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let ended = !matches!(stream.peek(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
+        stream.set_nonblocking(false).unwrap();
+        ended
+    }
+
     pub fn into_stream(self) -> TcpStream {
         self.0.into_inner()
     }
