World: what discovery has counts as told after 6 s, as a rule of the checker with a mutant that it catches

Need: a change counts as told 6 s after discovery had it and could be reached, whether or not the node asked; the checker knew only what had been written to a node. Change: rule 3 counts it, from the last moment in which discovery was down, late, old or empty, and from a process' start; the mutant asks-no-more, whose calls never leave its machine.

--- a/crates/world/src/discovery.rs
+++ b/crates/world/src/discovery.rs
@@ -131,6 +131,7 @@
         let mut state = self.state.borrow_mut();
         state.revision += 1;
         let revision = state.revision;
+        self.fleet.witness.saw(Seen::Listed { at: number, phase: member.phase });
         state.history.push(Change { revision, number, member });
         self.changed.notify_waiters();
     }
--- a/crates/world/src/mutant.rs
+++ b/crates/world/src/mutant.rs
@@ -57,11 +57,13 @@
     IgnoresBounds,
     /// It does not notice that clients leave.
     DeafToLeaving,
+    /// It asks discovery no more once it has begun.
+    AsksNoMore,
 }
 
 impl Mutant {
     /// All of them, with the rule that each breaks.
-    pub const ALL: [(Mutant, Rule); 13] = [
+    pub const ALL: [(Mutant, Rule); 14] = [
         (Mutant::AnswersTwice, Rule::OneAnswer),
         (Mutant::NeverAnswers, Rule::OneAnswer),
         (Mutant::WrongValue, Rule::OneAnswer),
@@ -75,6 +77,7 @@
         (Mutant::ComesBackAtOnce, Rule::NoSwinging),
         (Mutant::IgnoresBounds, Rule::BoundToZones),
         (Mutant::DeafToLeaving, Rule::Over),
+        (Mutant::AsksNoMore, Rule::Drains),
     ];
 
     /// The settings that its node is told.
@@ -355,6 +358,9 @@
 
 impl AsyncWrite for MutantStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        if self.host.mutant == Mutant::AsksNoMore && bytes.starts_with(b"GET /api/targets") {
+            return Poll::Ready(Ok(bytes.len()));
+        }
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
--- a/crates/world/src/observe.rs
+++ b/crates/world/src/observe.rs
@@ -88,6 +88,18 @@
         /// Whether the client took its time before it read.
         slow: bool,
     },
+    /// Discovery has something about a box from now on.
+    Listed {
+        /// The box.
+        at: BoxNo,
+        /// What it is.
+        phase: Phase,
+    },
+    /// Whether discovery can be reached and tells what it has.
+    Sound {
+        /// From now on.
+        sound: bool,
+    },
     /// A caller has made a connection of its own.
     Connected {
         /// To which node.
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -3,7 +3,8 @@
 //! 1. **One answer.** What a node has taken gets one final answer in its time; never two, never none, and no value
 //!    that no box made for this request.
 //! 2. **No effect twice.** An attempt that may have run is repeated only as its class allows.
-//! 3. **Drains.** Nothing new to a box later than the grace after the node was told that it drains or is gone.
+//! 3. **Drains.** Nothing new to a box later than the grace after the node was told that it drains or is gone. It counts as
+//!    told some seconds after discovery had it and could be reached, whether or not the node asked.
 //! 4. **Cold boxes.** None is pushed over with work of which two thirds came from nodes that knew of its start.
 //! 5. **Caps.** The calls of a node that are out at the origin, and those of a window, stay under its caps; so does
 //!    their sum.
@@ -31,6 +32,8 @@
 
 /// On top of each limit: two ways across zones, and the grain of the clock.
 const SLACK: Duration = Duration::from_millis(50);
+/// What discovery has counts as told so long after it could be reached.
+const TOLD: Duration = Duration::from_secs(6);
 /// After its end no attempt of a request begins later than this.
 const OVER: Duration = Duration::from_millis(100);
 /// Calls out of all nodes together, of which each has its part: at least, and in seconds of all quotas.
@@ -172,6 +175,11 @@
     crowd_over: Option<Duration>,
     /// When a box last ended or was cut off: what it was writing then is not whole.
     ended: BTreeMap<BoxNo, Duration>,
+    /// Boxes that discovery does not have as ready, and since when.
+    unlisted: BTreeMap<BoxNo, Duration>,
+    /// What hinders discovery now, and since when nothing does.
+    hindered: u32,
+    sound_since: Duration,
     /// When a box's links were last mended: what comes then may have been sent long before.
     mended: BTreeMap<BoxNo, Duration>,
     /// Boxes that are cut off now, wholly or in one direction.
@@ -223,6 +231,9 @@
             crowds: 0,
             crowd_over: None,
             ended: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
+            hindered: 0,
+            sound_since: Duration::ZERO,
             mended: BTreeMap::new(),
             away: BTreeMap::new(),
             clear_since: Duration::ZERO,
@@ -369,6 +380,15 @@
             Seen::Decides { node, decides: true } => {
                 self.deciding.insert(*node, now);
             }
+            Seen::Listed { at, phase: Phase::Ready } => drop(self.unlisted.remove(at)),
+            Seen::Listed { at, .. } => {
+                self.unlisted.entry(*at).or_insert(now);
+            }
+            Seen::Sound { sound: false } => self.hindered += 1,
+            Seen::Sound { sound: true } => {
+                self.hindered = self.hindered.saturating_sub(1);
+                self.sound_since = now;
+            }
             Seen::Fault(_) | Seen::Repeated { .. } | Seen::Connected { .. } => {}
             Seen::Told { node, whole, boxes, .. } => self.told(now, *node, *whole, boxes),
             Seen::BoxUp { at, start, cold, .. } => {
@@ -582,6 +602,15 @@
         let grace = Duration::from_millis(self.rules.drain_grace_ms) + SLACK;
         let away = self.away.contains_key(&at);
         let mended = self.mended.get(&at).is_some_and(|m| now < *m + SLACK);
+        let Some(began) = self.nodes.get(node).map(|n| n.began) else { return };
+        // A process that has just begun has the same time as one that could not reach discovery.
+        let counts = self.unlisted.get(&at).filter(|_| self.hindered == 0 && !mended && !away);
+        let counts = counts.map(|since| TOLD + (*since).max(self.sound_since).max(began));
+        if let Some(late) = counts.and_then(|counts| now.checked_sub(counts)).filter(|late| *late > grace) {
+            let what =
+                format!("node {node} sent request {id:x} to box {at} {late:?} after that counts as told");
+            self.broken(now, Rule::Drains, what);
+        }
         let Some(n) = self.nodes.get_mut(node) else { return };
         if let Some(since) =
             n.told.get(&at).and_then(|t| t.unready).filter(|s| now > *s + grace && !mended && !away)
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -625,6 +625,11 @@
         (0..self.fleet.scenario.boxes.count).filter(|b| b % self.zones() == zone).collect()
     }
 
+    /// Whether discovery tells what it has.
+    fn sound(&self, sound: bool) {
+        self.fleet.witness.saw(Seen::Sound { sound });
+    }
+
     fn away(&self, at: BoxNo, away: bool) {
         self.fleet.witness.saw(Seen::BoxAway { at, away });
     }
@@ -681,29 +686,37 @@
                 self.net.lose_datagrams(self.fleet.scenario.network.datagrams_lost);
             }
             What::ListLate { late_ms, for_ms } => {
+                self.sound(false);
                 knobs.list_late_ms.set(late_ms);
                 wait(for_ms).await;
                 knobs.list_late_ms.set(0);
+                self.sound(true);
             }
             What::ListDown { for_ms } => {
+                self.sound(false);
                 knobs.list_down.set(true);
                 wait(for_ms).await;
                 knobs.list_down.set(false);
+                self.sound(true);
             }
             What::ListOld { back, for_ms } => {
+                self.sound(false);
                 let least = self.fleet.scenario.boxes.count as u64 + 1;
                 knobs.list_old.set(Some(self.discovery.revision().saturating_sub(back).max(least)));
                 self.discovery.restart();
                 wait(for_ms).await;
                 knobs.list_old.set(None);
                 self.discovery.restart();
+                self.sound(true);
             }
             What::ListEmpty { for_ms } => {
+                self.sound(false);
                 knobs.list_empty.set(true);
                 self.discovery.restart();
                 wait(for_ms).await;
                 knobs.list_empty.set(false);
                 self.discovery.restart();
+                self.sound(true);
             }
             What::CutOff { at, for_ms } => {
                 self.away(at, true);
--- a/crates/world/tests/seeds.rs
+++ b/crates/world/tests/seeds.rs
@@ -127,6 +127,12 @@
         let what = What::Clients { leavers: 1.0, slow: 0.0, for_ms: 9_000 };
         return (scenario, Some(vec![Fault { at_ms: 0, what }]));
     }
+    if mutant == Mutant::AsksNoMore {
+        // A box drains for long, and nothing hinders discovery.
+        scenario.seconds = 16.0;
+        let what = What::Deploy { batch: 1, most: 1, drain_ms: 12_000 };
+        return (scenario, Some(vec![Fault { at_ms: 1000, what }]));
+    }
     if mutant == Mutant::DeafToLeaving {
         // Most reads miss, and wait for a gate that is shut: those who asked leave meanwhile.
         (scenario.load.keys, scenario.load.rate) = (100_000, 200.0);
