--- a/crates/node/tests/unit/servers.rs
+++ b/crates/node/tests/unit/servers.rs
@@ -7,6 +7,20 @@
 
 use super::*;
 
+/// The connections of one of so many nodes, with so many descriptors for them, and what they tell.
+fn servers(balancers: usize, descriptors: usize) -> (Servers<Machine>, mpsc::Receiver<Input>) {
+    let (events, inputs) = mpsc::channel(8);
+    let limits = Limits {
+        balancers,
+        multiplex: 32,
+        idle_close: Duration::from_secs(60),
+        connect_timeout: Duration::from_secs(30),
+        descriptors,
+    };
+    let figures = Desk::new(["read"]).figures.clone();
+    (Servers::new(Machine { program: "test" }, limits, figures, events), inputs)
+}
+
 /// Answers come in the order of the commands: one that is slow or lost must not hold up seven others.
 #[test]
 fn a_node_uses_its_part_of_the_connections_before_it_queues_behind_an_answer() {
@@ -15,20 +29,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         for (balancers, descriptors, connections) in [(4, 64, 8), (2, 64, 16), (2, 6, 6), (64, 64, 1)] {
-            let (events, _inputs) = mpsc::channel(8);
-            let limits = Limits {
-                balancers,
-                multiplex: 32,
-                idle_close: Duration::from_secs(60),
-                connect_timeout: Duration::from_secs(30),
-                descriptors,
-            };
-            let mut servers = Servers::new(
-                Machine { program: "test" },
-                limits,
-                Desk::new(["read"]).figures.clone(),
-                events,
-            );
+            let (mut servers, _inputs) = servers(balancers, descriptors);
             assert!(servers.listed(7, Some(address), true).is_empty());
             for attempt in 1..=20 {
                 let bytes = resp::command(["PING".into()]);
@@ -48,16 +49,7 @@
     let address = listener.local_addr().unwrap();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let (events, mut inputs) = mpsc::channel(8);
-        let limits = Limits {
-            balancers: 1,
-            multiplex: 32,
-            idle_close: Duration::from_secs(60),
-            connect_timeout: Duration::from_secs(30),
-            descriptors: 8,
-        };
-        let mut servers =
-            Servers::new(Machine { program: "test" }, limits, Desk::new(["read"]).figures.clone(), events);
+        let (mut servers, mut inputs) = servers(1, 8);
         let ping = |attempt| Command { attempt, bytes: resp::command(["PING".into()]), probe: true };
         assert!(servers.listed(7, Some(address), true).is_empty());
         assert!(servers.send(7, ping(1)));
@@ -81,16 +73,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     for answer in [&b"$0\r\n\r\n"[..], b""] {
         tokio::task::LocalSet::new().block_on(&runtime, async {
-            let (events, mut inputs) = mpsc::channel(8);
-            let limits = Limits {
-                balancers: 1,
-                multiplex: 32,
-                idle_close: Duration::from_secs(60),
-                connect_timeout: Duration::from_secs(30),
-                descriptors: 8,
-            };
-            let figures = Desk::new(["read"]).figures.clone();
-            let mut servers = Servers::new(Machine { program: "test" }, limits, figures, events);
+            let (mut servers, mut inputs) = servers(1, 8);
             assert!(servers.listed(7, Some(address), true).is_empty());
             let bytes = resp::command(["INFO".into(), "load".into()]);
             assert!(servers.send(7, Command { attempt: 1, bytes, probe: true }));
