--- a/crates/brassrouter/src/policy.rs
+++ b/crates/brassrouter/src/policy.rs
@@ -74,7 +74,7 @@
 /// comes two at a time, and of what is due from a hundred balancers nearly half comes so.
 const COLD_LEAST: f64 = 2.0;
 
-/// Longest usual pause between calls to a discovery that fails: half as much again, and a call, are over before
+/// Longest usual pause between calls to a discovery that fails: half as much again and a call are over before
 /// what it has to tell counts as told, 6 s after it could be reached.
 const ASK_AGAIN: Micros = 2_000_000;
 
