Tests: the shut listener and the node with changed settings go to the common module

Cause: tests of the told time need what crossings.rs had for itself. Change: Shut, LONG, node, reader and first stand in tests/world/mod.rs, unchanged but for their visibility.

--- a/crates/mothpier/tests/crossings.rs
+++ b/crates/mothpier/tests/crossings.rs
@@ -4,85 +4,16 @@
 
 mod world;
 
-use std::io::{BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::sync::Mutex;
 use std::sync::mpsc::channel;
 use std::thread;
 use std::time::Duration;
 
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::SockRef;
 use world::*;
 
-/// A node with a second address, and settings of which some are others.
-fn node(name: &str, discovery: &Discovery, changed: &[(&str, &str)]) -> Node {
-    let path = format!("{}/{name}-crossing.json", env!("CARGO_TARGET_TMPDIR"));
-    let mut text = config(name, discovery.address, 1024);
-    for (from, to) in changed {
-        assert!(text.contains(from), "{from} is not in the settings");
-        text = text.replace(from, to);
-    }
-    std::fs::write(&path, text).unwrap();
-    let mut command = node_command(name, discovery.address, 1024, "");
-    command.env("ROUTER_CONFIG", path).env("ROUTER_OPS", "127.0.0.1:0");
-    let node = Node::run(command, discovery);
-    node.ready();
-    node
-}
-
-/// Time enough that no deadline of the node's decides anything.
-const LONG: [(&str, &str); 3] = [
-    (r#""deadlineUs":20000000,"goalTimeUs":2000000,"#, r#""deadlineUs":600000000,"goalTimeUs":600000000,"#),
-    (r#""deadlineUs":20000000,"goalTimeUs":1000000,"#, r#""deadlineUs":600000000,"goalTimeUs":600000000,"#),
-    (r#""connectTimeoutUs":5000000"#, r#""connectTimeoutUs":600000000"#),
-];
-
-/// A listener at which no connection comes up while the one that fills its queue is not accepted.
-struct Shut {
-    listener: TcpListener,
-    filler: TcpStream,
-}
-
-impl Shut {
-    fn new() -> Self {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).unwrap();
-        // The queue holds one: the next connection gets no answer until it is taken.
-        socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
-        let filler = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        Shut { listener, filler }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.listener.local_addr().unwrap()
-    }
-
-    /// Takes the one that filled the queue: connections come up from now on.
-    fn open(self) -> TcpListener {
-        drop(self.listener.accept().unwrap());
-        drop(self.filler);
-        self.listener
-    }
-}
-
-fn reader(stream: TcpStream) -> BufReader<TcpStream> {
-    stream.set_read_timeout(Some(HUNG)).unwrap();
-    BufReader::new(stream)
-}
-
-/// The first command that comes on any connection.
-fn first(listener: TcpListener, read: fn(&mut BufReader<TcpStream>) -> Option<Vec<String>>) -> Vec<String> {
-    let (told, commands) = channel();
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let told = told.clone();
-            thread::spawn(move || read(&mut reader(stream)).map(|asked| told.send(asked)));
-        }
-    });
-    commands.recv_timeout(HUNG).unwrap()
-}
-
 /// Ends a connection by a reset.
 fn reset(stream: TcpStream) {
     SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
