Node: an attempt tells the time left when its first byte is written, at the origin too

Cause: the origin got the client's d as it came, and the time for a cache server was worked out when the command was queued: a connection that comes up late, or a half-written command ahead, made it too long. Change: AttemptExtras carries the attempt's end; the list is made when the socket takes the first byte (begin_next) or just before the request is handed to the connection (Outgoing::into_request). With under 1 ms left nothing is written (NotSent) instead of telling 1 ms. A connection on which only given-up answers are left is closed also when the last queued command is taken back, for that command no longer counts as begun before its first byte.

--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use mothpier_resp as resp;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// The largest piece of a large value, and how many of them may wait between its server and its client.
 pub const PIECE: usize = 16 * 1024;
@@ -15,6 +16,9 @@
 /// A large value that does not go on for this long, on either side, is cut.
 pub const STANDSTILL: Duration = Duration::from_secs(10);
 
+/// Digits by which `d` may grow when it is told anew; room for them saves a second allocation.
+const MOST_DIGITS: usize = 20;
+
 /// Names one attempt or probe of this node.
 pub type AttemptId = u64;
 
@@ -51,18 +55,47 @@
 }
 
 impl Command {
-    /// The command for a cache server: unchanged but for how long this attempt will be waited for.
-    pub fn for_server(&self, wait: Duration) -> Bytes {
-        let mut extras = String::with_capacity(self.extras.len() + 8);
-        for part in String::from_utf8_lossy(&self.extras).split(',') {
-            let comma = if extras.is_empty() { "" } else { "," };
+    /// The extras of an attempt that is waited for until `attempt_ends`.
+    pub fn attempt_extras(&self, attempt_ends: Instant) -> AttemptExtras {
+        AttemptExtras { as_received: self.extras.clone(), attempt_ends }
+    }
+
+    /// The bytes for a cache server: the command as it came, with these extras.
+    pub fn encode_with(&self, extras: Bytes) -> Bytes {
+        let words = [self.name.clone(), self.key.clone(), self.id.clone(), extras];
+        resp::command(words.into_iter().chain(self.value.clone()))
+    }
+}
+
+/// The list of extras that goes out with an attempt.
+///
+/// All of it stays as the client sent it but for `d`, how long the answer is waited for: an attempt tells what is left to
+/// it when its first byte is written, which may be long after it was queued.
+#[derive(Clone, Debug)]
+pub struct AttemptExtras {
+    as_received: Bytes,
+    attempt_ends: Instant,
+}
+
+impl AttemptExtras {
+    /// The list to be written now; `None` where not one whole millisecond is left, the least that can be told.
+    pub fn to_write_now(&self) -> Option<Bytes> {
+        let left = self.attempt_ends.saturating_duration_since(Instant::now()).as_millis();
+        if left == 0 {
+            return None;
+        }
+        let as_received = String::from_utf8_lossy(&self.as_received);
+        let mut list = String::with_capacity(self.as_received.len() + MOST_DIGITS);
+        for part in as_received.split(',') {
+            if !list.is_empty() {
+                list.push(',');
+            }
             match part.split_once('=') {
-                Some(("d", _)) => extras += &format!("{comma}d={}", wait.as_millis().max(1)),
-                _ => extras += &format!("{comma}{part}"),
+                Some(("d", _)) => list += &format!("d={left}"),
+                _ => list += part,
             }
         }
-        let words = [self.name.clone(), self.key.clone(), self.id.clone(), extras.into()];
-        resp::command(words.into_iter().chain(self.value.clone()))
+        Some(list.into())
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,6 @@
 use mothpier_host::Host;
 use mothpier_ops::{Desk, Holds, Step};
 use mothpier_record::{Recorder, entry};
-use mothpier_resp as resp;
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
@@ -597,26 +596,30 @@
         let number = open.attempts;
         open.attempts += 1;
         open.out.push(id);
-        let (command, left) = (open.command.clone(), open.ends.saturating_duration_since(sent));
-        let wait = if give_up_after == 0 { left } else { left.min(Duration::from_micros(give_up_after)) };
+        let command = open.command.clone();
+        let attempt_ends = match give_up_after {
+            0 => open.ends,
+            after => open.ends.min(sent + Duration::from_micros(after)),
+        };
         self.flights.insert(id, Flight { attempt: Some((request, number)), server, sent, call: None });
-        if u32::from(number) >= self.site.decisions.max_attempts || wait.is_zero() {
+        if u32::from(number) >= self.site.decisions.max_attempts || attempt_ends <= sent {
             return self.end(id, Status::NotSent, Note::None, Load::default(), None);
         }
+        let extras = command.attempt_extras(attempt_ends);
         let out = if self.origin_ids.contains(&server) {
-            let call = self.parts.origins.call(server, id, &command);
+            let call = self.parts.origins.call(server, id, &command, extras);
             let out = call.is_some();
             self.flights.entry(id).and_modify(|f| f.call = call);
             out
         } else {
-            let bytes = command.for_server(wait);
             if let Some(near) = &mut self.parts.near {
                 near.sent(id, server);
             }
-            self.parts.servers.send(server, servers::Command { attempt: id, bytes, probe: false })
+            let payload = servers::Payload::Request { command, extras };
+            self.parts.servers.send(server, servers::Command { attempt: id, payload })
         };
         if out {
-            self.wake(wait, Due::GiveUp(id));
+            self.due.push(Reverse((attempt_ends, Due::GiveUp(id))));
         } else {
             self.end(id, Status::ConnectFailed, Note::None, Load::default(), None);
         }
@@ -627,8 +630,7 @@
         let (id, sent) = (self.last_attempt, Instant::now());
         let origin = self.origin_ids.contains(&server);
         let call = if origin { self.parts.origins.probe(server, id) } else { None };
-        let bytes = resp::command(["INFO".into(), "load".into()]);
-        let command = servers::Command { attempt: id, bytes, probe: true };
+        let command = servers::Command { attempt: id, payload: servers::Payload::Probe };
         let out = call.is_some() || (!origin && self.parts.servers.send(server, command));
         self.flights.insert(id, Flight { attempt: None, server, sent, call });
         if out {
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
+use hyper::header::HeaderValue;
 use hyper::{Method, Request};
 use mothpier_host::Host;
 use mothpier_ops::Figures;
@@ -20,7 +21,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
-use crate::command::{Answer, AttemptId, Command, PIECE, STANDSTILL, Stream};
+use crate::command::{Answer, AttemptExtras, AttemptId, Command, PIECE, STANDSTILL, Stream};
 use crate::http::{self, Connection};
 use crate::input::Input;
 
@@ -62,6 +63,25 @@
     }
 }
 
+/// A request that is to be written.
+struct Outgoing {
+    request: Request<Full<Bytes>>,
+    /// Of an attempt, which tells the time left when it is written; a probe has none.
+    extras: Option<AttemptExtras>,
+}
+
+impl Outgoing {
+    /// The request to be written now; `None` where the attempt has no time left.
+    fn into_request(mut self) -> Option<Request<Full<Bytes>>> {
+        if let Some(extras) = self.extras {
+            // Extras are printable: `Clients::parse` lets nothing else through.
+            let list = HeaderValue::from_maybe_shared(extras.to_write_now()?).ok()?;
+            self.request.headers_mut().insert("X-Extras", list);
+        }
+        Some(self.request)
+    }
+}
+
 /// A call that is out.
 pub struct Call {
     written: Rc<Cell<bool>>,
@@ -164,7 +184,13 @@
 
     /// Calls the origin for a command; its end comes as an event. Counted among the attempts, as the list has origins
     /// among its cache servers.
-    pub fn call(&self, server: ServerId, attempt: AttemptId, command: &Command) -> Option<Call> {
+    pub fn call(
+        &self,
+        server: ServerId,
+        attempt: AttemptId,
+        command: &Command,
+        extras: AttemptExtras,
+    ) -> Option<Call> {
         let pool = self.pools.get(&server).filter(|p| p.ready.get())?.clone();
         let address = pool.address?;
         let method = if command.write { Method::PUT } else { Method::GET };
@@ -173,10 +199,9 @@
             .uri(format!("/{}", percent_encode(&command.key, ENCODED)))
             .header("Host", address.to_string())
             .header("X-Request-Id", command.id.as_ref())
-            .header("X-Extras", command.extras.as_ref())
             .body(Full::new(command.value.clone().unwrap_or_default()))
             .ok()?;
-        Some(self.spawn(pool, address, attempt, request, Some(self.figures.clone())))
+        Some(self.spawn(pool, address, attempt, Outgoing { request, extras: Some(extras) }))
     }
 
     /// Asks an origin for its load.
@@ -185,18 +210,12 @@
         let address = pool.address?;
         let request =
             Request::get("/-/load").header("Host", address.to_string()).body(Full::default()).ok()?;
-        Some(self.spawn(pool, address, attempt, request, None))
+        Some(self.spawn(pool, address, attempt, Outgoing { request, extras: None }))
     }
 
-    fn spawn(
-        &self,
-        pool: Rc<Pool>,
-        address: SocketAddr,
-        attempt: AttemptId,
-        request: Request<Full<Bytes>>,
-        figures: Option<Arc<Figures>>,
-    ) -> Call {
+    fn spawn(&self, pool: Rc<Pool>, address: SocketAddr, attempt: AttemptId, outgoing: Outgoing) -> Call {
         let written = Rc::new(Cell::new(false));
+        let figures = outgoing.extras.is_some().then(|| self.figures.clone());
         let (host, begun, events) = (self.host.clone(), written.clone(), self.events.clone());
         let begins = move || {
             begun.set(true);
@@ -205,7 +224,7 @@
         let (fresh, within, descriptors) = (self.idle_close, self.connect_timeout, self.descriptors.clone());
         let task = tokio::task::spawn_local(async move {
             let answered =
-                exchange(&host, &pool, address, request, (fresh, within), descriptors, begins).await;
+                exchange(&host, &pool, address, outgoing, (fresh, within), descriptors, begins).await;
             let (ended, large) = match answered {
                 Ok((ended, large)) => (ended, large),
                 Err(status) => (Ended::with(status), None),
@@ -230,7 +249,7 @@
     host: &H,
     pool: &Pool,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
+    outgoing: Outgoing,
     (fresh, within): (Duration, Duration),
     descriptors: Arc<Semaphore>,
     begins: impl FnOnce(),
@@ -255,6 +274,7 @@
     if !pool.ready.get() {
         return Err(Status::NotSent);
     }
+    let request = outgoing.into_request().ok_or(Status::NotSent)?;
     begins();
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
@@ -317,3 +337,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/origin.rs"]
+mod tests;
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -2,10 +2,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
+use std::future::poll_fn;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 use brassrouter::ServerId;
@@ -14,12 +17,14 @@
 use mothpier_ops::Figures;
 use mothpier_resp as resp;
 use redis_protocol::resp2::types::BytesFrame;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
-use crate::command::{AttemptId, PIECE, STANDSTILL, Stream as LargeValue};
+use crate::command::{
+    AttemptExtras, AttemptId, Command as ClientCommand, PIECE, STANDSTILL, Stream as LargeValue,
+};
 use crate::input::Input;
 use crate::stream::{READ, more};
 
@@ -79,9 +84,34 @@
 /// A command that is to be written.
 pub struct Command {
     pub attempt: AttemptId,
-    pub bytes: Bytes,
-    /// It asks for the load only, which has another answer.
-    pub probe: bool,
+    pub payload: Payload,
+}
+
+/// What a command asks for.
+pub enum Payload {
+    /// What a client asked for. Its bytes are made when they are written, since they tell the time left by then.
+    Request { command: Rc<ClientCommand>, extras: AttemptExtras },
+    /// The load only, which has another answer.
+    Probe,
+}
+
+impl Payload {
+    /// The bytes to be written now; `None` where the attempt has no time left.
+    fn encode_now(&self) -> Option<Bytes> {
+        match self {
+            Payload::Request { command, extras } => Some(command.encode_with(extras.to_write_now()?)),
+            Payload::Probe => Some(resp::command(["INFO".into(), "load".into()])),
+        }
+    }
+}
+
+/// A command of which the first byte has been written.
+struct Begun {
+    attempt: AttemptId,
+    probe: bool,
+    bytes: Bytes,
+    /// How many of the bytes have been written.
+    written: usize,
 }
 
 /// A command that was written whole.
@@ -384,7 +414,7 @@
     }
 
     /// Takes back an attempt, unless it has been written whole: it never runs then. Others on its connection go on or find
-    /// another.
+    /// another; a connection on which nothing is waited for any more is closed.
     pub fn withdraw(&mut self, server: ServerId, attempt: AttemptId) -> Withdrawn {
         let Some(pool) = self.pools.get_mut(&server) else { return Withdrawn::default() };
         let mut withdrawn = Withdrawn::default();
@@ -395,9 +425,10 @@
             let mut line = c.shared.line.borrow_mut();
             let unsent = line.unsent.len();
             line.unsent.retain(|c| c.attempt != attempt);
-            withdrawn.unwritten |= line.unsent.len() < unsent;
+            let was_queued = line.unsent.len() < unsent;
+            withdrawn.unwritten |= was_queued;
             if line.writing != Writing::Begun(attempt) {
-                return true;
+                return !was_queued || line.sent.is_empty() || !line.in_vain();
             }
             withdrawn.unwritten = true;
             (line.writing, line.ending) = (Writing::Abandoned, true);
@@ -597,22 +628,27 @@
     };
     let writer = async {
         loop {
-            if shared.line.borrow().unsent.is_empty() {
-                shared.wake.notified().await;
-            }
             // Once round the runtime: a close that has come in is read before anything more is written.
             tokio::task::yield_now().await;
-            let next = shared.line.borrow_mut().unsent.pop_front();
-            let Some(Command { attempt, bytes, probe }) = next else { continue };
-            shared.line.borrow_mut().writing = Writing::Begun(attempt);
-            let written = tokio::select! {
-                biased;
-                // The reader ends the connection once what was sent before has been answered.
-                () = shared.halt.notified() => std::future::pending().await,
-                written = writing.write_all(&bytes) => written,
+            let Begun { attempt, probe, bytes, written } = match begin_next(&mut writing, shared).await {
+                Ok(Some(begun)) => begun,
+                Ok(None) => {
+                    shared.wake.notified().await;
+                    continue;
+                }
+                Err(_) => return,
             };
-            if written.is_err() {
-                return;
+            // Not awaited where nothing is left to be written.
+            if written < bytes.len() {
+                let rest = tokio::select! {
+                    biased;
+                    // The reader ends the connection once what was sent before has been answered.
+                    () = shared.halt.notified() => std::future::pending().await,
+                    rest = writing.write_all(&bytes[written..]) => rest,
+                };
+                if rest.is_err() {
+                    return;
+                }
             }
             // No await since the last byte was written: it is on record before an answer can be read.
             let mut line = shared.line.borrow_mut();
@@ -628,6 +664,35 @@
     false
 }
 
+/// Writes the first bytes of the first queued command that has time left; `None` where there is none.
+///
+/// The bytes are made anew whenever the socket may take some, so that they tell the time left when the first of them is
+/// written: behind much that the server has not read yet that may be late. One without time left stays queued, unwritten,
+/// until the node gives it up, which it does when that time ends.
+async fn begin_next(
+    writing: &mut (impl AsyncWrite + Unpin),
+    shared: &Shared,
+) -> std::io::Result<Option<Begun>> {
+    poll_fn(|context| {
+        let next = {
+            let line = shared.line.borrow();
+            line.unsent.iter().enumerate().find_map(|(index, c)| Some((index, c.payload.encode_now()?)))
+        };
+        let Some((index, bytes)) = next else { return Poll::Ready(Ok(None)) };
+        let written = ready!(Pin::new(&mut *writing).poll_write(context, &bytes))?;
+        if written == 0 {
+            return Poll::Ready(Err(ErrorKind::WriteZero.into()));
+        }
+        let mut line = shared.line.borrow_mut();
+        let Some(Command { attempt, payload }) = line.unsent.remove(index) else {
+            return Poll::Ready(Ok(None));
+        };
+        line.writing = Writing::Begun(attempt);
+        Poll::Ready(Ok(Some(Begun { attempt, probe: matches!(payload, Payload::Probe), bytes, written })))
+    })
+    .await
+}
+
 /// As [`more`]; an error, too, where nothing has come within a time.
 async fn more_within(
     reading: &impl Reading,
--- a/crates/node/tests/unit/servers.rs
+++ b/crates/node/tests/unit/servers.rs
@@ -6,6 +6,7 @@
 use mothpier_ops::Desk;
 
 use super::*;
+use crate::command::{Claim, Ids};
 
 /// The connections of one of so many nodes, with so many descriptors for them, and what they tell.
 fn servers(balancers: usize, descriptors: usize) -> (Servers<Machine>, mpsc::Receiver<Input>) {
@@ -32,8 +33,7 @@
             let (mut servers, _inputs) = servers(balancers, descriptors);
             assert!(servers.listed(7, Some(address), true).is_empty());
             for attempt in 1..=20 {
-                let bytes = resp::command(["PING".into()]);
-                assert!(servers.send(7, Command { attempt, bytes, probe: true }));
+                assert!(servers.send(7, Command { attempt, payload: Payload::Probe }));
             }
             assert_eq!(servers.pools[&7].connections.len(), connections);
             assert_eq!(servers.connects(), Connects { begun: connections as u32, refused: 0 });
@@ -50,7 +50,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let (mut servers, mut inputs) = servers(1, 8);
-        let ping = |attempt| Command { attempt, bytes: resp::command(["PING".into()]), probe: true };
+        let ping = |attempt| Command { attempt, payload: Payload::Probe };
         assert!(servers.listed(7, Some(address), true).is_empty());
         assert!(servers.send(7, ping(1)));
         assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
@@ -75,8 +75,7 @@
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let (mut servers, mut inputs) = servers(1, 8);
             assert!(servers.listed(7, Some(address), true).is_empty());
-            let bytes = resp::command(["INFO".into(), "load".into()]);
-            assert!(servers.send(7, Command { attempt: 1, bytes, probe: true }));
+            assert!(servers.send(7, Command { attempt: 1, payload: Payload::Probe }));
             assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
             assert!(servers.event(7, 1, Event::Up).is_empty());
             let (mut stream, _) = listener.accept().unwrap();
@@ -97,3 +96,76 @@
         });
     }
 }
+
+/// A read of which the attempt is waited for until `attempt_ends`.
+fn read_until(attempt: AttemptId, attempt_ends: Instant) -> Command {
+    let id = Bytes::from(attempt.to_string());
+    let command = ClientCommand {
+        name: "CACHE.GET".into(),
+        key: "k".into(),
+        id: id.clone(),
+        extras: "c=read,d=9000".into(),
+        value: None,
+        write: false,
+        _claim: Claim::of(&Ids::default(), &id).unwrap(),
+    };
+    let extras = command.attempt_extras(attempt_ends);
+    Command { attempt, payload: Payload::Request { command: command.into(), extras } }
+}
+
+/// There is no time that it could tell: it stays unwritten until it is given up, and holds up nothing behind it.
+#[test]
+fn an_attempt_without_time_left_is_not_written() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        // One connection.
+        let (mut servers, mut inputs) = servers(64, 64);
+        assert!(servers.listed(7, Some(address), true).is_empty());
+        assert!(servers.send(7, read_until(1, Instant::now())));
+        assert!(servers.send(7, Command { attempt: 2, payload: Payload::Probe }));
+        assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
+        assert!(servers.event(7, 1, Event::Up).is_empty());
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.set_nonblocking(true).unwrap();
+        let probe = resp::command(["INFO".into(), "load".into()]);
+        let (mut asked, mut buffer) = (Vec::new(), [0; 1024]);
+        while asked.len() < probe.len() {
+            match stream.read(&mut buffer) {
+                Ok(read) => asked.extend_from_slice(&buffer[..read]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => tokio::task::yield_now().await,
+                Err(e) => panic!("{e}"),
+            }
+        }
+        assert_eq!(asked, probe);
+        assert!(servers.give_up(7, 1).unwritten, "said to have run");
+    });
+}
+
+/// What was sent before it has been given up already: nothing would ever end this connection.
+#[test]
+fn a_connection_is_closed_when_the_last_that_waits_on_it_is_taken_back_unwritten() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let (mut servers, mut inputs) = servers(64, 64);
+        assert!(servers.listed(7, Some(address), true).is_empty());
+        assert!(servers.send(7, Command { attempt: 1, payload: Payload::Probe }));
+        assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
+        assert!(servers.event(7, 1, Event::Up).is_empty());
+        let (stream, _) = listener.accept().unwrap();
+        let written =
+            |servers: &Servers<Machine>| servers.pools[&7].connections[0].shared.line.borrow().sent.len();
+        while written(&servers) == 0 {
+            tokio::task::yield_now().await;
+        }
+        assert!(servers.send(7, read_until(2, Instant::now())));
+        assert!(!servers.give_up(7, 1).unwritten);
+        assert_eq!(servers.pools[&7].connections.len(), 1, "closed under one that waits");
+        assert!(servers.give_up(7, 2).unwritten);
+        assert!(servers.pools[&7].connections.is_empty());
+        drop(stream);
+    });
+}
