Tests: a half-passed answer, a reset watch and answers given up, forced on real sockets

Each is forced now: half of a large value passed on at SIGTERM (the rest comes, is reset, or never comes); a watch reset just before a drain begins, of an agent and of a service, between two answers and in the middle of the one that tells of it; an answer as its call is given up, of a watch that is left for another service, of one that is silent, and of an attempt at the origin.

--- /dev/null
+++ b/crates/mothpier/tests/crossings_more.rs
@@ -0,0 +1,387 @@
+//! More events that cross, each pair forced: a large answer and SIGTERM, a reset watch and a drain, an answer and the moment
+//! at which its call is given up. On real sockets, with the daemon as a process.
+#![allow(missing_docs)]
+
+mod world;
+
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use socket2::SockRef;
+use world::*;
+
+/// A change of the list counts as told so long after discovery had it and could be reached.
+const COUNTS_AS_TOLD: Duration = Duration::from_secs(6);
+/// A watch of an agent is given up so long after its call: what it waits at the other side, and what it may be late.
+const WATCH_GIVEN_UP: Duration = Duration::from_millis(3500);
+/// The time that a write's client tells where the test lets it pass.
+const CLIENT_WAITS: Duration = Duration::from_millis(1000);
+
+/// A node with a second address, and settings of which some are others; it may not have a list yet.
+fn spawn_node(name: &str, discovery: SocketAddr, changed: &[(&str, &str)]) -> (Node, String) {
+    let path = format!("{}/{name}-more.json", env!("CARGO_TARGET_TMPDIR"));
+    let mut text = config(name, discovery, 1024);
+    for (from, to) in changed {
+        assert!(text.contains(from), "{from} is not in the settings");
+        text = text.replace(from, to);
+    }
+    std::fs::write(&path, text).unwrap();
+    let mut command = node_command(name, discovery, 1024, "");
+    command.env("ROUTER_CONFIG", &path).env("ROUTER_OPS", "127.0.0.1:0");
+    (Node::spawn(command), path)
+}
+
+/// Ends a connection by a reset.
+fn reset_connection(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+/// Stops the node's process while other things happen, so that it finds all of them at once.
+fn with_process_stopped(node: &Node, happens: impl FnOnce()) {
+    node.signal("STOP");
+    happens();
+    node.signal("CONT");
+}
+
+fn list(revision: u64, members: &str) -> Vec<u8> {
+    match http("200 OK", &format!(r#"{{"revision":{revision},"complete":true,"members":[{members}]}}"#)) {
+        Reaction::Answer(bytes) => bytes,
+        _ => unreachable!("http answers"),
+    }
+}
+
+/// A cache server whose connection is given to the test once a command has come on it.
+fn server_by_hand() -> (SocketAddr, Receiver<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (given, streams) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let given = given.clone();
+            thread::spawn(move || {
+                let mut from = BufReader::new(stream);
+                command(&mut from).map(|_| given.send(from.into_inner()))
+            });
+        }
+    });
+    (address, streams)
+}
+
+/// What becomes of an answer of which half had come at SIGTERM.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Rest {
+    Comes,
+    IsReset,
+    NeverComes,
+}
+
+/// Half of a large value has been passed on when the process is told to end: the client gets the other half if its server
+/// sends it, and meets the end of the connection before the value's length if not.
+#[test]
+fn a_large_answer_half_passed_on_at_sigterm_comes_whole_or_is_seen_to_be_cut() {
+    const LENGTH: usize = 1 << 20;
+    let brief = [
+        (r#""deadlineUs":20000000,"goalTimeUs":2000000,"#, r#""deadlineUs":1500000,"goalTimeUs":1500000,"#),
+        (r#""deadlineUs":20000000,"goalTimeUs":1000000,"#, r#""deadlineUs":1500000,"goalTimeUs":1000000,"#),
+    ];
+    let value: Vec<u8> = (0..LENGTH).map(|at| (at * 31 % 251) as u8).collect();
+    let (first, second) = value.split_at(LENGTH / 2);
+    for rest in [Rest::Comes, Rest::IsReset, Rest::NeverComes] {
+        let (server, streams) = server_by_hand();
+        let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+        let (mut node, _) = spawn_node("half-passed", discovery.address, &brief);
+        discovery.watched_after(1);
+        node.ready();
+        let mut client = node.client();
+        client.send(&["CACHE.GET", "k", "i", "c=read,t=acme,d=1500"]);
+        let mut client = BufReader::new(client.into_stream());
+        let mut to_node = streams.recv_timeout(HUNG).unwrap();
+        to_node.write_all(format!("*3\r\n${LENGTH}\r\n").as_bytes()).unwrap();
+        to_node.write_all(first).unwrap();
+        let head = format!("${LENGTH}\r\n");
+        let mut come = vec![0; head.len() + first.len()];
+        client.read_exact(&mut come).unwrap();
+        node.signal("TERM");
+        // It takes no new connection any more: it is ending, and the answer is still open.
+        while TcpStream::connect(node.address).is_ok() {
+            thread::sleep(Duration::from_millis(5));
+        }
+        match rest {
+            Rest::Comes => {
+                to_node.write_all(second).unwrap();
+                to_node.write_all(b"\r\n$3\r\nhit\r\n$-1\r\n").unwrap();
+            }
+            Rest::IsReset => reset_connection(to_node.try_clone().unwrap()),
+            Rest::NeverComes => {}
+        }
+        if rest == Rest::IsReset {
+            drop(to_node);
+        }
+        // The end of the connection or a reset, of which the client sees the one as clearly as the other.
+        let _ = client.read_to_end(&mut come);
+        let whole = [head.as_bytes(), &value, b"\r\n"].concat();
+        match rest {
+            Rest::Comes => assert!(come == whole, "{} bytes of {}", come.len(), whole.len()),
+            _ => assert!(come == whole[..head.len() + first.len()], "{rest:?}: {} bytes", come.len()),
+        }
+        assert!(node.ended().success(), "{rest:?}");
+    }
+}
+
+/// Discovery whose first watch the test holds in its hand, and whose list it changes.
+struct HeldWatch {
+    address: SocketAddr,
+    /// Held while the list changes: no call is answered meanwhile.
+    now: Arc<Mutex<(u64, String)>>,
+    /// The connection of the first watch, once its call has come.
+    watch: Receiver<TcpStream>,
+    calls: Receiver<Vec<String>>,
+}
+
+impl HeldWatch {
+    fn start(members: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let now = Arc::new(Mutex::new((1, members.to_owned())));
+        let (held, watch) = channel();
+        let (told, calls) = channel();
+        let (state, held) = (now.clone(), Arc::new(Mutex::new(Some(held))));
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (state, held, told) = (state.clone(), held.clone(), told.clone());
+                thread::spawn(move || HeldWatch::answer(stream, &state, &held, &told));
+            }
+        });
+        HeldWatch { address, now, watch, calls }
+    }
+
+    fn answer(
+        stream: TcpStream,
+        state: &Mutex<(u64, String)>,
+        held: &Mutex<Option<Sender<TcpStream>>>,
+        told: &Sender<Vec<String>>,
+    ) {
+        let mut from = BufReader::new(stream);
+        while let Some(asked) = call(&mut from) {
+            if asked[0].contains("after=1&")
+                && let Some(held) = held.lock().unwrap().take()
+            {
+                let _ = held.send(from.into_inner());
+                return;
+            }
+            let (revision, members) = state.lock().unwrap().clone();
+            let nothing_new = asked[0].contains(&format!("after={revision}&"));
+            let _ = told.send(asked);
+            // One that has heard all there is waits; it opens anew when it has waited too long.
+            if !nothing_new && from.get_mut().write_all(&list(revision, &members)).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Waits until the node has taken in a revision.
+    fn watched_after(&self, revision: u64) {
+        let wanted = format!("after={revision}&");
+        while !self.calls.recv_timeout(HUNG).expect("no call to discovery")[0].contains(&wanted) {}
+    }
+}
+
+/// The watch is reset, between two answers or in the middle of the one that tells of the drain, and the drain has begun
+/// before the node can open another: it is told within its bound, and nothing new goes to the server that drains.
+#[test]
+fn a_drain_that_begins_as_the_watch_is_reset_is_told_within_its_bound() {
+    for (half_told, mode) in [(false, "push"), (true, "push"), (false, "ask"), (true, "ask")] {
+        let (told, at_draining) = channel();
+        let told = report(told);
+        let draining = serve(command, move |asked| {
+            told(asked);
+            array("drains")
+        });
+        let stays = serve(command, |_| array("stays"));
+        let members =
+            |phase| [member("s-1", draining, "m", phase), member("s-2", stays, "m", "ready")].join(",");
+        let discovery = HeldWatch::start(&members("ready"));
+        let mode = format!(r#""discovery":"{mode}""#);
+        let (node, _) = spawn_node("reset-drain", discovery.address, &[(r#""discovery":"push""#, &mode)]);
+        node.ready();
+        // Both are asked before the drain, or the test shows nothing.
+        let (mut client, mut asked) = (node.client(), 0);
+        let mut ask = |asked: &mut u32| {
+            *asked += 1;
+            let (key, id) = (format!("k-{asked}"), format!("i-{asked}"));
+            client.ask(&["CACHE.GET", &key, &id, "c=read,t=acme,d=9000"])
+        };
+        while ask(&mut asked) != "$drains" {
+            assert!(asked < 1000, "{mode}: nothing goes to the server that is to drain");
+        }
+        let mut watch = discovery.watch.recv_timeout(HUNG).unwrap();
+        let begun = {
+            let mut now = discovery.now.lock().unwrap();
+            let notice = list(2, &members("draining"));
+            if half_told {
+                watch.write_all(&notice[..notice.len() / 2]).unwrap();
+            }
+            reset_connection(watch);
+            *now = (2, members("draining"));
+            Instant::now()
+        };
+        discovery.watched_after(2);
+        assert!(begun.elapsed() < COUNTS_AS_TOLD, "{mode}, half told {half_told}: {:?}", begun.elapsed());
+        at_draining.try_iter().for_each(drop);
+        for _ in 0..200 {
+            assert_eq!(ask(&mut asked), "$stays", "{mode}, half told {half_told}");
+        }
+        assert_eq!(at_draining.try_iter().count(), 0, "{mode}, half told {half_told}");
+    }
+}
+
+/// A discovery that answers everything but the revision that it has, with word of its calls.
+fn discovery_at(revision: u64, members: String) -> (SocketAddr, Receiver<Vec<String>>) {
+    let (told, calls) = channel();
+    let told = report(told);
+    let newest = format!("after={revision}&");
+    let address = serve(call, move |asked| {
+        told(asked);
+        if asked[0].contains(&newest) {
+            Reaction::Silence
+        } else {
+            Reaction::Answer(list(revision, &members))
+        }
+    });
+    (address, calls)
+}
+
+/// The old service answers the watch in the moment at which the node is told to leave it for another: what it says does not
+/// outlast the new one's list, nor does its revision reach the new one.
+#[test]
+fn an_answer_of_a_watch_that_is_left_for_another_service_is_not_kept() {
+    let [old, late, new] = ["old", "late", "new"].map(|name| serve(command, move |_| array(name)));
+    let one = |server| member("s-1", server, "m", "ready");
+    for answer_first in [false, true] {
+        let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = agent.local_addr().unwrap();
+        let (node, path) = spawn_node("left-watch", address, &[]);
+        let mut watch = BufReader::new(agent.accept().unwrap().0);
+        call(&mut watch).unwrap();
+        watch.get_mut().write_all(&list(900, &one(old))).unwrap();
+        assert!(call(&mut watch).unwrap()[0].contains("after=900&"));
+        let mut client = node.client();
+        assert_eq!(client.ask(&["CACHE.GET", "k", "before", "c=read,t=acme,d=9000"]), "$old");
+        let (next, calls) = discovery_at(1, one(new));
+        std::fs::write(&path, config("left-watch", next, 1024)).unwrap();
+        with_process_stopped(&node, || {
+            let mut answer = || watch.get_mut().write_all(&list(901, &one(late))).unwrap();
+            if answer_first {
+                answer();
+                node.signal("HUP");
+            } else {
+                node.signal("HUP");
+                answer();
+            }
+        });
+        let opened = calls.recv_timeout(HUNG).unwrap();
+        assert!(!opened[0].contains("after="), "another service's revision: {}", opened[0]);
+        assert!(calls.recv_timeout(HUNG).unwrap()[0].contains("after=1&"));
+        assert_eq!(client.ask(&["CACHE.GET", "k", "after", "c=read,t=acme,d=9000"]), "$new");
+        // The old service is left for good.
+        let _ = watch.get_mut().shutdown(Shutdown::Write);
+        while call(&mut watch).is_some() {}
+        assert!(agent.set_nonblocking(true).is_ok() && agent.accept().is_err(), "asked again");
+    }
+}
+
+/// A watch has been silent for so long that it is given up, and its answer comes in that moment, or once another watch has
+/// been opened: what holds is the newest list, and the watch goes on from it.
+#[test]
+fn an_answer_of_a_watch_that_is_given_up_for_its_silence_sets_nothing_back() {
+    let [old, late, new] = ["old", "late", "new"].map(|name| serve(command, move |_| array(name)));
+    let one = |server| member("s-1", server, "m", "ready");
+    for in_that_moment in [true, false] {
+        let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (node, _) = spawn_node("silent-watch", agent.local_addr().unwrap(), &[]);
+        let mut watch = BufReader::new(agent.accept().unwrap().0);
+        call(&mut watch).unwrap();
+        watch.get_mut().write_all(&list(900, &one(old))).unwrap();
+        assert!(call(&mut watch).unwrap()[0].contains("after=900&"));
+        let silent_since = Instant::now();
+        let mut client = node.client();
+        assert_eq!(client.ask(&["CACHE.GET", "k", "before", "c=read,t=acme,d=9000"]), "$old");
+        if in_that_moment {
+            with_process_stopped(&node, || {
+                // A little longer than it waits: it finds both that its time is over and the answer.
+                let over = WATCH_GIVEN_UP + Duration::from_millis(200);
+                thread::sleep(over.saturating_sub(silent_since.elapsed()));
+                watch.get_mut().write_all(&list(901, &one(late))).unwrap();
+            });
+        }
+        // Either the answer was taken, and the watch goes on from it, or it was given up and is opened anew.
+        let taken = in_that_moment.then(|| call(&mut watch)).flatten();
+        let mut watch_now = if let Some(asked) = taken {
+            assert!(asked[0].contains("after=901&"), "{}", asked[0]);
+            watch
+        } else {
+            let mut opened = BufReader::new(agent.accept().unwrap().0);
+            let asked = call(&mut opened).unwrap();
+            assert!(asked[0].contains("after=900&"), "{}", asked[0]);
+            if !in_that_moment {
+                // The connection may have been closed by now.
+                let _ = watch.get_mut().write_all(&list(901, &one(late)));
+            }
+            opened
+        };
+        watch_now.get_mut().write_all(&list(902, &one(new))).unwrap();
+        let asked = call(&mut watch_now).unwrap();
+        assert!(asked[0].contains("after=902&"), "{}", asked[0]);
+        assert_eq!(client.ask(&["CACHE.GET", "k", "after", "c=read,t=acme,d=9000"]), "$new");
+    }
+}
+
+/// The origin answers in the moment at which the time of the attempt is over: its client gets one answer, the value or an
+/// error; nothing stays open, and the next call gets its own answer.
+#[test]
+fn an_answer_of_the_origin_as_its_call_is_given_up_is_given_once_or_not_at_all() {
+    let (told, calls) = channel();
+    let told = report(told);
+    let (go, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let origin = serve(call, move |asked| {
+        told(asked);
+        let _ = wait.lock().unwrap().recv();
+        http("200 OK", &format!("receipt of {}", asked[0].split(' ').nth(1).unwrap_or_default()))
+    });
+    let discovery = Discovery::start(&member("o-1", origin, "origin", "ready"));
+    let (node, _) = spawn_node("origin-given-up", discovery.address, &[]);
+    discovery.watched_after(1);
+    node.ready();
+    for (round, answer_first) in [false, true, false, true].into_iter().enumerate() {
+        let mut client = node.client();
+        let (key, id) = (format!("k-{round}"), format!("i-{round}"));
+        let asked = Instant::now();
+        let extras = format!("c=once,t=acme,d={}", CLIENT_WAITS.as_millis());
+        client.send(&["CACHE.SET", &key, &id, &extras, "value"]);
+        calls.recv_timeout(HUNG).unwrap();
+        with_process_stopped(&node, || {
+            if answer_first {
+                go.send(()).unwrap();
+            }
+            thread::sleep(CLIENT_WAITS.saturating_sub(asked.elapsed()) + Duration::from_millis(100));
+            if !answer_first {
+                go.send(()).unwrap();
+            }
+        });
+        let answer = client.answer();
+        assert!(answer == format!("$receipt of /{key}") || answer == "-ERR failed", "{answer}");
+        node.figure_becomes("edge_router_in_flight", 0);
+        node.figure_becomes("edge_router_origin_calls_out", 0);
+        // Nothing comes behind it but the answer to what is asked next.
+        go.send(()).unwrap();
+        let next = format!("next-{round}");
+        let answer = client.ask(&["CACHE.SET", &next, &next, "c=once,t=acme,d=9000", "value"]);
+        assert_eq!(answer, format!("$receipt of /{next}"));
+        calls.recv_timeout(HUNG).unwrap();
+    }
+}
