World: what an attempt tells of its client's time is at most what is left (rule 12)

An attempt bears in its extras how long its answer is waited for. The checker judged nothing of it: the stand-in of the origin did not even read it, and a node could send a call with all the time that its client came with.

The stand-ins report until when an attempt says that it is waited for, from the earliest moment at which it may have come. Rule 12 takes that against the client's end, counted from when its last byte was written, plus 50 ms of slack and the longest ways to the node and on, for each attempt, first and further. The mutant tells-all-time puts the time that the client came with back into commands and calls.

--- a/crates/trial/src/account.rs
+++ b/crates/trial/src/account.rs
@@ -428,7 +428,8 @@
     }
 
     fn arrived(a: &mut Account, at: u64, request: RequestNo, node: NodeNo, server: BoxNo) {
-        let seen = Seen::Arrived { at: server, node, request, write: false, work: 1.0, running: 0 };
+        let seen =
+            Seen::Arrived { at: server, node, request, write: false, work: 1.0, running: 0, until: ms(at) };
         a.saw(&Observation { at: ms(at), seen });
     }
 
--- a/crates/world/src/cache.rs
+++ b/crates/world/src/cache.rs
@@ -185,6 +185,10 @@
         let mut pending: VecDeque<(RequestNo, oneshot::Receiver<(Bytes, How)>)> = VecDeque::new();
         let mut buffer = BytesMut::new();
         let mut first = true;
+        // When what was read last may have come at the earliest, and from when to when nothing was read for an answer that
+        // was written.
+        let mut came = Instant::now();
+        let mut unread = None;
         let lost = |pending: &mut VecDeque<(RequestNo, _)>| {
             closed.close();
             for (request, _) in pending.drain(..) {
@@ -200,7 +204,8 @@
                             let (done, answer) = oneshot::channel();
                             pending.push_back((asked.request, answer));
                             let extra = if std::mem::take(&mut first) { handshake } else { 0.0 };
-                            self.clone().begin(asked, node, extra, crowded, done, closed.clone());
+                            let until = self.fleet.witness.since_beginning(came) + asked.wait;
+                            self.clone().begin(asked, node, until, extra, crowded, done, closed.clone());
                         }
                         Ok(None) => {
                             let _ = writing.write_all(b"+OK\r\n").await;
@@ -242,6 +247,7 @@
                         }
                         return lost(&mut pending);
                     }
+                    let begun = Instant::now();
                     for (number, piece) in bytes.chunks(PIECE).enumerate() {
                         if number > 0 {
                             sleep(BETWEEN_PIECES).await;
@@ -250,12 +256,17 @@
                             return lost(&mut pending);
                         }
                     }
+                    // Answers that follow each other at once are one time in which nothing was read.
+                    let begun = unread.filter(|(_, end)| *end == begun).map_or(begun, |(first, _)| first);
+                    unread = Some((begun, Instant::now()));
                 }
                 more = read(&reading, &mut buffer), if room => {
                     // What ends its sending has given up what it asked for.
                     if !more {
                         return lost(&mut pending);
                     }
+                    let now = Instant::now();
+                    came = unread.filter(|(_, end)| *end == now).map_or(now, |(begun, _)| begun);
                 }
                 () = sleep(IDLE), if none => return,
             }
@@ -295,6 +306,7 @@
         self: Rc<Self>,
         asked: Asked,
         node: NodeNo,
+        until: Duration,
         extra: f64,
         crowded: bool,
         done: oneshot::Sender<(Bytes, How)>,
@@ -306,7 +318,8 @@
         let held = self.memory.borrow_mut().touch(asked.key);
         let work = extra + if held { whole } else { whole * boxes.miss_work };
         let Asked { request, write, .. } = asked;
-        self.fleet.witness.saw(Seen::Arrived { at: self.number, node, request, write, work, running: 0 });
+        let arrived = Seen::Arrived { at: self.number, node, request, write, work, running: 0, until };
+        self.fleet.witness.saw(arrived);
         self.press(work);
         let busy = || (resp::error("BUSY"), How::Busy);
         let full = self.waiting.get() >= boxes.room && self.cores.available_permits() == 0;
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod sim;
 pub mod storm;
 pub mod tape;
+mod time_told;
--- a/crates/world/src/mutant.rs
+++ b/crates/world/src/mutant.rs
@@ -3,7 +3,7 @@
 //! The node itself stays as it is. A mutant is the node on a machine that garbles what it says or hears, or with
 //! settings that lie; what the stand-ins then see is what a node with that fault would show them.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -23,6 +23,7 @@
 
 use crate::rules::Rule;
 use crate::scenario::{Effect, Scenario};
+use crate::time_told::TimesAsTheyCame;
 
 /// One answer in so many is touched.
 const EVERY: u64 = 150;
@@ -59,11 +60,13 @@
     DeafToLeaving,
     /// It asks discovery no more once it has begun.
     AsksNoMore,
+    /// It tells servers and the origin the time that its client came with, however much of that is over.
+    TellsAllTime,
 }
 
 impl Mutant {
     /// All of them, with the rule that each breaks.
-    pub const ALL: [(Mutant, Rule); 14] = [
+    pub const ALL: [(Mutant, Rule); 15] = [
         (Mutant::AnswersTwice, Rule::OneAnswer),
         (Mutant::NeverAnswers, Rule::OneAnswer),
         (Mutant::WrongValue, Rule::OneAnswer),
@@ -78,6 +81,7 @@
         (Mutant::IgnoresBounds, Rule::BoundToZones),
         (Mutant::DeafToLeaving, Rule::Over),
         (Mutant::AsksNoMore, Rule::Drains),
+        (Mutant::TellsAllTime, Rule::TimeLeft),
     ];
 
     /// The settings that its node is told.
@@ -122,18 +126,38 @@
     }
 }
 
+/// Writes other bytes in place of those that the node gave. Where they do not fit all at once the connection is broken: an
+/// attempt is small, and half of one can't be named in the node's own bytes.
+fn write_for(
+    writing: Pin<&mut SimStream>,
+    cx: &mut Context<'_>,
+    given: &[u8],
+    other: &[u8],
+) -> Poll<io::Result<usize>> {
+    writing.poll_write(cx, other).map(|written| match written? {
+        whole if whole == other.len() => Ok(given.len()),
+        _ => Err(io::ErrorKind::BrokenPipe.into()),
+    })
+}
+
 /// A machine that garbles what its node says or hears.
 #[derive(Clone)]
 pub struct MutantHost {
     host: SimHost,
     mutant: Mutant,
     answers: Rc<Cell<u64>>,
+    times: TimesAsTheyCame,
 }
 
 impl MutantHost {
     /// The machine of one node.
     pub fn new(host: SimHost, mutant: Mutant) -> MutantHost {
-        MutantHost { host, mutant, answers: Rc::default() }
+        MutantHost { host, mutant, answers: Rc::default(), times: TimesAsTheyCame::default() }
+    }
+
+    /// What goes out in place of these bytes to a server or the origin, where that is something else.
+    fn garbled_attempt(&self, bytes: &[u8]) -> Option<Vec<u8>> {
+        (self.mutant == Mutant::TellsAllTime).then(|| self.times.put_back(bytes)).flatten()
     }
 }
 
@@ -210,12 +234,15 @@
     /// It does not tell the end.
     deaf: bool,
     ended: Cell<bool>,
+    /// Where it is told what its client asks, with what has come of that and is not whole.
+    times: Option<(TimesAsTheyCame, RefCell<BytesMut>)>,
 }
 
 /// Its half that is written to.
 pub struct MutantWriting {
     to: Writing,
     host: MutantHost,
+    client: bool,
 }
 
 enum Writing {
@@ -251,8 +278,10 @@
             Writing::Plain(writing)
         };
         let deaf = self.client && mutant == Mutant::DeafToLeaving;
-        let reading = MutantReading { reading: Some(reading), keep, deaf, ended: Cell::new(false) };
-        (reading, MutantWriting { to, host: self.host })
+        let times = self.client && mutant == Mutant::TellsAllTime;
+        let times = times.then(|| (self.host.times.clone(), RefCell::default()));
+        let reading = MutantReading { reading: Some(reading), keep, deaf, ended: Cell::new(false), times };
+        (reading, MutantWriting { to, host: self.host, client: self.client })
     }
 }
 
@@ -265,7 +294,8 @@
     }
 
     fn try_read_buf(&self, buffer: &mut BytesMut) -> io::Result<usize> {
-        match &self.reading {
+        let before = buffer.len();
+        let read = match &self.reading {
             Some(reading) => match reading.try_read_buf(buffer) {
                 Ok(0) if self.deaf => {
                     self.ended.set(true);
@@ -274,7 +304,13 @@
                 read => read,
             },
             None => Err(io::ErrorKind::WouldBlock.into()),
+        };
+        if let Some((times, come)) = &self.times {
+            let mut come = come.borrow_mut();
+            come.extend_from_slice(&buffer[before..]);
+            times.heard(&mut come);
         }
+        read
     }
 }
 
@@ -299,6 +335,7 @@
         }
         let hit = value && self.host.answers.get().is_multiple_of(EVERY);
         let mutant = self.host.mutant;
+        let attempt = if self.client { None } else { self.host.garbled_attempt(bytes) };
         let writing = match &mut self.to {
             Writing::Plain(writing) => writing,
             Writing::Late(send) => {
@@ -306,6 +343,9 @@
                 return Poll::Ready(sent.map(|()| bytes.len()).map_err(|_| io::ErrorKind::BrokenPipe.into()));
             }
         };
+        if let Some(attempt) = attempt {
+            return write_for(Pin::new(writing), cx, bytes, &attempt);
+        }
         match mutant {
             Mutant::AnswersTwice if hit => {
                 let twice = [bytes, bytes].concat();
@@ -361,6 +401,9 @@
         if self.host.mutant == Mutant::AsksNoMore && bytes.starts_with(b"GET /api/targets") {
             return Poll::Ready(Ok(bytes.len()));
         }
+        if let Some(attempt) = self.host.garbled_attempt(bytes) {
+            return write_for(Pin::new(&mut self.stream), cx, bytes, &attempt);
+        }
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
--- a/crates/world/src/observe.rs
+++ b/crates/world/src/observe.rs
@@ -161,6 +161,9 @@
         /// At the origin: calls of this node that are carried out or wait there, those included that it has given up
         /// or that an earlier life of it has left behind; 0 at boxes.
         running: u32,
+        /// Until when it is waited for by what it tells, counted from the beginning: the time that it tells, from the
+        /// earliest moment at which it may have come.
+        until: Duration,
     },
     /// The connection on which an attempt was out ended before its answer.
     Abandoned {
@@ -321,6 +324,11 @@
         self.sinks.borrow_mut().iter_mut().for_each(|sink| sink(&observation));
     }
 
+    /// A moment, counted from the beginning.
+    pub fn since_beginning(&self, moment: Instant) -> Duration {
+        moment.duration_since(self.start)
+    }
+
     /// Time since the beginning.
     pub fn elapsed(&self) -> Duration {
         self.start.elapsed()
--- a/crates/world/src/origin.rs
+++ b/crates/world/src/origin.rs
@@ -113,7 +113,8 @@
         let extra = |name| extras.split(',').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name);
         let id = number(header("X-Request-Id"));
         let key = number(request.uri().path().trim_start_matches('/'));
-        let (Some(id), Some(key)) = (id, key) else { return answer(400, Bytes::new()) };
+        let wait = extra("d").and_then(|(_, d)| d.parse().ok()).map(Duration::from_millis);
+        let (Some(id), Some(key), Some(wait)) = (id, key, wait) else { return answer(400, Bytes::new()) };
         let token = extra("k").and_then(|(_, k)| number(k));
         let window = extra("c").and_then(|(_, c)| self.fleet.scenario.class.iter().find(|k| k.name == c));
         let window = Duration::from_millis(window.map_or(0, |c| c.window_ms));
@@ -129,7 +130,8 @@
         };
         let saw = |seen| self.fleet.witness.saw(seen);
         let running = Running::begin(&self, node);
-        saw(Seen::Arrived { at: self.number, node, request: id, write, work, running: running.1 });
+        let until = self.fleet.witness.elapsed() + wait;
+        saw(Seen::Arrived { at: self.number, node, request: id, write, work, running: running.1, until });
         let mut out = Out { origin: self.clone(), node, request: id, ended: false };
         let ended = |out: &mut Out, how| {
             out.ended = true;
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -15,6 +15,8 @@
 //! 9. **No swinging.** No zone is given up more than a few times within some seconds.
 //! 10. **Bound to zones.** A request of a class that is bound to zones reaches no box outside them.
 //! 11. **Over.** What has been answered, or whose client has gone, is not sent on: no attempt begins later.
+//! 12. **Time left.** The time that an attempt tells is at most what is left to its client: what the client told, counted
+//!     from when its last byte was written, with a slack of 50 ms and the ways from the client and to the box.
 //!
 //! The caps of rule 5 are those of the decision module's gate (its constants are no part of its interface): a part of
 //! 80 calls out, or of a tenth of all quotas a second, for each node, 2 to 20 of them, and in a window the greater of
@@ -36,6 +38,9 @@
 const TOLD: Duration = Duration::from_secs(6);
 /// After its end no attempt of a request begins later than this.
 const OVER: Duration = Duration::from_millis(100);
+/// By so much more than is left to its client an attempt may tell, beside the ways on which its words were under way: the
+/// slack of the protocol.
+const TELLS_OVER: Duration = Duration::from_millis(50);
 /// Calls out of all nodes together, of which each has its part: at least, and in seconds of all quotas.
 const CAP: (f64, f64) = (80.0, 0.1);
 /// The bounds of a node's part.
@@ -79,6 +84,8 @@
     BoundToZones,
     /// Nothing is sent on for what is over.
     Over,
+    /// An attempt tells no more time than is left.
+    TimeLeft,
 }
 
 /// A rule that was broken.
@@ -188,6 +195,8 @@
     clear_since: Duration,
     /// By class, the zones it is bound to; by zone of a box, how they are dealt out.
     bound: Vec<Vec<usize>>,
+    /// The longest that words are under way from a client to a node and on to a box.
+    ways: Duration,
     zones: usize,
     boxes: usize,
     /// What each plan's number stands for.
@@ -207,6 +216,12 @@
     (CAP.0.max(quotas * CAP.1) / scenario.nodes.count as f64).clamp(CAP_PART.0, CAP_PART.1)
 }
 
+/// Since when a node can have known of a request: in a crowd a connection waits before it is accepted, and the node can't
+/// count that time. `crowded` is when the first attempt of a request in a crowd arrived.
+fn known_since(asked: Duration, crowded: Option<Duration>) -> Duration {
+    crowded.map_or(asked, |arrived| asked.max(arrived.saturating_sub(SLACK)))
+}
+
 impl Checker {
     /// A checker of a scenario in which the origin has this number.
     pub fn new(scenario: &Scenario, origin: BoxNo) -> Checker {
@@ -215,6 +230,7 @@
         let aim = scenario.class.iter().map(|c| c.aim_ms).max().unwrap_or(1000);
         let window = Duration::from_millis(aim).mul_f64(WINDOW.0);
         let quotas: f64 = scenario.tenant.iter().map(|t| t.quota).sum();
+        let network = &scenario.network;
         let rate = if quotas > 0.0 { quotas / nodes } else { f64::INFINITY };
         Checker {
             classes: scenario.class.iter().map(|c| (c.effect, ms(c.window_ms), ms(c.aim_ms))).collect(),
@@ -245,6 +261,7 @@
                     c.only_zones.iter().filter_map(place).collect()
                 })
                 .collect(),
+            ways: Duration::from_secs_f64(2.0 * network.across_ms[1].max(network.within_ms[1]) / 1e3),
             zones: scenario.zones.len(),
             boxes: scenario.boxes.count,
             plans: BTreeMap::new(),
@@ -356,7 +373,10 @@
                     self.unanswered(now, *request, "no answer before its client left");
                 }
             }
-            Seen::Arrived { at, node, request, work, .. } => self.arrived(now, *at, *node, *request, *work),
+            Seen::Arrived { at, node, request, work, until, .. } => {
+                self.tells(now, *at, *request, *until);
+                self.arrived(now, *at, *node, *request, *work);
+            }
             Seen::Ended { at, node, request, how } => {
                 let fate = match how {
                     How::Value | How::Failed | How::Silent { begun: true } => Fate::MayHaveRun,
@@ -458,18 +478,21 @@
         }
     }
 
+    /// Whether a connection on which something was asked then may have waited in a crowd before it was accepted.
+    fn crowded(&self, asked: Duration) -> bool {
+        self.crowds > 0 || self.crowd_over.is_some_and(|over| over + CROWD_GOES >= asked)
+    }
+
     fn answered(&mut self, now: Duration, id: RequestNo, reply: Reply, slow: bool) {
+        let crowded = self.requests.get(&id).is_some_and(|r| self.crowded(r.asked));
         let Some(r) = self.requests.get_mut(&id) else { return };
         let twice = std::mem::replace(&mut r.answered, true);
         r.ended.get_or_insert(now);
         let late = now.saturating_sub(r.asked + r.patience);
         let (effect, _, aim) = self.classes[r.class];
         let asked = r.asked;
-        // In a crowd a connection waits before it is accepted, and the node can't count that time.
-        let crowded = self.crowds > 0 || self.crowd_over.is_some_and(|over| over + CROWD_GOES >= asked);
-        let sent = r.attempts.first().filter(|_| crowded);
-        let known = sent.map_or(asked, |a| asked.max(a.arrived.saturating_sub(SLACK)));
-        let aim_at = known + aim.min(r.patience);
+        let sent = r.attempts.first().map(|a| a.arrived);
+        let aim_at = known_since(asked, sent.filter(|_| crowded)) + aim.min(r.patience);
         let still = now.saturating_sub(r.stirred);
         let out = r.attempts.iter().any(|a| a.fate == Fate::Out || a.unheard);
         let may_have_run = r.attempts.iter().any(|a| a.fate != Fate::NotRun);
@@ -598,6 +621,24 @@
         }
     }
 
+    /// Judges what an attempt tells of the time that is left.
+    fn tells(&mut self, now: Duration, at: BoxNo, id: RequestNo, until: Duration) {
+        // What was written to a box that could not be reached comes when it can.
+        let mended = self.mended.get(&at).is_some_and(|m| now < *m + SLACK);
+        if mended || self.away.contains_key(&at) {
+            return;
+        }
+        let Some(r) = self.requests.get(&id) else { return };
+        let sent = r.attempts.first().map_or(now, |a| a.arrived);
+        let known = known_since(r.asked, Some(sent).filter(|_| self.crowded(r.asked)));
+        let over = until.saturating_sub(known + r.patience);
+        if over > TELLS_OVER + self.ways {
+            let count = r.attempts.len() + 1;
+            let what = format!("request {id:x}, attempt {count} at {at}: told {over:?} more than is left");
+            self.broken(now, Rule::TimeLeft, what);
+        }
+    }
+
     fn arrived(&mut self, now: Duration, at: BoxNo, node: NodeNo, id: RequestNo, work: f64) {
         let grace = Duration::from_millis(self.rules.drain_grace_ms) + SLACK;
         let away = self.away.contains_key(&at);
--- a/crates/world/tests/hard_cases.rs
+++ b/crates/world/tests/hard_cases.rs
@@ -195,9 +195,9 @@
             saw(50, Seen::Crowd { begins: true });
         }
         // The aim is 400 ms: over at 500 ms from when it was asked, at 750 ms from shortly before it was sent.
-        let patience = ms(900);
+        let (patience, until) = (ms(900), ms(1_000));
         saw(100, Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience });
-        saw(400, Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0 });
+        saw(400, Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0, until });
         saw(405, Seen::Ended { at: 2, node: 0, request: 1, how: How::Miss });
         saw(700, Seen::Answered { request: 1, reply: Reply::Busy(20), slow: false });
         assert_eq!(checker.violations().first().map(|v| v.rule), broken, "crowd: {crowd}");
@@ -208,9 +208,9 @@
 fn a_value_cut_by_nobody_and_a_connection_that_is_kept_for_nothing_break_a_rule() {
     let scenario = scenario("crowded");
     let (origin, ms) = (90, Duration::from_millis);
-    let patience = ms(900);
+    let (patience, until) = (ms(900), ms(1_000));
     let asked = Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience };
-    let arrived = Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0 };
+    let arrived = Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0, until };
     let cut = Seen::Cut { request: 1 };
     let silent = Seen::Ended { at: 2, node: 0, request: 1, how: How::Silent { begun: true } };
     let whole = Seen::Ended { at: 2, node: 0, request: 1, how: How::Value };
@@ -232,3 +232,43 @@
         assert_eq!(checker.violations().first().map(|v| v.rule), broken);
     }
 }
+
+/// What is left is counted from when the request's last byte was written; the slack is the protocol's and the ways'.
+#[test]
+fn an_attempt_that_tells_more_time_than_is_left_breaks_a_rule_first_and_further() {
+    let (scenario, ms) = (scenario("crowded"), Duration::from_millis);
+    let ways = ms(2 * scenario.network.across_ms[1] as u64);
+    let (asked, patience) = (ms(100), ms(900));
+    let left = asked + patience + ms(50) + ways;
+    let over = left + ms(1);
+    let once_accepted = left + ms(550);
+    for (crowd, away, until, broken) in [
+        (false, false, [left, left], 0),
+        (false, false, [over, left], 1),
+        (false, false, [left, over], 1),
+        (false, false, [over, over], 2),
+        // What was written to a box that can't be reached is judged by nobody.
+        (false, true, [over, over], 0),
+        // A connection that waited in a crowd was accepted, and its request read, 50 ms before the first attempt came.
+        (true, false, [once_accepted, once_accepted], 0),
+        (true, false, [once_accepted + ms(1), once_accepted], 1),
+        (true, false, [once_accepted, once_accepted + ms(1)], 1),
+    ] {
+        let mut checker = Checker::new(&scenario, 90);
+        let mut saw = |at, seen| checker.saw(&Observation { at, seen });
+        saw(ms(0), Seen::NodeUp { node: 0 });
+        if crowd {
+            saw(ms(50), Seen::Crowd { begins: true });
+        }
+        if away {
+            saw(ms(60), Seen::BoxAway { at: 2, away: true });
+        }
+        saw(asked, Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience });
+        for (at, until) in [ms(700), ms(800)].into_iter().zip(until) {
+            saw(at, Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0, until });
+            saw(at + ms(5), Seen::Ended { at: 2, node: 0, request: 1, how: How::Miss });
+        }
+        let rules: Vec<Rule> = checker.violations().iter().map(|v| v.rule).collect();
+        assert_eq!(rules, vec![Rule::TimeLeft; broken], "crowd {crowd}, away {away}, {until:?}");
+    }
+}
