Tests: a call that is given up ends its connection to the origin

Cause: the crossing of an answer with the giving up of its call passed also where giving up ended nothing. Change: a test of its own, in which the origin never answers and must see the end of the connection.

--- a/crates/mothpier/tests/crossings_more.rs
+++ b/crates/mothpier/tests/crossings_more.rs
@@ -4,7 +4,7 @@
 
 mod world;
 
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -54,8 +54,8 @@
     }
 }
 
-/// A cache server whose connection is given to the test once a command has come on it.
-fn server_by_hand() -> (SocketAddr, Receiver<TcpStream>) {
+/// A server whose connection is given to the test once a whole request has come on it.
+fn server_by_hand(read: Reader) -> (SocketAddr, Receiver<TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let (given, streams) = channel();
@@ -64,7 +64,7 @@
             let given = given.clone();
             thread::spawn(move || {
                 let mut from = BufReader::new(stream);
-                command(&mut from).map(|_| given.send(from.into_inner()))
+                read(&mut from).map(|_| given.send(from.into_inner()))
             });
         }
     });
@@ -91,7 +91,7 @@
     let value: Vec<u8> = (0..LENGTH).map(|at| (at * 31 % 251) as u8).collect();
     let (first, second) = value.split_at(LENGTH / 2);
     for rest in [Rest::Comes, Rest::IsReset, Rest::NeverComes] {
-        let (server, streams) = server_by_hand();
+        let (server, streams) = server_by_hand(command);
         let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
         let (mut node, _) = spawn_node("half-passed", discovery.address, &brief);
         discovery.watched_after(1);
@@ -385,3 +385,21 @@
         calls.recv_timeout(HUNG).unwrap();
     }
 }
+
+/// The origin must see that nobody waits any more: the connection of a call that was given up ends.
+#[test]
+fn a_call_that_is_given_up_ends_its_connection_to_the_origin() {
+    let (origin, calls) = server_by_hand(call);
+    let discovery = Discovery::start(&member("o-1", origin, "origin", "ready"));
+    let (node, _) = spawn_node("origin-connection-ends", discovery.address, &[]);
+    discovery.watched_after(1);
+    node.ready();
+    let mut client = node.client();
+    let extras = format!("c=once,t=acme,d={}", CLIENT_WAITS.as_millis());
+    client.send(&["CACHE.SET", "k", "i", &extras, "value"]);
+    let mut connection = calls.recv_timeout(HUNG).unwrap();
+    assert_eq!(client.answer(), "-ERR failed");
+    connection.set_read_timeout(Some(HUNG)).unwrap();
+    let ended = connection.read(&mut [0]);
+    assert!(matches!(ended, Ok(0)) || ended.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset));
+}
--- a/crates/mothpier/tests/world/mod.rs
+++ b/crates/mothpier/tests/world/mod.rs
@@ -89,7 +89,8 @@
     Some(lines)
 }
 
-type Reader = fn(&mut BufReader<TcpStream>) -> Option<Vec<String>>;
+/// Reads one whole request from a connection; `None` at its end.
+pub type Reader = fn(&mut BufReader<TcpStream>) -> Option<Vec<String>>;
 
 /// A server: each thing asked is given to `react`, whose answer goes back. Returns where it listens.
 pub fn serve(read: Reader, react: impl Fn(&[String]) -> Reaction + Send + Sync + 'static) -> SocketAddr {
