Node: a client session keeps its state in one enum with named transitions

Cause: Session held ended, known, coming, room, dropped and, in its inbox, closed side by side; combinations such as a value awaited by a connection that reads no more could be written down, and Session::gone borrowed mutably without need.

Change: clients::state::State has four states (Reading, HungUp, Finishing, Gone); what is missing of a command, and the memory reserved for it, exists only while commands are read. Whether a connection counts as a newcomer is a guard that gives its count back once. Session::gone borrows immutably. Behaviour is unchanged, also that a reservation for a spoilt value is kept until the connection is dropped.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -27,6 +27,10 @@
 use crate::keys::Keys;
 use crate::stream::{FAREWELL, READ, part, read};
 
+mod state;
+
+use state::State;
+
 /// Requests of one connection that may be open; those beyond are refused.
 const MAX_PIPELINE: usize = 128;
 /// Answers of one connection that may wait, refusals and errors too; a client that goes on beyond is cut off.
@@ -53,9 +57,6 @@
 /// Read from a client while an answer is being written to it: enough to notice that it has gone, and no more than one that
 /// takes no answers may make the node hold.
 const AHEAD: usize = 16 * 1024;
-/// Dropped of what a client sends behind the end of its commands, while answers before that are owed: enough to notice that
-/// it has gone; one that goes on beyond is read no further.
-const FLOOD: usize = 1024 * 1024;
 /// Before a process must have ended, all that is still open fails so long before, that the answers go out; and nothing more is
 /// read from this long before, that it can be asked for at all.
 const LAST: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(250));
@@ -165,7 +166,7 @@
     keys: Keys,
     door: RefCell<Door>,
     /// Open connections that have not sent a whole command yet.
-    half_known: Cell<usize>,
+    half_known: Rc<Cell<usize>>,
     farewells: Arc<Semaphore>,
     began: Instant,
     retiring: Rc<Retiring>,
@@ -205,7 +206,7 @@
             memory_kb: bounds.memory / 1024,
             most: Cell::new(bounds.most),
             door: RefCell::new(bounds.door),
-            half_known: Cell::new(0),
+            half_known: Rc::default(),
             farewells: Arc::new(Semaphore::new((bounds.most / TURNED_AWAY).max(1))),
             began: Instant::now(),
             retiring,
@@ -335,7 +336,7 @@
 
     fn start(self: Rc<Self>, stream: H::Stream, number: u64) {
         self.connections.set(self.connections.get() + 1);
-        self.half_known.set(self.half_known.get() + 1);
+        let newcomer = Newcomer::count(&self.half_known);
         let evict = Rc::new(Notify::new());
         let entry = Entry { idle: Some(Instant::now()), doing: Doing::Begins, evict: evict.clone() };
         self.open.borrow_mut().insert(number, entry);
@@ -346,17 +347,12 @@
                 number,
                 pending,
                 asked: 0,
-                known: false,
-                ended: false,
-                coming: Coming::Head,
-                room: None,
-                dropped: 0,
+                newcomer: Some(newcomer),
+                state: State::new(),
             };
             session.run(stream, evict).await;
             session.gone().await;
-            if !session.known {
-                self.half_known.set(self.half_known.get() - 1);
-            }
+            drop(session);
             self.open.borrow_mut().remove(&number);
             self.closed.notify_waiters();
             self.closed.notify_one();
@@ -476,15 +472,20 @@
     ticket: Option<(Ticket, End)>,
 }
 
-/// What a command that has not all come yet lacks.
-#[derive(Clone, Copy, PartialEq)]
-enum Coming {
-    /// Its head, which has its time.
-    Head,
-    /// Its value, which must go on.
-    Value,
-    /// So many bytes of a value that there is no room for: its request is refused, and they are dropped.
-    Dropped(usize),
+/// Counts a connection among those that have not sent a whole command yet, for as long as this lives.
+struct Newcomer(Rc<Cell<usize>>);
+
+impl Newcomer {
+    fn count(newcomers: &Rc<Cell<usize>>) -> Newcomer {
+        newcomers.set(newcomers.get() + 1);
+        Newcomer(newcomers.clone())
+    }
+}
+
+impl Drop for Newcomer {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 struct Session<H> {
@@ -494,16 +495,9 @@
     pending: VecDeque<Slot>,
     /// How many of them are requests that went on.
     asked: usize,
-    /// It has sent a command in the agreed form.
-    known: bool,
-    /// No more commands are read: the last answer closes.
-    ended: bool,
-    /// What the command that has not all come yet lacks.
-    coming: Coming,
-    /// Reserved for the value that is coming.
-    room: Option<OwnedSemaphorePermit>,
-    /// Bytes that came behind the end of its commands.
-    dropped: usize,
+    /// Until it has sent a command in the agreed form.
+    newcomer: Option<Newcomer>,
+    state: State,
 }
 
 /// What comes from a client.
@@ -512,8 +506,6 @@
     buffer: BytesMut,
     /// When the last of it was read.
     came: Micros,
-    /// The client has closed its side.
-    closed: bool,
 }
 
 impl<H: Host> Session<H> {
@@ -532,7 +524,7 @@
         evict: Rc<Notify>,
     ) -> Parting {
         let clients = self.clients.clone();
-        let mut inbox = Inbox { reading, buffer: BytesMut::new(), came: (clients.now)(), closed: false };
+        let mut inbox = Inbox { reading, buffer: BytesMut::new(), came: (clients.now)() };
         let connected = Instant::now();
         // When the command that has not all come yet began to.
         let mut begun = None;
@@ -544,14 +536,13 @@
         let mut answered = false;
         loop {
             // Wherever it was read: none of it is a command.
-            self.skip(&mut inbox.buffer);
-            while !self.ended && !inbox.buffer.is_empty() {
+            self.state.discard_refused(&mut inbox.buffer);
+            while self.state.reads_commands() && !inbox.buffer.is_empty() {
                 match resp::take_frame(&mut inbox.buffer, MAX_VALUE) {
                     Ok(Some(frame)) => {
                         (begun, pieces) = (None, 0);
-                        self.command(frame, inbox.came).await;
-                        // What was reserved went with the request, or was for none.
-                        (self.coming, self.room) = (Coming::Head, None);
+                        let reserved = self.state.command_complete();
+                        self.command(frame, inbox.came, reserved).await;
                     }
                     Ok(None) => {
                         self.large(&mut inbox.buffer, inbox.came);
@@ -563,17 +554,16 @@
                     self.protocol_error(Malformed("too many commands at once"));
                 }
             }
-            if self.ended {
-                self.dropped += inbox.buffer.len();
-            }
-            if self.ended || (inbox.buffer.is_empty() && self.coming == Coming::Head) {
+            let finishing = !self.state.reads_commands();
+            self.state.discard_bytes(inbox.buffer.len());
+            if finishing || (inbox.buffer.is_empty() && !self.state.misses_value()) {
                 // An idle connection must not keep the room that its largest command took.
                 (inbox.buffer, begun) = (BytesMut::new(), None);
             } else {
                 begun.get_or_insert_with(Instant::now);
             }
             let doing = match begun {
-                None if self.known => Doing::Rests,
+                None if self.newcomer.is_none() => Doing::Rests,
                 Some(_) if pieces > 1 => Doing::Writes,
                 _ => Doing::Begins,
             };
@@ -583,32 +573,33 @@
                 (entry.idle, entry.doing) = (idle.then_some(rests), doing);
             }
             // Behind what was written meanwhile, which the client may still read.
-            if inbox.closed {
+            if self.state.client_has_closed() {
                 return Parting::Close;
             }
-            if self.ended && idle {
+            if finishing && idle {
                 return Parting::HalfClose;
             }
             // Whoever always has a request open would be read from to the end, and not answered.
             let last = clients.retiring.ends.get().filter(|_| !idle);
-            let last = last.map(|end| end - if self.ended { LAST.0 } else { LAST.1 });
-            if last.is_some_and(|last| last <= now)
-                && (!std::mem::replace(&mut self.ended, true) || self.fail_open().await)
-            {
-                continue;
+            let last = last.map(|end| end - if finishing { LAST.0 } else { LAST.1 });
+            if last.is_some_and(|last| last <= now) {
+                self.state.finish();
+                if !finishing || self.fail_open().await {
+                    continue;
+                }
             }
             let leaving = match clients.retiring.leaving() {
                 Leaving::None => false,
                 Leaving::Answered => answered,
                 // One that has asked nothing yet may only just have come, to ask whether the node serves.
-                Leaving::Resting => self.known,
+                Leaving::Resting => self.newcomer.is_none(),
             };
             let asks_nothing = idle && begun.is_none();
-            let first = (!self.known && asks_nothing).then_some(connected + HALF);
-            let half = begun.filter(|_| !self.ended).map(|begun| match self.coming {
-                Coming::Head => begun + HALF,
+            let first = (self.newcomer.is_some() && asks_nothing).then_some(connected + HALF);
+            let half = begun.map(|begun| match self.state.misses_value() {
+                false => begun + HALF,
                 // It need only go on.
-                Coming::Value | Coming::Dropped(_) => (rests + HALF).min(begun + VALUE),
+                true => (rests + HALF).min(begun + VALUE),
             });
             let rest = asks_nothing.then_some(if leaving {
                 now
@@ -632,12 +623,12 @@
                         return Parting::Close;
                     }
                 }
-                more = read(reading, &mut inbox.buffer), if self.dropped < FLOOD => {
+                more = read(reading, &mut inbox.buffer), if self.state.takes_bytes() => {
                     // A client that closes has gone away: what it asked for is not wanted any more.
                     if !more {
                         return Parting::Close;
                     }
-                    if !self.ended {
+                    if self.state.reads_commands() {
                         (inbox.came, rests) = ((clients.now)(), Instant::now());
                         pieces += 1;
                     }
@@ -732,14 +723,14 @@
     ) -> bool {
         let mut written = std::pin::pin!(timeout(SLOW_READER, writing.write_all(bytes)));
         loop {
-            let ahead = !inbox.closed && !self.ended && inbox.buffer.len() < AHEAD;
+            let ahead = self.state.awaits_commands() && inbox.buffer.len() < AHEAD;
             tokio::select! {
                 biased;
                 written = &mut written => return matches!(written, Ok(Ok(()))),
                 more = read(inbox.reading, &mut inbox.buffer), if ahead => {
                     inbox.came = (self.clients.now)();
                     if !more {
-                        inbox.closed = true;
+                        self.state.hang_up();
                         self.gone().await;
                     }
                 }
@@ -755,8 +746,8 @@
     }
 
     /// Nobody waits any more for what is open.
-    async fn gone(&mut self) {
-        for slot in &mut self.pending {
+    async fn gone(&self) {
+        for slot in &self.pending {
             if let Wait::Node(id, _) = slot.wait {
                 let _ = self.clients.events.send(Input::Client(Asked::Gone(id))).await;
             }
@@ -780,24 +771,26 @@
     /// Looks at a command of which a value is still coming. Room for a large one is reserved before it is read; where there
     /// is none it will be dropped and refused.
     fn large(&mut self, buffer: &mut BytesMut, came: Micros) {
-        self.coming = Coming::Head;
-        let Ok(Extent::InValue { header, end, last }) = resp::extent(buffer, MAX_VALUE) else { return };
-        if last {
-            self.coming = Coming::Value;
+        let Ok(Extent::InValue { header, end, last }) = resp::extent(buffer, MAX_VALUE) else {
+            return self.state.expect_head();
+        };
+        match last {
+            true => self.state.expect_value(),
+            false => self.state.expect_head(),
         }
-        if end - header <= WHOLE || self.room.is_some() {
+        if end - header <= WHOLE || self.state.has_reservation() {
             return;
         }
         if !last {
             return self.protocol_error(Malformed("only a value may be so large"));
         }
-        self.room = self.clients.memory.clone().try_acquire_many_owned((end / 1024) as u32).ok();
-        if self.room.is_some() {
+        if let Ok(reservation) = self.clients.memory.clone().try_acquire_many_owned((end / 1024) as u32) {
+            self.state.reserve(reservation);
             return buffer.reserve(end - buffer.len());
         }
         let mut head = BytesMut::from(&buffer[..header]);
         head.extend_from_slice(b"$0\r\n\r\n");
-        self.coming = Coming::Dropped(end - buffer.len());
+        self.state.refuse_value(end - buffer.len());
         *buffer = BytesMut::new();
         // As it would be without its value: what is wrong with it is said, and a request has its class.
         let Ok(Some(frame)) = resp::take_frame(&mut head, WHOLE) else { return };
@@ -810,15 +803,6 @@
         }
     }
 
-    /// Drops what has come of a value that there is no room for.
-    fn skip(&mut self, buffer: &mut BytesMut) {
-        if let Coming::Dropped(left) = self.coming {
-            let here = left.min(buffer.len());
-            let _ = buffer.split_to(here);
-            self.coming = if left > here { Coming::Dropped(left - here) } else { Coming::Head };
-        }
-    }
-
     /// Refuses a request for want of memory.
     fn refuse(&mut self, class: usize) {
         let wait = Wait::Ready(resp::error(&format!("BUSY {FULL_RETRY_MS}")));
@@ -835,34 +819,28 @@
 
     /// Says what is wrong, behind the answers that are owed, and reads no more.
     fn protocol_error(&mut self, error: Malformed) {
-        self.ended = true;
+        self.state.finish();
         self.answer(resp::error(&format!("ERR protocol: {error}")));
     }
 
-    fn is_known(&mut self) {
-        if !std::mem::replace(&mut self.known, true) {
-            self.clients.half_known.set(self.clients.half_known.get() - 1);
-        }
-    }
-
     fn answer(&mut self, bytes: Bytes) {
         self.pending.push_back(Slot { wait: Wait::Ready(bytes), memory: None, ticket: None });
     }
 
-    async fn command(&mut self, frame: BytesFrame, came: Micros) {
+    async fn command(&mut self, frame: BytesFrame, came: Micros, reserved: Option<OwnedSemaphorePermit>) {
         let Some(words) = words(frame) else {
             return self.protocol_error(Malformed("a command is an array of bulk strings"));
         };
         match words[0].as_ref() {
             b"CACHE.GET" | b"CACHE.SET" => match self.clients.parse(&words, came) {
                 Ok((request, command)) => {
-                    self.is_known();
-                    self.ask(request, Box::new(command)).await;
+                    self.newcomer = None;
+                    self.ask(request, Box::new(command), reserved).await;
                 }
                 Err(e) => self.reject(e),
             },
             name if name.eq_ignore_ascii_case(b"PING") => {
-                self.is_known();
+                self.newcomer = None;
                 let life = &self.clients.desk.lifecycle;
                 self.answer(match life.phase() {
                     _ if life.serves() => Bytes::from_static(b"+PONG\r\n"),
@@ -872,17 +850,16 @@
                 });
             }
             name if name.eq_ignore_ascii_case(b"QUIT") => {
-                self.ended = true;
+                self.state.finish();
                 self.answer(Bytes::from_static(b"+OK\r\n"));
             }
             _ => self.answer(resp::error("ERR unknown command")),
         }
     }
 
-    async fn ask(&mut self, request: Request, command: Box<Command>) {
+    async fn ask(&mut self, request: Request, command: Box<Command>, reserved: Option<OwnedSemaphorePermit>) {
         // Memory is bounded by what open requests may hold, and one connection by its own part of them; what is
         // beyond never runs, and is told so instead of being left unread.
-        let reserved = self.room.take();
         let value = command.value.as_ref().filter(|_| reserved.is_none()).map_or(0, Bytes::len);
         let holds = REQUEST_KB + value.div_ceil(1024);
         let memory = match self.asked < MAX_PIPELINE
