Node: clients.rs is split into modules with one job each; a pure move

Change: clients/{mod,listening,retiring,eviction,grammar,reading,answers,session}.rs beside state.rs. Items move as they are; what siblings use is pub(super). No test moves.

--- /dev/null
+++ b/crates/node/src/clients/listening.rs
@@ -0,0 +1,126 @@
+//! Accepting the connections of clients, and turning them away where too many are new.
+
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+use mothpier_host::{Host, Listener, Stream};
+use mothpier_resp as resp;
+use mothpier_storm::Verdict;
+use tokio::io::AsyncWriteExt;
+use tokio::sync::{Notify, OwnedSemaphorePermit};
+use tokio::time::{Instant, sleep, timeout};
+
+use super::Clients;
+use super::eviction::Entry;
+use super::retiring::Listening;
+use super::session::{Newcomer, Session};
+use super::state::State;
+use crate::crowd::Doing;
+use crate::stream::{FAREWELL, part};
+
+/// Between tries to accept while there is no room.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+impl<H: Host> Clients<H> {
+    /// Accepts until the phase ends; what the machine has accepted by then is still taken.
+    pub async fn accept(self: Rc<Self>, listener: H::Listener) {
+        let mut number = 0u64;
+        loop {
+            if self.count() >= self.most.get() {
+                // At the limit one connection gives way; if none can, new ones wait.
+                self.evict(true);
+                tokio::select! {
+                    biased;
+                    () = self.closed.notified() => {}
+                    () = sleep(ACCEPT_PAUSE) => {}
+                    () = self.retiring.listening_ended() => break,
+                }
+                continue;
+            }
+            let accepted = tokio::select! {
+                biased;
+                () = self.retiring.listening_ended(), if self.retiring.listening.get() != Listening::TakeRest => break,
+                accepted = listener.accept() => accepted,
+                () = self.retiring.listening_ended() => break,
+            };
+            number += 1;
+            match accepted {
+                Ok((stream, _)) => {
+                    let verdict = self.door.borrow_mut().came(self.began.elapsed(), self.half_known.get());
+                    if let Verdict::TurnAway(after) = verdict {
+                        // Each place is free again after a farewell at the latest.
+                        let place = self.farewells.clone().acquire_owned().await.ok();
+                        self.clone().turn_away(stream, after, place);
+                        continue;
+                    }
+                    self.clone().start(stream, number);
+                    // For each that comes while many are open one that rested longest goes, and another until they
+                    // are fewer: clients may hold fewer than the node could, and those who find all theirs kept by
+                    // others can't even ask.
+                    if self.crowded() {
+                        self.evict(false);
+                        self.evict(false);
+                    }
+                }
+                Err(e) => {
+                    // Out of descriptors (EMFILE) or the like: it passes, and the listener must outlive it.
+                    self.host.log(format_args!("accepting failed: {e}"));
+                    self.evict(true);
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        while self.retiring.listening.get() == Listening::TakeRest
+            && let Some((stream, _)) = poll_fn(|cx| match listener.poll_accept(cx) {
+                Poll::Ready(accepted) => Poll::Ready(accepted.ok()),
+                Poll::Pending => Poll::Ready(None),
+            })
+            .await
+        {
+            number += 1;
+            self.clone().start(stream, number);
+        }
+    }
+
+    /// Tells a connection to come back later and closes it, in that order: what it has sent already must not make the
+    /// close a reset, which could overtake the answer.
+    fn turn_away(self: Rc<Self>, stream: H::Stream, after: Duration, place: Option<OwnedSemaphorePermit>) {
+        self.connections.set(self.connections.get() + 1);
+        tokio::task::spawn_local(async move {
+            let (reading, mut writing) = stream.into_halves();
+            let line = resp::error(&format!("BUSY {}", after.as_millis().max(1)));
+            if let Ok(Ok(())) = timeout(FAREWELL, writing.write_all(&line)).await {
+                part(&reading, &mut writing).await;
+            }
+            drop(place);
+        });
+    }
+
+    fn start(self: Rc<Self>, stream: H::Stream, number: u64) {
+        self.connections.set(self.connections.get() + 1);
+        let newcomer = Newcomer::count(&self.half_known);
+        let evict = Rc::new(Notify::new());
+        let entry = Entry { idle: Some(Instant::now()), doing: Doing::Begins, evict: evict.clone() };
+        self.open.borrow_mut().insert(number, entry);
+        tokio::task::spawn_local(async move {
+            let pending = VecDeque::new();
+            let mut session = Session {
+                clients: self.clone(),
+                number,
+                pending,
+                asked: 0,
+                newcomer: Some(newcomer),
+                state: State::new(),
+            };
+            session.run(stream, evict).await;
+            session.gone().await;
+            drop(session);
+            self.open.borrow_mut().remove(&number);
+            self.closed.notify_waiters();
+            self.closed.notify_one();
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/clients/mod.rs
@@ -0,0 +1,131 @@
+//! The listener and RESP2 from clients. Answers go out in the order of the commands on a connection.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use brassrouter::settings::Site;
+use brassrouter::{Micros, RequestId};
+use mothpier_host::Host;
+use mothpier_ops::Desk;
+use mothpier_storm::Door;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::Instant;
+
+use crate::command::Ids;
+use crate::input::Input;
+use crate::keys::Keys;
+
+mod answers;
+mod eviction;
+mod grammar;
+mod listening;
+mod reading;
+mod retiring;
+mod session;
+mod state;
+
+use eviction::Entry;
+pub use grammar::Grammar;
+pub use retiring::{Leaving, Listening, Retiring};
+
+/// Connections that are being told to come back at once, as a part of all that there may be; while there are so many no
+/// other is accepted.
+const TURNED_AWAY: usize = 8;
+
+/// What clients may take of the node.
+pub struct Bounds {
+    /// Connections open.
+    pub most: usize,
+    /// Bytes of open requests.
+    pub memory: usize,
+    /// How connections are let in.
+    pub door: Door,
+}
+
+/// What all client connections share.
+pub struct Clients<H> {
+    host: H,
+    site: Site,
+    now: Box<dyn Fn() -> Micros>,
+    desk: Arc<Desk>,
+    next_request: Cell<RequestId>,
+    ids: Ids,
+    /// Permits of a KB.
+    memory: Arc<Semaphore>,
+    memory_kb: usize,
+    most: Cell<usize>,
+    keys: Keys,
+    door: RefCell<Door>,
+    /// Open connections that have not sent a whole command yet.
+    half_known: Rc<Cell<usize>>,
+    farewells: Arc<Semaphore>,
+    began: Instant,
+    retiring: Rc<Retiring>,
+    /// Connections since the start.
+    connections: Rc<Cell<u64>>,
+    events: mpsc::Sender<Input>,
+    open: RefCell<BTreeMap<u64, Entry>>,
+    closed: Notify,
+}
+
+impl<H: Host> Clients<H> {
+    pub fn new(
+        host: H,
+        grammar: Grammar,
+        now: Box<dyn Fn() -> Micros>,
+        desk: Arc<Desk>,
+        bounds: Bounds,
+        retiring: Rc<Retiring>,
+        events: mpsc::Sender<Input>,
+    ) -> Rc<Self> {
+        Rc::new(Clients {
+            host,
+            site: grammar.site,
+            keys: grammar.keys,
+            now,
+            desk,
+            next_request: Cell::new(1),
+            ids: Ids::default(),
+            memory: Arc::new(Semaphore::new(bounds.memory / 1024)),
+            memory_kb: bounds.memory / 1024,
+            most: Cell::new(bounds.most),
+            door: RefCell::new(bounds.door),
+            half_known: Rc::default(),
+            farewells: Arc::new(Semaphore::new((bounds.most / TURNED_AWAY).max(1))),
+            began: Instant::now(),
+            retiring,
+            connections: Rc::default(),
+            events,
+            open: RefCell::default(),
+            closed: Notify::new(),
+        })
+    }
+
+    /// How many connections there have been since the start, as it goes on counting.
+    pub fn connections(&self) -> Rc<Cell<u64>> {
+        self.connections.clone()
+    }
+
+    /// How many connections are open.
+    pub fn count(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// So many connections may be open from now on. Those beyond stay, and none is accepted until they are fewer.
+    pub fn set_most(&self, most: usize) {
+        self.most.set(most);
+    }
+
+    /// Holds half of the memory for requests, or what is left of that half, for another process of this node.
+    pub fn reserve_half(&self) -> Option<OwnedSemaphorePermit> {
+        let half = (self.memory_kb / 2).min(self.memory.available_permits());
+        self.memory.clone().try_acquire_many_owned(half as u32).ok()
+    }
+
+    /// Waits until a connection has closed.
+    pub async fn one_closed(&self) {
+        self.closed.notified().await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/clients/reading.rs
@@ -0,0 +1,140 @@
+//! What comes from a client: whole commands, the beginning of a large value, and requests for the node.
+
+use brassrouter::{Micros, Request};
+use bytes::{Bytes, BytesMut};
+use mothpier_host::{Host, Reading};
+use mothpier_ops::{End, Phase};
+use mothpier_resp::{self as resp, Extent, MAX_VALUE, Malformed, WHOLE};
+use redis_protocol::resp2::types::BytesFrame;
+use tokio::sync::{OwnedSemaphorePermit, oneshot};
+
+use super::answers::{Slot, Wait};
+use super::grammar::words;
+use super::session::Session;
+use crate::command::Command;
+use crate::input::{Asked, Input};
+use crate::stream::READ;
+
+/// Requests of one connection that may be open; those beyond are refused.
+const MAX_PIPELINE: usize = 128;
+/// Memory that an open request counts for until its answer is written, beside its own value: half of the largest
+/// answer that is held whole, for few are large; the pieces of one that passes are no more.
+const REQUEST_KB: usize = WHOLE / 2 / 1024;
+
+/// What comes from a client.
+pub(super) struct Inbox<'a, R> {
+    pub(super) reading: &'a R,
+    pub(super) buffer: BytesMut,
+    /// When the last of it was read.
+    pub(super) came: Micros,
+}
+
+impl<H: Host> Session<H> {
+    /// Looks at a command of which a value is still coming. Room for a large one is reserved before it is read; where there
+    /// is none it will be dropped and refused.
+    pub(super) fn large(&mut self, buffer: &mut BytesMut, came: Micros) {
+        let Ok(Extent::InValue { header, end, last }) = resp::extent(buffer, MAX_VALUE) else {
+            return self.state.expect_head();
+        };
+        match last {
+            true => self.state.expect_value(),
+            false => self.state.expect_head(),
+        }
+        if end - header <= WHOLE || self.state.has_reservation() {
+            return;
+        }
+        if !last {
+            return self.protocol_error(Malformed("only a value may be so large"));
+        }
+        if let Ok(reservation) = self.clients.memory.clone().try_acquire_many_owned((end / 1024) as u32) {
+            self.state.reserve(reservation);
+            return buffer.reserve(end - buffer.len());
+        }
+        let mut head = BytesMut::from(&buffer[..header]);
+        head.extend_from_slice(b"$0\r\n\r\n");
+        self.state.refuse_value(end - buffer.len());
+        *buffer = BytesMut::new();
+        // As it would be without its value: what is wrong with it is said, and a request has its class.
+        let Ok(Some(frame)) = resp::take_frame(&mut head, WHOLE) else { return };
+        let class =
+            words(frame).map(|words| self.clients.parse(&words, came).map(|(request, _)| request.class));
+        match class {
+            Some(Ok(class)) => self.refuse(class),
+            Some(Err(e)) => self.reject(e),
+            None => self.protocol_error(Malformed("a command is an array of bulk strings")),
+        }
+    }
+
+    pub(super) async fn command(
+        &mut self,
+        frame: BytesFrame,
+        came: Micros,
+        reserved: Option<OwnedSemaphorePermit>,
+    ) {
+        let Some(words) = words(frame) else {
+            return self.protocol_error(Malformed("a command is an array of bulk strings"));
+        };
+        match words[0].as_ref() {
+            b"CACHE.GET" | b"CACHE.SET" => match self.clients.parse(&words, came) {
+                Ok((request, command)) => {
+                    self.newcomer = None;
+                    self.ask(request, Box::new(command), reserved).await;
+                }
+                Err(e) => self.reject(e),
+            },
+            name if name.eq_ignore_ascii_case(b"PING") => {
+                self.newcomer = None;
+                let life = &self.clients.desk.lifecycle;
+                self.answer(match life.phase() {
+                    _ if life.serves() => Bytes::from_static(b"+PONG\r\n"),
+                    Phase::Serving | Phase::Starting => resp::error("ERR not ready: no list of servers yet"),
+                    Phase::Drained => resp::error("ERR drained"),
+                    Phase::Stopping => resp::error("ERR stopping"),
+                });
+            }
+            name if name.eq_ignore_ascii_case(b"QUIT") => {
+                self.state.finish();
+                self.answer(Bytes::from_static(b"+OK\r\n"));
+            }
+            _ => self.answer(resp::error("ERR unknown command")),
+        }
+    }
+
+    async fn ask(&mut self, request: Request, command: Box<Command>, reserved: Option<OwnedSemaphorePermit>) {
+        // Memory is bounded by what open requests may hold, and one connection by its own part of them; what is
+        // beyond never runs, and is told so instead of being left unread.
+        let value = command.value.as_ref().filter(|_| reserved.is_none()).map_or(0, Bytes::len);
+        let holds = REQUEST_KB + value.div_ceil(1024);
+        let memory = match self.asked < MAX_PIPELINE
+            && self.clients.ids.borrow().len() <= self.clients.site.max_open
+        {
+            true => self.clients.memory.clone().try_acquire_many_owned(holds as u32).ok(),
+            false => None,
+        };
+        let Some(mut memory) = memory else {
+            return self.refuse(request.class);
+        };
+        if let Some(reserved) = reserved {
+            memory.merge(reserved);
+        }
+        let ticket = self.clients.desk.figures.taken(request.class);
+        let (answer, receiver) = oneshot::channel();
+        let id = request.id;
+        let asked = Asked::Request { request, connection: self.number, command, answer };
+        if self.clients.events.send(Input::Client(asked)).await.is_err() {
+            return self.answer(resp::error("ERR stopping"));
+        }
+        self.asked += 1;
+        let ticket = Some((ticket, End::Failed));
+        self.pending.push_back(Slot { wait: Wait::Node(id, receiver), memory: Some(memory), ticket });
+    }
+}
+
+/// Whether nothing has come in that is not read yet: a connection is closed only then, or a request would be lost
+/// with it.
+pub(super) async fn quiet(reading: &impl Reading, buffer: &mut BytesMut) -> bool {
+    // Once round the runtime, which looks at the sockets then.
+    tokio::task::yield_now().await;
+    buffer.reserve(READ);
+    !matches!(reading.try_read_buf(buffer), Ok(read) if read > 0)
+}
