Node: short functions and typed values in the modules for clients

Cause: Session::serve had 140 lines with five loose times, Clients::parse 70, accept 55; ready_answers told a large value by the number 0; two durations each stood in a tuple.

Change: clients::timing holds the times of a connection (Progress) and its limits (Limits), without I/O and with tests; serve is the wait alone; parse goes by RequestWords and Extras; accept by wait_for_room, admit and take_rest; ready_answers gives Ready::Answers or Ready::LargeValue. Nothing is allocated or cloned per request that was not before. Behaviour is unchanged.

--- a/crates/node/src/clients/answers.rs
+++ b/crates/node/src/clients/answers.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::pin::Pin;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use brassrouter::RequestId;
@@ -33,13 +33,17 @@
 /// takes no answers may make the node hold.
 const AHEAD: usize = 16 * 1024;
 
+/// How far an answer is.
 pub(super) enum Wait {
+    /// Its bytes are there.
     Ready(Bytes),
     /// A large value, which goes on as it comes.
     Stream(LargeValue),
+    /// The node has yet to give it.
     Node(RequestId, oneshot::Receiver<Answer>),
 }
 
+/// The place of one answer among those that a connection is owed.
 pub(super) struct Slot {
     pub(super) wait: Wait,
     /// Held until the answer is written; only requests that went on have it.
@@ -48,6 +52,35 @@
     pub(super) ticket: Option<(Ticket, End)>,
 }
 
+impl Slot {
+    /// Takes the node's answer, if it waits for one and that has come.
+    fn poll_node(&mut self, cx: &mut Context<'_>) {
+        let Wait::Node(_, receiver) = &mut self.wait else { return };
+        let Poll::Ready(answer) = Pin::new(receiver).poll(cx) else { return };
+        // The node gives up a request without an answer only as it ends.
+        let answer = answer.unwrap_or(Answer::Failed);
+        if let Some((_, end)) = &mut self.ticket {
+            *end = end_of(&answer);
+        }
+        self.wait = match answer {
+            Answer::Stream(value) => Wait::Stream(value),
+            Answer::Value(value) => Wait::Ready(resp::encode(&BytesFrame::BulkString(value))),
+            Answer::Busy(0) => Wait::Ready(resp::error("BUSY")),
+            Answer::Busy(ms) => Wait::Ready(resp::error(&format!("BUSY {ms}"))),
+            Answer::Failed => Wait::Ready(resp::error("ERR failed")),
+        };
+    }
+}
+
+/// How a request ends that is answered so.
+fn end_of(answer: &Answer) -> End {
+    match answer {
+        Answer::Value(_) | Answer::Stream(_) => End::Served,
+        Answer::Busy(_) => End::Refused,
+        Answer::Failed => End::Failed,
+    }
+}
+
 impl<H: Host> Session<H> {
     /// Passes on the large value at the front as it comes; whether all of it has gone. Where it is cut the connection must
     /// end, for nothing else tells the client that it is.
@@ -178,44 +211,38 @@
         self.answer(resp::error(&format!("ERR protocol: {error}")));
     }
 
+    /// Answers a command that is no request.
     pub(super) fn answer(&mut self, bytes: Bytes) {
         self.pending.push_back(Slot { wait: Wait::Ready(bytes), memory: None, ticket: None });
     }
 }
 
-/// How many answers are ready at the front, once one is; 0 where a large value is. Safe to drop and call again.
-pub(super) async fn ready_answers(pending: &mut VecDeque<Slot>) -> usize {
+/// What can be written to a client now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ready {
+    /// So many answers at the front, at least one.
+    Answers(usize),
+    /// The beginning of a large value, which is at the front.
+    LargeValue,
+}
+
+/// Waits until something can be written. Safe to drop and call again.
+pub(super) async fn ready_answers(pending: &mut VecDeque<Slot>) -> Ready {
     poll_fn(|cx| {
         let (mut ready, mut size) = (0, 0);
         for slot in pending.iter_mut() {
-            if let Wait::Node(_, receiver) = &mut slot.wait {
-                let Poll::Ready(answer) = Pin::new(receiver).poll(cx) else { break };
-                if let Some((_, end)) = &mut slot.ticket {
-                    *end = match &answer {
-                        Ok(answer) if answer.serves() => End::Served,
-                        Ok(Answer::Busy(_)) => End::Refused,
-                        _ => End::Failed,
-                    };
-                }
-                if let Ok(Answer::Stream(value)) = answer {
-                    slot.wait = Wait::Stream(value);
-                    break;
-                }
-                slot.wait = Wait::Ready(match answer {
-                    Ok(Answer::Value(value)) => resp::encode(&BytesFrame::BulkString(value)),
-                    Ok(Answer::Busy(0)) => resp::error("BUSY"),
-                    Ok(Answer::Busy(ms)) => resp::error(&format!("BUSY {ms}")),
-                    _ => resp::error("ERR failed"),
-                });
-            }
+            slot.poll_node(cx);
             let Wait::Ready(bytes) = &slot.wait else { break };
             (ready, size) = (ready + 1, size + bytes.len());
             if size >= WRITE {
                 break;
             }
         }
-        let large = matches!(pending.front(), Some(Slot { wait: Wait::Stream(_), .. }));
-        if ready > 0 || large { Poll::Ready(ready) } else { Poll::Pending }
+        match pending.front() {
+            _ if ready > 0 => Poll::Ready(Ready::Answers(ready)),
+            Some(Slot { wait: Wait::Stream(_), .. }) => Poll::Ready(Ready::LargeValue),
+            _ => Poll::Pending,
+        }
     })
     .await
 }
--- a/crates/node/src/clients/grammar.rs
+++ b/crates/node/src/clients/grammar.rs
@@ -1,5 +1,7 @@
 //! From the words of a client's command to a request of the decision module.
 
+use std::borrow::Cow;
+
 use brassrouter::settings::Site;
 use brassrouter::{Micros, Request};
 use bytes::Bytes;
@@ -11,6 +13,11 @@
 use crate::command::{Claim, Command};
 use crate::keys::Keys;
 
+/// The longest key and the longest id, bytes.
+const MAX_NAME: usize = 1024;
+/// The longest extras, bytes.
+const MAX_EXTRAS: usize = 4096;
+
 /// By what commands are read.
 pub struct Grammar {
     pub site: Site,
@@ -30,9 +37,17 @@
     }
 }
 
-impl<H: Host> Clients<H> {
-    /// Reads a command's words; the error is answered to the client.
-    pub(super) fn parse(&self, words: &[Bytes], came: Micros) -> Result<(Request, Command), Rejected> {
+/// The words of a request as they came, of lengths that are allowed.
+struct RequestWords<'a> {
+    key: &'a [u8],
+    id: &'a [u8],
+    extras: &'a [u8],
+    /// Of a write.
+    value: Option<&'a Bytes>,
+}
+
+impl<'a> RequestWords<'a> {
+    fn read(words: &'a [Bytes]) -> Result<Self, Rejected> {
         let [name, key, id, extras, value @ ..] = words else {
             return Err("wrong number of arguments".into());
         };
@@ -40,14 +55,42 @@
         if value.len() != usize::from(write) {
             return Err("wrong number of arguments".into());
         }
-        if key.is_empty() || id.is_empty() || key.len() > 1024 || id.len() > 1024 || extras.len() > 4096 {
+        let empty = key.is_empty() || id.is_empty();
+        if empty || key.len() > MAX_NAME || id.len() > MAX_NAME || extras.len() > MAX_EXTRAS {
             return Err("key, id or extras of a wrong length".into());
         }
         // They go into headers at the origin, and what a cache server can't read costs all that wait there.
         if !id.iter().chain(extras.iter()).all(|b| b.is_ascii_graphic()) {
             return Err("id and extras must be printable".into());
         }
-        let text = String::from_utf8_lossy(extras);
+        Ok(RequestWords { key, id, extras, value: value.first() })
+    }
+
+    fn is_write(&self) -> bool {
+        self.value.is_some()
+    }
+
+    /// What goes on to servers. Copies: a slice would keep all that was read at once for as long as the request is open.
+    fn into_command(self, claim: Claim) -> Command {
+        let write = self.is_write();
+        Command {
+            name: Bytes::from_static(if write { b"CACHE.SET" } else { b"CACHE.GET" }),
+            key: Bytes::copy_from_slice(self.key),
+            id: claim.1.clone(),
+            extras: Bytes::copy_from_slice(self.extras),
+            // Read alone, and too large to be copied.
+            value: self.value.map(|v| if v.len() > WHOLE { v.clone() } else { Bytes::copy_from_slice(v) }),
+            write,
+            _claim: claim,
+        }
+    }
+}
+
+/// The extras of a request: names and values.
+struct Extras<'a>(Vec<(&'a str, &'a str)>);
+
+impl<'a> Extras<'a> {
+    fn read(text: &'a str) -> Result<Self, Rejected> {
         let mut names = Vec::new();
         for part in text.split(',') {
             // A name that comes twice would mean one thing here and another at a server.
@@ -58,52 +101,75 @@
                 _ => return Err("extras are names and values, each name once".into()),
             }
         }
-        let extra = |name: &str| names.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
-        let digits = |v: &str| v.bytes().all(|b| b.is_ascii_digit() || b == b'.');
-        let figure = |name: &str| match extra(name).map(|v| v.parse::<f64>().ok().filter(|_| digits(v))) {
-            None => Ok(None),
-            Some(Some(f)) if f.is_finite() => Ok(Some(f)),
-            Some(_) => Err(format!("{name} is no figure")),
-        };
-        let class = extra("c").and_then(|c| self.site.classes.iter().position(|n| n == c));
+        Ok(Extras(names))
+    }
+
+    fn get(&self, name: &str) -> Option<&'a str> {
+        self.0.iter().find(|(n, _)| *n == name).map(|(_, value)| *value)
+    }
+
+    /// The value of that name as a figure in plain digits, where the name is there.
+    fn figure(&self, name: &str) -> Result<Option<f64>, String> {
+        let Some(text) = self.get(name) else { return Ok(None) };
+        let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+        match text.parse::<f64>() {
+            Ok(figure) if plain && figure.is_finite() => Ok(Some(figure)),
+            _ => Err(format!("{name} is no figure")),
+        }
+    }
+}
+
+impl<H: Host> Clients<H> {
+    /// Reads a command's words; the error is answered to the client.
+    pub(super) fn parse(&self, words: &[Bytes], came: Micros) -> Result<(Request, Command), Rejected> {
+        let words = RequestWords::read(words)?;
+        let text: Cow<'_, str> = String::from_utf8_lossy(words.extras);
+        let extras = Extras::read(&text)?;
+        let class = extras.get("c").and_then(|c| self.site.classes.iter().position(|n| n == c));
         let class = class.ok_or("unknown class")?;
         let rejected = |told: String| Rejected { told, class: Some(class) };
-        let tenant = match extra("t") {
-            _ if self.site.tenants.is_empty() => Some(0),
-            tenant => tenant.and_then(|t| self.site.tenants.iter().position(|n| n == t)),
-        };
-        let asked_for = figure("d").and_then(|d| d.ok_or("no d: how long the answer is waited for".into()));
-        let asked_for = asked_for.map_err(rejected)?;
+        let request = self.request(&words, &extras, class, came).map_err(rejected)?;
+        // Two open requests of one id could not be told apart by servers; the first one stays as it is.
+        let claim = Claim::of(&self.ids, &Bytes::copy_from_slice(words.id));
+        let claim = claim.ok_or("a request of this id is open".into()).map_err(rejected)?;
+        Ok((request, words.into_command(claim)))
+    }
+
+    /// What the decision module is told of a request of this class.
+    fn request(
+        &self,
+        words: &RequestWords<'_>,
+        extras: &Extras<'_>,
+        class: usize,
+        came: Micros,
+    ) -> Result<Request, String> {
+        let tenant = self.tenant(extras);
+        let asked_for = extras.figure("d")?.ok_or("no d: how long the answer is waited for")?;
         // No longer than the class allows: what is kept for a request must not stay for as long as anyone says.
         let deadline = self.site.decisions.classes[class].deadline;
         let time_left = ((asked_for * 1000.0) as Micros).min(deadline);
-        let request = Request {
+        Ok(Request {
             id: self.next_request.replace(self.next_request.get() + 1),
             class,
-            tenant: tenant.ok_or("unknown tenant".into()).map_err(rejected)?,
-            key: self.keys.number(key),
-            write,
-            repeat: extra("r") == Some("1"),
+            tenant: tenant.ok_or("unknown tenant")?,
+            key: self.keys.number(words.key),
+            write: words.is_write(),
+            repeat: extras.get("r") == Some("1"),
             // The client's wait began before its command was read whole.
             time_left: time_left.saturating_sub((self.now)() - came),
-            cost: figure("h").map_err(rejected)?.map(|us| us as Micros),
-            size: figure("size").map_err(rejected)?.unwrap_or_default() as f32,
-        };
-        // Two open requests of one id could not be told apart by servers; the first one stays as it is.
-        let claim = Claim::of(&self.ids, &Bytes::copy_from_slice(id));
-        let claim = claim.ok_or("a request of this id is open".into()).map_err(rejected)?;
-        // Copies: a slice would keep all that was read at once for as long as the request is open.
-        let command = Command {
-            name: Bytes::from_static(if write { b"CACHE.SET" } else { b"CACHE.GET" }),
-            key: Bytes::copy_from_slice(key),
-            id: claim.1.clone(),
-            extras: Bytes::copy_from_slice(extras),
-            // Read alone, and too large to be copied.
-            value: value.first().map(|v| if v.len() > WHOLE { v.clone() } else { Bytes::copy_from_slice(v) }),
-            write,
-            _claim: claim,
-        };
-        Ok((request, command))
+            cost: extras.figure("h")?.map(|us| us as Micros),
+            size: extras.figure("size")?.unwrap_or_default() as f32,
+        })
+    }
+
+    /// The number of a request's tenant; `None` for one that the configuration does not name.
+    fn tenant(&self, extras: &Extras<'_>) -> Option<usize> {
+        let tenants = &self.site.tenants;
+        if tenants.is_empty() {
+            return Some(0);
+        }
+        let name = extras.get("t")?;
+        tenants.iter().position(|tenant| tenant == name)
     }
 }
 
--- a/crates/node/src/clients/listening.rs
+++ b/crates/node/src/clients/listening.rs
@@ -30,13 +30,8 @@
         let mut number = 0u64;
         loop {
             if self.count() >= self.most.get() {
-                // At the limit one connection gives way; if none can, new ones wait.
-                self.evict(true);
-                tokio::select! {
-                    biased;
-                    () = self.closed.notified() => {}
-                    () = sleep(ACCEPT_PAUSE) => {}
-                    () = self.retiring.listening_ended() => break,
+                if !self.wait_for_room().await {
+                    break;
                 }
                 continue;
             }
@@ -48,23 +43,7 @@
             };
             number += 1;
             match accepted {
-                Ok((stream, _)) => {
-                    let verdict = self.door.borrow_mut().came(self.began.elapsed(), self.half_known.get());
-                    if let Verdict::TurnAway(after) = verdict {
-                        // Each place is free again after a farewell at the latest.
-                        let place = self.farewells.clone().acquire_owned().await.ok();
-                        self.clone().turn_away(stream, after, place);
-                        continue;
-                    }
-                    self.clone().start(stream, number);
-                    // For each that comes while many are open one that rested longest goes, and another until they
-                    // are fewer: clients may hold fewer than the node could, and those who find all theirs kept by
-                    // others can't even ask.
-                    if self.crowded() {
-                        self.evict(false);
-                        self.evict(false);
-                    }
-                }
+                Ok((stream, _)) => self.admit(stream, number).await,
                 Err(e) => {
                     // Out of descriptors (EMFILE) or the like: it passes, and the listener must outlive it.
                     self.host.log(format_args!("accepting failed: {e}"));
@@ -73,6 +52,39 @@
                 }
             }
         }
+        self.take_rest(&listener, number).await;
+    }
+
+    /// At the limit one connection gives way; if none can, new ones wait. Whether any are still accepted.
+    async fn wait_for_room(&self) -> bool {
+        self.evict(true);
+        tokio::select! {
+            biased;
+            () = self.closed.notified() => true,
+            () = sleep(ACCEPT_PAUSE) => true,
+            () = self.retiring.listening_ended() => false,
+        }
+    }
+
+    /// Lets a new connection in, or turns it away.
+    async fn admit(self: &Rc<Self>, stream: H::Stream, number: u64) {
+        let verdict = self.door.borrow_mut().came(self.began.elapsed(), self.half_known.get());
+        if let Verdict::TurnAway(after) = verdict {
+            // Each place is free again after a farewell at the latest.
+            let place = self.farewells.clone().acquire_owned().await.ok();
+            return self.clone().turn_away(stream, after, place);
+        }
+        self.clone().start(stream, number);
+        // For each that comes while many are open one that rested longest goes, and another until they are fewer:
+        // clients may hold fewer than the node could, and those who find all theirs kept by others can't even ask.
+        if self.crowded() {
+            self.evict(false);
+            self.evict(false);
+        }
+    }
+
+    /// Takes what the machine has accepted, where no other process would.
+    async fn take_rest(self: &Rc<Self>, listener: &H::Listener, mut number: u64) {
         while self.retiring.listening.get() == Listening::TakeRest
             && let Some((stream, _)) = poll_fn(|cx| match listener.poll_accept(cx) {
                 Poll::Ready(accepted) => Poll::Ready(accepted.ok()),
@@ -99,6 +111,7 @@
         });
     }
 
+    /// Serves a connection in a task of its own.
     fn start(self: Rc<Self>, stream: H::Stream, number: u64) {
         self.connections.set(self.connections.get() + 1);
         let newcomer = Newcomer::count(&self.half_known);
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -25,6 +25,7 @@
 mod retiring;
 mod session;
 mod state;
+mod timing;
 
 use eviction::Entry;
 pub use grammar::Grammar;
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -3,7 +3,7 @@
 use brassrouter::{Micros, Request};
 use bytes::{Bytes, BytesMut};
 use mothpier_host::{Host, Reading};
-use mothpier_ops::{End, Phase};
+use mothpier_ops::{End, Lifecycle, Phase};
 use mothpier_resp::{self as resp, Extent, MAX_VALUE, Malformed, WHOLE};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
@@ -54,7 +54,11 @@
         head.extend_from_slice(b"$0\r\n\r\n");
         self.state.refuse_value(end - buffer.len());
         *buffer = BytesMut::new();
-        // As it would be without its value: what is wrong with it is said, and a request has its class.
+        self.refuse_large(head, came);
+    }
+
+    /// Refuses a command, given as it would be without its value: what is wrong with it is said, and a request has its class.
+    fn refuse_large(&mut self, mut head: BytesMut, came: Micros) {
         let Ok(Some(frame)) = resp::take_frame(&mut head, WHOLE) else { return };
         let class =
             words(frame).map(|words| self.clients.parse(&words, came).map(|(request, _)| request.class));
@@ -65,6 +69,7 @@
         }
     }
 
+    /// Carries out a command that has arrived whole.
     pub(super) async fn command(
         &mut self,
         frame: BytesFrame,
@@ -84,13 +89,7 @@
             },
             name if name.eq_ignore_ascii_case(b"PING") => {
                 self.newcomer = None;
-                let life = &self.clients.desk.lifecycle;
-                self.answer(match life.phase() {
-                    _ if life.serves() => Bytes::from_static(b"+PONG\r\n"),
-                    Phase::Serving | Phase::Starting => resp::error("ERR not ready: no list of servers yet"),
-                    Phase::Drained => resp::error("ERR drained"),
-                    Phase::Stopping => resp::error("ERR stopping"),
-                });
+                self.answer(pong(&self.clients.desk.lifecycle));
             }
             name if name.eq_ignore_ascii_case(b"QUIT") => {
                 self.state.finish();
@@ -100,18 +99,21 @@
         }
     }
 
+    /// Memory of so many KB for one more request, where the connection and the node may have one.
+    fn acquire_memory(&self, kilobytes: usize) -> Option<OwnedSemaphorePermit> {
+        let clients = &self.clients;
+        if self.asked >= MAX_PIPELINE || clients.ids.borrow().len() > clients.site.max_open {
+            return None;
+        }
+        clients.memory.clone().try_acquire_many_owned(kilobytes as u32).ok()
+    }
+
+    /// Passes a request on to the node.
     async fn ask(&mut self, request: Request, command: Box<Command>, reserved: Option<OwnedSemaphorePermit>) {
         // Memory is bounded by what open requests may hold, and one connection by its own part of them; what is
         // beyond never runs, and is told so instead of being left unread.
         let value = command.value.as_ref().filter(|_| reserved.is_none()).map_or(0, Bytes::len);
-        let holds = REQUEST_KB + value.div_ceil(1024);
-        let memory = match self.asked < MAX_PIPELINE
-            && self.clients.ids.borrow().len() <= self.clients.site.max_open
-        {
-            true => self.clients.memory.clone().try_acquire_many_owned(holds as u32).ok(),
-            false => None,
-        };
-        let Some(mut memory) = memory else {
+        let Some(mut memory) = self.acquire_memory(REQUEST_KB + value.div_ceil(1024)) else {
             return self.refuse(request.class);
         };
         if let Some(reserved) = reserved {
@@ -130,6 +132,16 @@
     }
 }
 
+/// The answer to a PING.
+fn pong(lifecycle: &Lifecycle) -> Bytes {
+    match lifecycle.phase() {
+        _ if lifecycle.serves() => Bytes::from_static(b"+PONG\r\n"),
+        Phase::Serving | Phase::Starting => resp::error("ERR not ready: no list of servers yet"),
+        Phase::Drained => resp::error("ERR drained"),
+        Phase::Stopping => resp::error("ERR stopping"),
+    }
+}
+
 /// Whether nothing has come in that is not read yet: a connection is closed only then, or a request would be lost
 /// with it.
 pub(super) async fn quiet(reading: &impl Reading, buffer: &mut BytesMut) -> bool {
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::BytesMut;
 use mothpier_host::{Host, Stream};
@@ -12,29 +11,15 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::Clients;
-use super::answers::{Slot, ready_answers};
+use super::answers::{Ready, Slot, ready_answers};
 use super::reading::{Inbox, quiet};
 use super::retiring::Leaving;
 use super::state::State;
-use crate::crowd::Doing;
+use super::timing::{Limits, Progress, Situation, last_before};
 use crate::stream::{part, read};
 
 /// Answers of one connection that may wait, refusals and errors too; a client that goes on beyond is cut off.
 const MAX_WAITING: usize = 1024;
-/// A first command, and the rest of one that has begun, must come within this time: true clients may take 2 s, bad
-/// ones are owed an error or a close within 3 s. A value need only go on.
-const HALF: Duration = Duration::from_millis(2600);
-/// The longest time that a value may take in all.
-const VALUE: Duration = Duration::from_secs(30);
-/// A connection that asks nothing for so long is closed: some clients keep theirs for good. The shorter time holds
-/// once half of the connections that there may be are open, for clients can hold only so many and those that are
-/// kept keep others out.
-const IDLE: (Duration, Duration) = (Duration::from_secs(10), Duration::from_millis(2100));
-/// How often an idle connection looks whether many have become open meanwhile.
-const IDLE_LOOK: Duration = Duration::from_millis(250);
-/// Before a process must have ended, all that is still open fails so long before, that the answers go out; and nothing more is
-/// read from this long before, that it can be asked for at all.
-const LAST: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(250));
 
 /// How a session ends.
 #[derive(Clone, Copy, PartialEq)]
@@ -61,8 +46,10 @@
     }
 }
 
+/// One connection of a client.
 pub(super) struct Session<H> {
     pub(super) clients: Rc<Clients<H>>,
+    /// Names the connection inside this process.
     pub(super) number: u64,
     /// In the order of the commands.
     pub(super) pending: VecDeque<Slot>,
@@ -90,100 +77,38 @@
     ) -> Parting {
         let clients = self.clients.clone();
         let mut inbox = Inbox { reading, buffer: BytesMut::new(), came: (clients.now)() };
-        let connected = Instant::now();
-        // When the command that has not all come yet began to.
-        let mut begun = None;
-        // In how many pieces it has come so far.
-        let mut pieces = 0;
-        // Since when nothing was asked and nothing owed.
-        let mut rests = connected;
-        // Its last answer went out while connections were leaving behind theirs.
-        let mut answered = false;
+        let mut progress = Progress::new(Instant::now());
         loop {
-            // Wherever it was read: none of it is a command.
-            self.state.discard_refused(&mut inbox.buffer);
-            while self.state.reads_commands() && !inbox.buffer.is_empty() {
-                match resp::take_frame(&mut inbox.buffer, MAX_VALUE) {
-                    Ok(Some(frame)) => {
-                        (begun, pieces) = (None, 0);
-                        let reserved = self.state.command_complete();
-                        self.command(frame, inbox.came, reserved).await;
-                    }
-                    Ok(None) => {
-                        self.large(&mut inbox.buffer, inbox.came);
-                        break;
-                    }
-                    Err(e) => self.protocol_error(e),
-                }
-                if self.pending.len() > MAX_WAITING {
-                    self.protocol_error(Malformed("too many commands at once"));
-                }
-            }
-            let finishing = !self.state.reads_commands();
-            self.state.discard_bytes(inbox.buffer.len());
-            if finishing || (inbox.buffer.is_empty() && !self.state.misses_value()) {
-                // An idle connection must not keep the room that its largest command took.
-                (inbox.buffer, begun) = (BytesMut::new(), None);
-            } else {
-                begun.get_or_insert_with(Instant::now);
-            }
-            let doing = match begun {
-                None if self.newcomer.is_none() => Doing::Rests,
-                Some(_) if pieces > 1 => Doing::Writes,
-                _ => Doing::Begins,
-            };
+            self.take_commands(&mut inbox, &mut progress).await;
             let idle = self.pending.is_empty();
             let now = Instant::now();
-            if let Some(entry) = clients.open.borrow_mut().get_mut(&self.number) {
-                (entry.idle, entry.doing) = (idle.then_some(rests), doing);
-            }
+            self.show(&progress);
             // Behind what was written meanwhile, which the client may still read.
             if self.state.client_has_closed() {
                 return Parting::Close;
             }
+            let finishing = !self.state.reads_commands();
             if finishing && idle {
                 return Parting::HalfClose;
             }
-            // Whoever always has a request open would be read from to the end, and not answered.
-            let last = clients.retiring.ends.get().filter(|_| !idle);
-            let last = last.map(|end| end - if finishing { LAST.0 } else { LAST.1 });
-            if last.is_some_and(|last| last <= now) {
+            let situation = self.situation(&progress);
+            if situation.last.is_some_and(|last| last <= now) {
                 self.state.finish();
                 if !finishing || self.fail_open().await {
                     continue;
                 }
             }
-            let leaving = match clients.retiring.leaving() {
-                Leaving::None => false,
-                Leaving::Answered => answered,
-                // One that has asked nothing yet may only just have come, to ask whether the node serves.
-                Leaving::Resting => self.newcomer.is_none(),
-            };
-            let asks_nothing = idle && begun.is_none();
-            let first = (self.newcomer.is_some() && asks_nothing).then_some(connected + HALF);
-            let half = begun.map(|begun| match self.state.misses_value() {
-                false => begun + HALF,
-                // It need only go on.
-                true => (rests + HALF).min(begun + VALUE),
-            });
-            let rest = asks_nothing.then_some(if leaving {
-                now
-            } else if rests + IDLE.1 > now || clients.crowded() {
-                rests + IDLE.1
-            } else {
-                // Looked at again meanwhile: others may have come.
-                (now + IDLE_LOOK).min(rests + IDLE.0)
-            });
-            let limit = [first, half, rest, last].into_iter().flatten().min();
+            let limits = Limits::of(&progress, situation, now);
+            let limit = limits.next();
             tokio::select! {
                 biased;
                 ready = ready_answers(&mut self.pending), if !idle => {
                     let whole = match ready {
-                        0 => self.pass_on(&mut inbox, writing).await,
-                        ready => self.write(ready, &mut inbox, writing).await,
+                        Ready::LargeValue => self.pass_on(&mut inbox, writing).await,
+                        Ready::Answers(ready) => self.write(ready, &mut inbox, writing).await,
                     };
-                    rests = Instant::now();
-                    answered = clients.retiring.leaving() >= Leaving::Answered;
+                    progress.active_now();
+                    progress.answered_while_leaving = clients.retiring.leaving() >= Leaving::Answered;
                     if !whole {
                         return Parting::Close;
                     }
@@ -194,33 +119,106 @@
                         return Parting::Close;
                     }
                     if self.state.reads_commands() {
-                        (inbox.came, rests) = ((clients.now)(), Instant::now());
-                        pieces += 1;
+                        inbox.came = (clients.now)();
+                        progress.piece_arrived();
                     }
                 }
                 () = evict.notified(), if idle => {
                     if quiet(reading, &mut inbox.buffer).await {
                         return Parting::Close;
                     }
-                    (inbox.came, rests) = ((clients.now)(), Instant::now());
+                    inbox.came = (clients.now)();
+                    progress.active_now();
                 }
                 () = sleep_until(limit.unwrap_or(now)), if limit.is_some() => {
                     if !quiet(reading, &mut inbox.buffer).await {
-                        (inbox.came, rests) = ((clients.now)(), Instant::now());
-                    } else if last.is_some_and(|last| last <= Instant::now()) {
-                        continue;
-                    } else if half.is_some_and(|half| half <= Instant::now()) {
-                        self.protocol_error(Malformed("the rest of the command has not come"));
-                    } else if first.is_some_and(|first| first <= Instant::now())
-                        || leaving
-                        || clients.crowded()
-                        || rests.elapsed() >= IDLE.0
-                    {
-                        return Parting::HalfClose;
+                        inbox.came = (clients.now)();
+                        progress.active_now();
+                    } else if let Some(parting) = self.limit_reached(&limits, &progress, situation.leaving) {
+                        return parting;
                     }
                 }
                 () = clients.retiring.changed.notified() => {}
             }
         }
     }
+
+    /// Carries out the commands that have arrived whole.
+    async fn take_commands<R>(&mut self, inbox: &mut Inbox<'_, R>, progress: &mut Progress) {
+        // Wherever it was read: none of it is a command.
+        self.state.discard_refused(&mut inbox.buffer);
+        while self.state.reads_commands() && !inbox.buffer.is_empty() {
+            match resp::take_frame(&mut inbox.buffer, MAX_VALUE) {
+                Ok(Some(frame)) => {
+                    progress.command_complete();
+                    let reserved = self.state.command_complete();
+                    self.command(frame, inbox.came, reserved).await;
+                }
+                Ok(None) => {
+                    self.large(&mut inbox.buffer, inbox.came);
+                    break;
+                }
+                Err(e) => self.protocol_error(e),
+            }
+            if self.pending.len() > MAX_WAITING {
+                self.protocol_error(Malformed("too many commands at once"));
+            }
+        }
+        self.state.discard_bytes(inbox.buffer.len());
+        let between_commands = inbox.buffer.is_empty() && !self.state.misses_value();
+        if between_commands || !self.state.reads_commands() {
+            // An idle connection must not keep the room that its largest command took.
+            inbox.buffer = BytesMut::new();
+            progress.no_command_begun();
+        } else {
+            progress.command_begun();
+        }
+    }
+
+    /// Shows what the connection does, for the choice of the one that gives way.
+    fn show(&self, progress: &Progress) {
+        if let Some(entry) = self.clients.open.borrow_mut().get_mut(&self.number) {
+            entry.idle = self.pending.is_empty().then_some(progress.last_active());
+            entry.doing = progress.doing(self.newcomer.is_some());
+        }
+    }
+
+    /// What its limits depend on.
+    fn situation(&self, progress: &Progress) -> Situation {
+        let idle = self.pending.is_empty();
+        // Whoever always has a request open would be read from to the end, and not answered.
+        let end = self.clients.retiring.ends.get().filter(|_| !idle);
+        Situation {
+            newcomer: self.newcomer.is_some(),
+            idle,
+            leaving: self.is_leaving(progress),
+            crowded: self.clients.crowded(),
+            misses_value: self.state.misses_value(),
+            last: end.map(|end| last_before(end, !self.state.reads_commands())),
+        }
+    }
+
+    /// Whether it is to go as soon as it asks nothing.
+    fn is_leaving(&self, progress: &Progress) -> bool {
+        match self.clients.retiring.leaving() {
+            Leaving::None => false,
+            Leaving::Answered => progress.answered_while_leaving,
+            // One that has asked nothing yet may only just have come, to ask whether the node serves.
+            Leaving::Resting => self.newcomer.is_none(),
+        }
+    }
+
+    /// The next of its limits was reached, and nothing has arrived: how it ends, if it does.
+    fn limit_reached(&mut self, limits: &Limits, progress: &Progress, leaving: bool) -> Option<Parting> {
+        if limits.process_ends() {
+            return None;
+        }
+        if limits.rest_of_command_is_late() {
+            self.protocol_error(Malformed("the rest of the command has not come"));
+            return None;
+        }
+        let close =
+            limits.first_command_is_late() || leaving || self.clients.crowded() || progress.idle_too_long();
+        close.then_some(Parting::HalfClose)
+    }
 }
--- /dev/null
+++ b/crates/node/tests/unit/client_timing.rs
@@ -0,0 +1,83 @@
+use super::*;
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// A connection that rests, of many that don't.
+const RESTING: Situation = Situation {
+    newcomer: false,
+    idle: true,
+    leaving: false,
+    crowded: false,
+    misses_value: false,
+    last: None,
+};
+
+#[test]
+fn nothing_limits_a_connection_that_is_owed_an_answer() {
+    let now = Instant::now();
+    for newcomer in [false, true] {
+        let situation = Situation { newcomer, idle: false, ..RESTING };
+        assert_eq!(Limits::of(&Progress::new(now), situation, now).next(), None);
+    }
+}
+
+#[test]
+fn one_that_rests_goes_when_it_is_crowded_or_leaving_and_else_is_looked_at_again() {
+    let start = Instant::now();
+    let progress = Progress::new(start);
+    let next = |situation, after| Limits::of(&progress, situation, start + after).next().unwrap() - start;
+    assert_eq!(next(RESTING, ms(0)), ms(2100));
+    assert_eq!(next(RESTING, ms(2099)), ms(2100));
+    assert_eq!(next(RESTING, ms(2100)), ms(2350));
+    assert_eq!(next(RESTING, ms(9900)), ms(10_000));
+    assert_eq!(next(Situation { crowded: true, ..RESTING }, ms(5000)), ms(2100));
+    assert_eq!(next(Situation { leaving: true, ..RESTING }, ms(7)), ms(7));
+}
+
+#[test]
+fn a_newcomer_has_its_time_for_a_first_command_and_everybody_for_the_rest_of_one() {
+    let start = Instant::now();
+    let mut progress = Progress::new(start);
+    progress.active = start + ms(2000);
+    let newcomer = Situation { newcomer: true, ..RESTING };
+    assert_eq!(Limits::of(&progress, newcomer, start).first_command, Some(start + ms(2600)));
+    progress.begun = Some(start + ms(500));
+    let limits = Limits::of(&progress, newcomer, start);
+    assert_eq!((limits.first_command, limits.rest), (None, None));
+    assert_eq!(limits.rest_of_command, Some(start + ms(3100)));
+    let in_value = Situation { misses_value: true, ..newcomer };
+    assert_eq!(Limits::of(&progress, in_value, start).next(), Some(start + ms(4600)), "it need only go on");
+    progress.active = start + ms(29_000);
+    assert_eq!(Limits::of(&progress, in_value, start).next(), Some(start + ms(30_500)), "but not for ever");
+}
+
+#[test]
+fn the_nearest_limit_comes_first_and_one_that_has_passed_is_late() {
+    let now = Instant::now();
+    let progress = Progress::new(now);
+    let last = Some(now + ms(50));
+    let limits = Limits::of(&progress, Situation { last, ..RESTING }, now);
+    assert_eq!(limits.next(), last);
+    assert!(!limits.first_command_is_late() && !limits.rest_of_command_is_late());
+    let limits = Limits::of(&progress, Situation { last: Some(now), ..RESTING }, now);
+    assert!(limits.process_ends());
+    let end = now + ms(1000);
+    assert_eq!([last_before(end, false), last_before(end, true)], [now + ms(750), now + ms(900)]);
+}
+
+#[test]
+fn what_a_connection_does_is_told_by_its_pieces_and_by_whether_it_has_asked() {
+    let mut progress = Progress::new(Instant::now());
+    assert_eq!((progress.doing(true), progress.doing(false)), (Doing::Begins, Doing::Rests));
+    progress.piece_arrived();
+    progress.command_begun();
+    assert_eq!((progress.doing(true), progress.doing(false)), (Doing::Begins, Doing::Begins));
+    progress.piece_arrived();
+    progress.command_begun();
+    assert_eq!((progress.doing(true), progress.doing(false)), (Doing::Writes, Doing::Writes));
+    progress.command_complete();
+    assert_eq!((progress.doing(true), progress.doing(false)), (Doing::Begins, Doing::Rests));
+    assert!(!progress.has_begun() && !progress.idle_too_long());
+}
