Node: house words in the modules for clients are renamed; nothing else changes

Cause: door, farewell, part, came, doing and gone need explaining.

Change: names alone. door -> admission, half_known -> newcomers, farewells -> turning_away, FAREWELL -> CLOSE_TIMEOUT, part -> close_in_order, Parting -> Closing, Doing -> Activity, Session::gone -> abandon_requests, came -> received. The types of mothpier-storm, operators' keys and metrics keep their names.

--- a/crates/node/src/clients/answers.rs
+++ b/crates/node/src/clients/answers.rs
@@ -151,10 +151,10 @@
                 biased;
                 written = &mut written => return matches!(written, Ok(Ok(()))),
                 more = read(inbox.reading, &mut inbox.buffer), if ahead => {
-                    inbox.came = (self.clients.now)();
+                    inbox.received = (self.clients.now)();
                     if !more {
                         self.state.hang_up();
-                        self.gone().await;
+                        self.abandon_requests().await;
                     }
                 }
             }
@@ -163,13 +163,13 @@
 
     /// Fails what is open: nothing is left of the time in which it could be answered otherwise. Whether there was any.
     pub(super) async fn fail_open(&mut self) -> bool {
-        self.gone().await;
+        self.abandon_requests().await;
         let open = self.pending.iter_mut().filter(|slot| matches!(slot.wait, Wait::Node(..)));
         open.map(|slot| slot.wait = Wait::Ready(resp::error("ERR failed"))).count() > 0
     }
 
     /// Nobody waits any more for what is open.
-    pub(super) async fn gone(&self) {
+    pub(super) async fn abandon_requests(&self) {
         for slot in &self.pending {
             if let Wait::Node(id, _) = slot.wait {
                 let _ = self.clients.events.send(Input::Client(Asked::Gone(id))).await;
--- a/crates/node/src/clients/grammar.rs
+++ b/crates/node/src/clients/grammar.rs
@@ -121,14 +121,14 @@
 
 impl<H: Host> Clients<H> {
     /// Reads a command's words; the error is answered to the client.
-    pub(super) fn parse(&self, words: &[Bytes], came: Micros) -> Result<(Request, Command), Rejected> {
+    pub(super) fn parse(&self, words: &[Bytes], received: Micros) -> Result<(Request, Command), Rejected> {
         let words = RequestWords::read(words)?;
         let text: Cow<'_, str> = String::from_utf8_lossy(words.extras);
         let extras = Extras::read(&text)?;
         let class = extras.get("c").and_then(|c| self.site.classes.iter().position(|n| n == c));
         let class = class.ok_or("unknown class")?;
         let rejected = |told: String| Rejected { told, class: Some(class) };
-        let request = self.request(&words, &extras, class, came).map_err(rejected)?;
+        let request = self.request(&words, &extras, class, received).map_err(rejected)?;
         // Two open requests of one id could not be told apart by servers; the first one stays as it is.
         let claim = Claim::of(&self.ids, &Bytes::copy_from_slice(words.id));
         let claim = claim.ok_or("a request of this id is open".into()).map_err(rejected)?;
@@ -141,7 +141,7 @@
         words: &RequestWords<'_>,
         extras: &Extras<'_>,
         class: usize,
-        came: Micros,
+        received: Micros,
     ) -> Result<Request, String> {
         let tenant = self.tenant(extras);
         let asked_for = extras.figure("d")?.ok_or("no d: how long the answer is waited for")?;
@@ -156,7 +156,7 @@
             write: words.is_write(),
             repeat: extras.get("r") == Some("1"),
             // The client's wait began before its command was read whole.
-            time_left: time_left.saturating_sub((self.now)() - came),
+            time_left: time_left.saturating_sub((self.now)() - received),
             cost: extras.figure("h")?.map(|us| us as Micros),
             size: extras.figure("size")?.unwrap_or_default() as f32,
         })
--- a/crates/node/src/clients/listening.rs
+++ b/crates/node/src/clients/listening.rs
@@ -18,8 +18,8 @@
 use super::retiring::Listening;
 use super::session::{Newcomer, Session};
 use super::state::State;
-use crate::crowd::Doing;
-use crate::stream::{FAREWELL, part};
+use crate::crowd::Activity;
+use crate::stream::{CLOSE_TIMEOUT, close_in_order};
 
 /// Between tries to accept while there is no room.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -68,10 +68,10 @@
 
     /// Lets a new connection in, or turns it away.
     async fn admit(self: &Rc<Self>, stream: H::Stream, number: u64) {
-        let verdict = self.door.borrow_mut().came(self.began.elapsed(), self.half_known.get());
+        let verdict = self.admission.borrow_mut().came(self.began.elapsed(), self.newcomers.get());
         if let Verdict::TurnAway(after) = verdict {
             // Each place is free again after a farewell at the latest.
-            let place = self.farewells.clone().acquire_owned().await.ok();
+            let place = self.turning_away.clone().acquire_owned().await.ok();
             return self.clone().turn_away(stream, after, place);
         }
         self.clone().start(stream, number);
@@ -104,8 +104,8 @@
         tokio::task::spawn_local(async move {
             let (reading, mut writing) = stream.into_halves();
             let line = resp::error(&format!("BUSY {}", after.as_millis().max(1)));
-            if let Ok(Ok(())) = timeout(FAREWELL, writing.write_all(&line)).await {
-                part(&reading, &mut writing).await;
+            if let Ok(Ok(())) = timeout(CLOSE_TIMEOUT, writing.write_all(&line)).await {
+                close_in_order(&reading, &mut writing).await;
             }
             drop(place);
         });
@@ -114,9 +114,9 @@
     /// Serves a connection in a task of its own.
     fn start(self: Rc<Self>, stream: H::Stream, number: u64) {
         self.connections.set(self.connections.get() + 1);
-        let newcomer = Newcomer::count(&self.half_known);
+        let newcomer = Newcomer::count(&self.newcomers);
         let evict = Rc::new(Notify::new());
-        let entry = Entry { idle: Some(Instant::now()), doing: Doing::Begins, evict: evict.clone() };
+        let entry = Entry { idle: Some(Instant::now()), activity: Activity::Begins, evict: evict.clone() };
         self.open.borrow_mut().insert(number, entry);
         tokio::task::spawn_local(async move {
             let pending = VecDeque::new();
@@ -129,7 +129,7 @@
                 state: State::new(),
             };
             session.run(stream, evict).await;
-            session.gone().await;
+            session.abandon_requests().await;
             drop(session);
             self.open.borrow_mut().remove(&number);
             self.closed.notify_waiters();
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -42,7 +42,7 @@
     /// Bytes of open requests.
     pub memory: usize,
     /// How connections are let in.
-    pub door: Door,
+    pub admission: Door,
 }
 
 /// What all client connections share.
@@ -58,10 +58,10 @@
     memory_kb: usize,
     most: Cell<usize>,
     keys: Keys,
-    door: RefCell<Door>,
+    admission: RefCell<Door>,
     /// Open connections that have not sent a whole command yet.
-    half_known: Rc<Cell<usize>>,
-    farewells: Arc<Semaphore>,
+    newcomers: Rc<Cell<usize>>,
+    turning_away: Arc<Semaphore>,
     began: Instant,
     retiring: Rc<Retiring>,
     /// Connections since the start.
@@ -92,9 +92,9 @@
             memory: Arc::new(Semaphore::new(bounds.memory / 1024)),
             memory_kb: bounds.memory / 1024,
             most: Cell::new(bounds.most),
-            door: RefCell::new(bounds.door),
-            half_known: Rc::default(),
-            farewells: Arc::new(Semaphore::new((bounds.most / TURNED_AWAY).max(1))),
+            admission: RefCell::new(bounds.admission),
+            newcomers: Rc::default(),
+            turning_away: Arc::new(Semaphore::new((bounds.most / TURNED_AWAY).max(1))),
             began: Instant::now(),
             retiring,
             connections: Rc::default(),
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -26,13 +26,13 @@
     pub(super) reading: &'a R,
     pub(super) buffer: BytesMut,
     /// When the last of it was read.
-    pub(super) came: Micros,
+    pub(super) received: Micros,
 }
 
 impl<H: Host> Session<H> {
     /// Looks at a command of which a value is still coming. Room for a large one is reserved before it is read; where there
     /// is none it will be dropped and refused.
-    pub(super) fn large(&mut self, buffer: &mut BytesMut, came: Micros) {
+    pub(super) fn large(&mut self, buffer: &mut BytesMut, received: Micros) {
         let Ok(Extent::InValue { header, end, last }) = resp::extent(buffer, MAX_VALUE) else {
             return self.state.expect_head();
         };
@@ -54,14 +54,14 @@
         head.extend_from_slice(b"$0\r\n\r\n");
         self.state.refuse_value(end - buffer.len());
         *buffer = BytesMut::new();
-        self.refuse_large(head, came);
+        self.refuse_large(head, received);
     }
 
     /// Refuses a command, given as it would be without its value: what is wrong with it is said, and a request has its class.
-    fn refuse_large(&mut self, mut head: BytesMut, came: Micros) {
+    fn refuse_large(&mut self, mut head: BytesMut, received: Micros) {
         let Ok(Some(frame)) = resp::take_frame(&mut head, WHOLE) else { return };
         let class =
-            words(frame).map(|words| self.clients.parse(&words, came).map(|(request, _)| request.class));
+            words(frame).map(|words| self.clients.parse(&words, received).map(|(request, _)| request.class));
         match class {
             Some(Ok(class)) => self.refuse(class),
             Some(Err(e)) => self.reject(e),
@@ -73,14 +73,14 @@
     pub(super) async fn command(
         &mut self,
         frame: BytesFrame,
-        came: Micros,
+        received: Micros,
         reserved: Option<OwnedSemaphorePermit>,
     ) {
         let Some(words) = words(frame) else {
             return self.protocol_error(Malformed("a command is an array of bulk strings"));
         };
         match words[0].as_ref() {
-            b"CACHE.GET" | b"CACHE.SET" => match self.clients.parse(&words, came) {
+            b"CACHE.GET" | b"CACHE.SET" => match self.clients.parse(&words, received) {
                 Ok((request, command)) => {
                     self.newcomer = None;
                     self.ask(request, Box::new(command), reserved).await;
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -16,18 +16,18 @@
 use super::retiring::Leaving;
 use super::state::State;
 use super::timing::{Limits, Progress, Situation, last_before};
-use crate::stream::{part, read};
+use crate::stream::{close_in_order, read};
 
 /// Answers of one connection that may wait, refusals and errors too; a client that goes on beyond is cut off.
 const MAX_WAITING: usize = 1024;
 
 /// How a session ends.
 #[derive(Clone, Copy, PartialEq)]
-enum Parting {
+enum Closing {
     /// The other side has gone, or its place is wanted at once.
-    Close,
+    AtOnce,
     /// In order: what may be on its way must meet the end of the stream, not a reset.
-    HalfClose,
+    InOrder,
 }
 
 /// Counts a connection among those that have not sent a whole command yet, for as long as this lives.
@@ -64,8 +64,8 @@
     /// Serves a connection until its end.
     pub(super) async fn run(&mut self, stream: H::Stream, evict: Rc<Notify>) {
         let (reading, mut writing) = stream.into_halves();
-        if self.serve(&reading, &mut writing, evict).await == Parting::HalfClose {
-            part(&reading, &mut writing).await;
+        if self.serve(&reading, &mut writing, evict).await == Closing::InOrder {
+            close_in_order(&reading, &mut writing).await;
         }
     }
 
@@ -74,9 +74,9 @@
         reading: &<H::Stream as Stream>::Reading,
         writing: &mut <H::Stream as Stream>::Writing,
         evict: Rc<Notify>,
-    ) -> Parting {
+    ) -> Closing {
         let clients = self.clients.clone();
-        let mut inbox = Inbox { reading, buffer: BytesMut::new(), came: (clients.now)() };
+        let mut inbox = Inbox { reading, buffer: BytesMut::new(), received: (clients.now)() };
         let mut progress = Progress::new(Instant::now());
         loop {
             self.take_commands(&mut inbox, &mut progress).await;
@@ -85,11 +85,11 @@
             self.show(&progress);
             // Behind what was written meanwhile, which the client may still read.
             if self.state.client_has_closed() {
-                return Parting::Close;
+                return Closing::AtOnce;
             }
             let finishing = !self.state.reads_commands();
             if finishing && idle {
-                return Parting::HalfClose;
+                return Closing::InOrder;
             }
             let situation = self.situation(&progress);
             if situation.last.is_some_and(|last| last <= now) {
@@ -110,32 +110,32 @@
                     progress.active_now();
                     progress.answered_while_leaving = clients.retiring.leaving() >= Leaving::Answered;
                     if !whole {
-                        return Parting::Close;
+                        return Closing::AtOnce;
                     }
                 }
                 more = read(reading, &mut inbox.buffer), if self.state.takes_bytes() => {
                     // A client that closes has gone away: what it asked for is not wanted any more.
                     if !more {
-                        return Parting::Close;
+                        return Closing::AtOnce;
                     }
                     if self.state.reads_commands() {
-                        inbox.came = (clients.now)();
+                        inbox.received = (clients.now)();
                         progress.piece_arrived();
                     }
                 }
                 () = evict.notified(), if idle => {
                     if quiet(reading, &mut inbox.buffer).await {
-                        return Parting::Close;
+                        return Closing::AtOnce;
                     }
-                    inbox.came = (clients.now)();
+                    inbox.received = (clients.now)();
                     progress.active_now();
                 }
                 () = sleep_until(limit.unwrap_or(now)), if limit.is_some() => {
                     if !quiet(reading, &mut inbox.buffer).await {
-                        inbox.came = (clients.now)();
+                        inbox.received = (clients.now)();
                         progress.active_now();
-                    } else if let Some(parting) = self.limit_reached(&limits, &progress, situation.leaving) {
-                        return parting;
+                    } else if let Some(closing) = self.limit_reached(&limits, &progress, situation.leaving) {
+                        return closing;
                     }
                 }
                 () = clients.retiring.changed.notified() => {}
@@ -152,10 +152,10 @@
                 Ok(Some(frame)) => {
                     progress.command_complete();
                     let reserved = self.state.command_complete();
-                    self.command(frame, inbox.came, reserved).await;
+                    self.command(frame, inbox.received, reserved).await;
                 }
                 Ok(None) => {
-                    self.large(&mut inbox.buffer, inbox.came);
+                    self.large(&mut inbox.buffer, inbox.received);
                     break;
                 }
                 Err(e) => self.protocol_error(e),
@@ -179,7 +179,7 @@
     fn show(&self, progress: &Progress) {
         if let Some(entry) = self.clients.open.borrow_mut().get_mut(&self.number) {
             entry.idle = self.pending.is_empty().then_some(progress.last_active());
-            entry.doing = progress.doing(self.newcomer.is_some());
+            entry.activity = progress.activity(self.newcomer.is_some());
         }
     }
 
@@ -209,7 +209,7 @@
     }
 
     /// The next of its limits was reached, and nothing has arrived: how it ends, if it does.
-    fn limit_reached(&mut self, limits: &Limits, progress: &Progress, leaving: bool) -> Option<Parting> {
+    fn limit_reached(&mut self, limits: &Limits, progress: &Progress, leaving: bool) -> Option<Closing> {
         if limits.process_ends() {
             return None;
         }
@@ -219,6 +219,6 @@
         }
         let close =
             limits.first_command_is_late() || leaving || self.clients.crowded() || progress.idle_too_long();
-        close.then_some(Parting::HalfClose)
+        close.then_some(Closing::InOrder)
     }
 }
--- a/crates/node/src/crowd.rs
+++ b/crates/node/src/crowd.rs
@@ -11,7 +11,7 @@
 
 /// What a connection does that is owed no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Doing {
+pub enum Activity {
     /// It has sent nothing, or the first piece of a command.
     Begins,
     /// It has sent several pieces of a command that is not whole.
@@ -31,15 +31,15 @@
 }
 
 /// The turn of a connection that has done this since it was last heard or answered; `None` for one that stays.
-pub fn turn(doing: Doing, idle: Duration, no_room: bool) -> Option<Turn> {
+pub fn turn(activity: Activity, idle: Duration, no_room: bool) -> Option<Turn> {
     if idle < JUST_COME {
         return None;
     }
-    match doing {
-        Doing::Rests => Some(Turn::Rests),
-        Doing::Begins if idle >= STALLED.0 => Some(Turn::Stalled),
-        Doing::Writes if idle >= STALLED.1 => Some(Turn::Stalled),
-        Doing::Begins | Doing::Writes => no_room.then_some(Turn::MayAsk),
+    match activity {
+        Activity::Rests => Some(Turn::Rests),
+        Activity::Begins if idle >= STALLED.0 => Some(Turn::Stalled),
+        Activity::Writes if idle >= STALLED.1 => Some(Turn::Stalled),
+        Activity::Begins | Activity::Writes => no_room.then_some(Turn::MayAsk),
     }
 }
 
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::Control;
-use crate::stream::{part, read};
+use crate::stream::{close_in_order, read};
 
 /// Connections at once, as a part of all descriptors, and at most: a handful of callers and those that never finish.
 const CONNECTIONS: (usize, usize) = (24, 32);
@@ -135,6 +135,6 @@
         None => {}
     }
     if let Ok(Ok(())) = timeout(TAKEN, writing.write_all(&bytes)).await {
-        part(&reading, &mut writing).await;
+        close_in_order(&reading, &mut writing).await;
     }
 }
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -196,8 +196,11 @@
     let listener_address = listener.local_addr();
     let retiring = Rc::new(Retiring::default());
     let longest: Micros = site.decisions.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-    let bounds =
-        Bounds { most: descriptors, memory: config.memory / 2, door: Door::new(&storm.figures, descriptors) };
+    let bounds = Bounds {
+        most: descriptors,
+        memory: config.memory / 2,
+        admission: Door::new(&storm.figures, descriptors),
+    };
     let clients = Clients::new(
         host.clone(),
         Grammar { site: site.clone(), keys: config.keys },
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -11,7 +11,7 @@
 /// Read from a connection at once.
 pub const READ: usize = 4096;
 /// The other side gets this long to read what it was told last and to close.
-pub const FAREWELL: Duration = Duration::from_millis(200);
+pub const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Reads what has come, up to the room made for it; that is made only once something is there. Safe to drop and call
 /// again.
@@ -39,7 +39,7 @@
 /// Ends a connection in order: the end of the stream goes out, and what still comes is read and dropped for a little
 /// while. A close over bytes that were not read would be a reset, which can overtake an answer, and which a client that
 /// has just asked takes for a failure.
-pub async fn part(reading: &impl Reading, writing: &mut (impl AsyncWrite + Unpin)) {
+pub async fn close_in_order(reading: &impl Reading, writing: &mut (impl AsyncWrite + Unpin)) {
     let said = async {
         writing.shutdown().await.ok()?;
         let mut buffer = BytesMut::new();
@@ -48,5 +48,5 @@
         }
         Some(())
     };
-    let _ = timeout(FAREWELL, said).await;
+    let _ = timeout(CLOSE_TIMEOUT, said).await;
 }
--- a/crates/node/tests/unit/client_timing.rs
+++ b/crates/node/tests/unit/client_timing.rs
@@ -70,14 +70,14 @@
 #[test]
 fn what_a_connection_does_is_told_by_its_pieces_and_by_whether_it_has_asked() {
     let mut progress = Progress::new(Instant::now());
-    assert_eq!((progress.doing(true), progress.doing(false)), (Doing::Begins, Doing::Rests));
+    assert_eq!((progress.activity(true), progress.activity(false)), (Activity::Begins, Activity::Rests));
     progress.piece_arrived();
     progress.command_begun();
-    assert_eq!((progress.doing(true), progress.doing(false)), (Doing::Begins, Doing::Begins));
+    assert_eq!((progress.activity(true), progress.activity(false)), (Activity::Begins, Activity::Begins));
     progress.piece_arrived();
     progress.command_begun();
-    assert_eq!((progress.doing(true), progress.doing(false)), (Doing::Writes, Doing::Writes));
+    assert_eq!((progress.activity(true), progress.activity(false)), (Activity::Writes, Activity::Writes));
     progress.command_complete();
-    assert_eq!((progress.doing(true), progress.doing(false)), (Doing::Begins, Doing::Rests));
+    assert_eq!((progress.activity(true), progress.activity(false)), (Activity::Begins, Activity::Rests));
     assert!(!progress.has_begun() && !progress.idle_too_long());
 }
--- a/crates/node/tests/unit/crowd.rs
+++ b/crates/node/tests/unit/crowd.rs
@@ -2,9 +2,9 @@
 
 #[test]
 fn who_shows_nothing_goes_first_then_who_rests_and_slow_writers_only_for_want_of_room() {
-    use Doing::*;
+    use Activity::*;
     let ms = Duration::from_millis;
-    for (doing, idle, no_room, expected) in [
+    for (activity, idle, no_room, expected) in [
         (Begins, ms(19), true, None),
         (Rests, ms(19), true, None),
         (Begins, ms(20), false, None),
@@ -17,7 +17,7 @@
         (Rests, ms(20), false, Some(Turn::Rests)),
         (Rests, ms(5000), false, Some(Turn::Rests)),
     ] {
-        assert_eq!(turn(doing, idle, no_room), expected, "{doing:?} for {idle:?}, no room: {no_room}");
+        assert_eq!(turn(activity, idle, no_room), expected, "{activity:?} for {idle:?}, no room: {no_room}");
     }
     assert!(Turn::Stalled < Turn::Rests && Turn::Rests < Turn::MayAsk);
 }
