Module: the gate's limits may be told as an allowance of the origin

Cause: the gate's limits are each node's own, so nothing holds their sum.

Change: Event::OriginAllowance (calls out, calls that may still be begun, a part of them kept for writes, end) takes the place of the gate's two limits while it is told; 0 is possible. A call under it is given up by its end, and none begins that has less than the shortest aim left. Records take the event as the first of the "later kinds" (kind 15 and a byte); a segment that begins under an allowance tells it again behind the state, which leaves it out, so the layout of the state is the same (2).

--- a/crates/brassrouter/src/interface.rs
+++ b/crates/brassrouter/src/interface.rs
@@ -373,6 +373,27 @@
     pub writes: Vec<(Key, Micros)>,
 }
 
+/// What this process may call at the origin, of what all processes may together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct OriginAllowance {
+    /// Calls that may be outstanding at once, those that are out already included; 0 is possible.
+    pub outstanding: u32,
+    /// Calls that may still be begun: once they are, the next allowance must say how many more.
+    pub calls: u32,
+    /// So many of them are kept for writes.
+    pub kept_for_writes: u32,
+    /// When it ends: every call that is begun under it has been given up by then, and none is begun later.
+    pub until: Micros,
+}
+
+impl OriginAllowance {
+    /// An allowance that keeps as great a part for writes as the gate does without one.
+    pub fn new(outstanding: u32, calls: u32, until: Micros) -> OriginAllowance {
+        let fetches = (f64::from(calls) * crate::policy::GATE_FETCHES).ceil() as u32;
+        OriginAllowance { outstanding, calls, kept_for_writes: calls - fetches.min(calls), until }
+    }
+}
+
 /// Something that happened at this balancer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Event {
@@ -418,6 +439,8 @@
     Sharing(u32),
     /// Which zones are near from now on, and how many keys stay there; `None` for no difference.
     Pool(Option<Pool>),
+    /// What this process may call at the origin from now on, in place of its part by settings; `None` for that part.
+    OriginAllowance(Option<OriginAllowance>),
     /// A message of another balancer.
     PeerMessage {
         /// Number of the sender.
--- a/crates/brassrouter/src/lib.rs
+++ b/crates/brassrouter/src/lib.rs
@@ -24,6 +24,7 @@
 //! ```
 
 mod estimate;
+mod gate;
 pub mod interface;
 mod policy;
 pub mod pools;
--- a/crates/brassrouter/src/policy.rs
+++ b/crates/brassrouter/src/policy.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::estimate::{Heat, Pace, Rate, Ratio};
+use crate::gate::Gate;
 use crate::interface::*;
 use crate::pools::Pools;
 use crate::random::{Backoff, Random};
@@ -29,7 +30,7 @@
 /// Gate: calls a second, part of quotas or else of what it admits; least, the note's; window in longest aims.
 const GATE_RATE: (f64, f64, f64) = (1.0, 30.0, 0.25);
 /// Gate: sub-limit of fetches, of both limits; writes have the rest for themselves.
-const GATE_FETCHES: f64 = 0.7;
+pub const GATE_FETCHES: f64 = 0.7;
 /// Gate: factor on the cap at a sign of congestion; its floor; part of the shortest aim that makes a sign.
 const GATE_CUT: (f64, f64, f64) = (0.8, 0.1, 0.8);
 /// Postponement: the note's 1 to 3 s against its bound of 60 s, taken as parts of the request's aim.
@@ -179,6 +180,7 @@
             Event::Storm(on) => self.storm = on,
             Event::Legacy(left) => self.inherit(left),
             Event::Sharing(processes) => self.sharers = processes,
+            Event::OriginAllowance(allowance) => self.gate.allowance = allowance,
             Event::Pool(pool) => {
                 self.pools.set(pool);
                 self.sum_weights();
@@ -400,11 +402,26 @@
         let window = self.aim as f64 * GATE_RATE.2;
         let tally = (share * GATE_RATE.0).max(GATE_RATE.1) * window / 1e6;
         self.gate.roll(self.now, window as Micros);
+        if let Some(told) = self.gate.allowance {
+            return self.allowed(&told, call);
+        }
         // Two processes that are one balancer must not have twice its calls: each has an equal part.
         let own = 1.0 / f64::from(self.sharers.max(1));
         self.gate.open(0, own, tally) && (call == Call::Write || self.gate.open(1, own * GATE_FETCHES, tally))
     }
 
+    /// Whether an allowance lets one more call through. It is this process's alone: nobody shares it. None is
+    /// begun that would be given up before it is late.
+    fn allowed(&self, told: &OriginAllowance, call: Call) -> bool {
+        let kept = if call == Call::Write { 0 } else { told.kept_for_writes };
+        let most_out = self.gate.outstanding_of(told);
+        let most_fetches = (f64::from(most_out) * GATE_FETCHES).ceil() as u32;
+        self.now + self.origin_aim <= told.until
+            && told.calls > kept
+            && self.gate.out[0] < most_out
+            && (call == Call::Write || self.gate.out[1] < most_fetches)
+    }
+
     /// Parks a request that a shut gate stops, for a random delay, while its answer can still earn.
     fn postpone(&mut self, id: RequestId, why: Why, out: &mut Vec<Action>) {
         let h = &self.held[&id];
@@ -451,7 +468,8 @@
             }
         }
         self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after, overtaken: false });
-        out.push(Action::Send { request: id, server, give_up_after: 0 });
+        let give_up_after = if call == Call::Cache { 0 } else { self.gate.give_up_after(self.now) };
+        out.push(Action::Send { request: id, server, give_up_after });
         true
     }
 
--- a/crates/brassrouter/src/policy/succession.rs
+++ b/crates/brassrouter/src/policy/succession.rs
@@ -11,6 +11,8 @@
             (s.in_flight, s.overtaken, s.connected) = (0, 0, false);
         }
         (self.gate.out, self.gate.tally) = ([0, 0], [0, 0]);
+        // An allowance is that of one process.
+        self.gate.allowance = None;
         let mut next = Policy {
             rng: Random::new(seed),
             last_told: seed as u32 >> 1,
--- a/crates/brassrouter/src/policy/view.rs
+++ b/crates/brassrouter/src/policy/view.rs
@@ -96,8 +96,12 @@
 
     /// Calls that are out at the origin, and as many as may be now: its part, where two processes are one balancer.
     pub fn origin_calls(&self) -> (u32, u32) {
-        let part = self.gate.limit / f64::from(self.sharers.max(1));
-        (self.gate.out[0], part.max(1.0) as u32)
+        (self.gate.out[0], self.gate.most_outstanding(self.now, self.sharers))
+    }
+
+    /// What is left of the allowance that it was told. The saved state leaves it out: it must be told again with that.
+    pub fn origin_allowance(&self) -> Option<OriginAllowance> {
+        self.gate.allowance
     }
 
     /// What it would leave behind if it ended now: what a next life should count.
--- a/crates/brassrouter/src/state.rs
+++ b/crates/brassrouter/src/state.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::estimate::{Pace, Rate, Ratio};
-use crate::interface::{Action, Key, Legacy, Micros, RequestId, ServerId, ServerLine, Settings};
+use crate::interface::{Action, Key, Micros, RequestId, ServerId, ServerLine, Settings};
 use crate::random::Random;
 
 /// Why an attempt is out.
@@ -122,62 +122,6 @@
     Inherited(Call),
 }
 
-/// The gate before the origin: calls out and calls in the present window, of all kinds and fetches alone.
-#[derive(Default, Serialize, Deserialize)]
-pub struct Gate {
-    pub limit: f64,
-    pub most_out: f64,
-    pub out: [u32; 2],
-    pub tally: [u32; 2],
-    pub window: Micros,
-    pub cut_at: Micros,
-    /// This balancer's equal part of all quotas, 0 where there are none.
-    pub quota_share: f64,
-}
-
-impl Gate {
-    /// Raises the counters just before a call.
-    pub fn enter(&mut self, call: Call) {
-        self.carry(call);
-        self.tally[..=usize::from(call == Call::Fetch)].iter_mut().for_each(|tally| *tally += 1);
-    }
-
-    /// Counts a call as out that was not made now.
-    pub fn carry(&mut self, call: Call) {
-        self.out[..=usize::from(call == Call::Fetch)].iter_mut().for_each(|out| *out += 1);
-    }
-
-    /// Whether both limits let one more call through: of all kinds, or of fetches, which have a part of both.
-    pub fn open(&self, kind: usize, part: f64, tally: f64) -> bool {
-        let room = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
-        // The fetches' part is rounded up, within the limit of all kinds: of two calls they would have one.
-        let out = if kind == 0 { self.limit * part } else { (self.limit * part).ceil() };
-        room(self.out[kind], out) && room(self.tally[kind], tally * part)
-    }
-
-    /// Begins a new tally when the window of the present one is over.
-    pub fn roll(&mut self, now: Micros, window: Micros) {
-        if now >= self.window + window {
-            (self.window, self.tally) = (now, [0, 0]);
-        }
-    }
-
-    /// Goes on from another life's window and limit, a lower one only: a start is careful anyhow. The calls
-    /// of both lives count in it.
-    pub fn inherit(&mut self, left: &Legacy, sharers: u32) {
-        self.window = self.window.max(left.window);
-        self.tally.iter_mut().zip(left.tally).for_each(|(own, left)| *own += left.div_ceil(sharers));
-        self.limit = self.limit.min(left.limit).max(self.most_out * 0.1);
-    }
-
-    /// Lowers the counters after any outcome of a call.
-    pub fn leave(&mut self, call: Call) {
-        for i in 0..=usize::from(call == Call::Fetch) {
-            self.out[i] -= 1;
-        }
-    }
-}
-
 /// Keyed writes that may have run, by key: when the earliest attempt was sent. A repeat later than its
 /// window would run again.
 #[derive(Default, Serialize, Deserialize)]
--- a/crates/inquest/src/cut.rs
+++ b/crates/inquest/src/cut.rs
@@ -70,8 +70,7 @@
 
 fn begin(header: &Header, policy: &Policy, at: Micros) -> Result<Writer, String> {
     let mut writer = Writer::begin(&Header { at, servers: policy.list(), ..header.clone() })?;
-    let state = postcard::to_allocvec(policy).map_err(|e| e.to_string())?;
-    writer.entry(at, &Body::State(state));
+    writer.state(at, policy)?;
     Ok(writer)
 }
 
--- a/crates/inquest/src/merge.rs
+++ b/crates/inquest/src/merge.rs
@@ -114,7 +114,12 @@
         |a: &Noted| matches!(a, Noted::Refuse { .. } | Noted::Fail(_) | Noted::Log(_) | Noted::Fault(_));
     matches!(
         event,
-        Event::ServerList { .. } | Event::Storm(_) | Event::Legacy(_) | Event::Sharing(_) | Event::Pool(_)
+        Event::ServerList { .. }
+            | Event::Storm(_)
+            | Event::Legacy(_)
+            | Event::Sharing(_)
+            | Event::Pool(_)
+            | Event::OriginAllowance(None)
     ) || actions.iter().any(failed)
 }
 
--- a/crates/inquest/src/tell.rs
+++ b/crates/inquest/src/tell.rs
@@ -77,6 +77,14 @@
                 pool.rings, pool.keep[0], pool.keep[1]
             )
         }
+        Event::OriginAllowance(None) => "the origin is called as settings say".into(),
+        Event::OriginAllowance(Some(allowance)) => format!(
+            "at the origin {} calls may be out, {} may be begun ({} of them writes) until {}",
+            allowance.outstanding,
+            allowance.calls,
+            allowance.kept_for_writes,
+            ms(allowance.until)
+        ),
         Event::Sharing(processes) => format!("{processes} processes are this node now"),
         Event::Legacy(left) => format!(
             "left by an earlier life: {} calls at the origin, {} keyed writes",
--- a/crates/record/src/entry.rs
+++ b/crates/record/src/entry.rs
@@ -9,8 +9,8 @@
 use std::hash::Hash;
 
 use brassrouter::{
-    Action, Condition, Event, Key, Legacy, ListKind, Load, Micros, Note, Outcome, Pool, Request, RequestId,
-    ServerId, ServerLine, Status,
+    Action, Condition, Event, Key, Legacy, ListKind, Load, Micros, Note, OriginAllowance, Outcome, Pool,
+    Request, RequestId, ServerId, ServerLine, Status,
 };
 
 use crate::wire::{Bad, Input, put, put_delta, put_figure};
@@ -174,6 +174,10 @@
 const LEGACY: u8 = 12;
 const SHARING: u8 = 13;
 const POOL: u8 = 14;
+/// The last kind that fits: what comes later has a byte of its own behind it, which says what it is.
+const LATER: u8 = 15;
+/// Of the later kinds.
+const ALLOWANCE: u8 = 0;
 
 /// What both sides remember from entry to entry of a segment.
 #[derive(Default)]
@@ -285,6 +289,7 @@
             Event::Legacy(_) => LEGACY,
             Event::Sharing(_) => SHARING,
             Event::Pool(_) => POOL,
+            Event::OriginAllowance(_) => LATER,
         };
         out.push(kind);
         self.time(out, at);
@@ -348,6 +353,14 @@
                 put(out, *took);
                 load(out, report);
             }
+            Event::OriginAllowance(allowance) => {
+                out.extend([ALLOWANCE, u8::from(allowance.is_some())]);
+                if let Some(a) = allowance {
+                    let counts = [a.outstanding, a.calls, a.kept_for_writes];
+                    counts.into_iter().for_each(|count| put(out, u64::from(count)));
+                    put(out, a.until);
+                }
+            }
             Event::Storm(on) => out.push(u8::from(*on)),
             Event::Sharing(processes) => put(out, u64::from(*processes)),
             Event::Pool(pool) => {
@@ -571,6 +584,10 @@
                 }
                 Event::Legacy(left)
             }
+            LATER if input.byte()? == ALLOWANCE => {
+                let told = input.byte()? != 0;
+                Event::OriginAllowance(if told { Some(read_allowance(input)?) } else { None })
+            }
             _ => return Err("an entry of an unknown kind"),
         };
         Ok((event, reference))
@@ -641,6 +658,15 @@
     Ok(load)
 }
 
+fn read_allowance(input: &mut Input) -> Result<OriginAllowance, Bad> {
+    Ok(OriginAllowance {
+        outstanding: input.below()?,
+        calls: input.below()?,
+        kept_for_writes: input.below()?,
+        until: input.number()?,
+    })
+}
+
 fn read_u64(input: &mut Input) -> Result<u64, Bad> {
     let (low, high) = (input.word()?, input.word()?);
     Ok(u64::from(u32::from_le_bytes(low)) | u64::from(u32::from_le_bytes(high)) << 32)
--- a/crates/record/src/recorder.rs
+++ b/crates/record/src/recorder.rs
@@ -290,8 +290,7 @@
         let header = self.header.as_mut()?;
         (header.at, header.servers) = (now, policy.list());
         let begun = Writer::begin(header).and_then(|mut writer| {
-            let state = postcard::to_allocvec(policy).map_err(|e| e.to_string())?;
-            writer.entry(now, &Body::State(state));
+            writer.state(now, policy)?;
             Ok(writer)
         });
         let mut writer = match begun {
--- a/crates/record/src/segment.rs
+++ b/crates/record/src/segment.rs
@@ -2,7 +2,7 @@
 //!
 //! A segment begins with the module's whole state, so each can be read without those before it.
 
-use brassrouter::{Event, Micros, ServerLine, Settings};
+use brassrouter::{Event, Micros, Policy, ServerLine, Settings};
 use serde::{Deserialize, Serialize};
 
 use crate::entry::{Body, Context, Entry, Noted};
@@ -97,6 +97,21 @@
         self.close();
     }
 
+    /// Writes the module's whole state, as the first entry. What the saved state leaves out is told again right behind it, at the time
+    /// that the module was last told of: nothing else is due then.
+    ///
+    /// # Errors
+    /// That the state can't be written.
+    pub fn state(&mut self, at: Micros, policy: &Policy) -> Result<(), String> {
+        let state = postcard::to_allocvec(policy).map_err(|e| e.to_string())?;
+        self.entry(at, &Body::State(state));
+        if let Some(allowance) = policy.origin_allowance() {
+            self.event(policy.now(), &Event::OriginAllowance(Some(allowance)), None);
+            self.actions([].into_iter());
+        }
+        Ok(())
+    }
+
     /// Begins the entry of an event; [`Writer::actions`] ends it.
     pub fn event(&mut self, at: Micros, event: &Event, reference: Option<u32>) {
         self.body.clear();
