--- a/crates/world/tests/seeds.rs
+++ b/crates/world/tests/seeds.rs
@@ -50,37 +50,51 @@
     }
 }
 
-/// What each fault of zones does to nodes that agree, alone and with those that vote killed in its midst.
-#[test]
-fn zones_that_are_lost_cut_off_or_apart_break_no_rule_and_are_given_up_by_all() {
+/// Plays a fault of zones under nodes that agree, alone or with those that vote killed in its midst: the rules hold, and one
+/// zone is given up, by all.
+fn one_zone_is_given_up(what: &What, voters_killed: bool) {
     let mut scenario = scenario("zones");
     scenario.seconds = 14.0;
-    for what in [
-        What::ZoneLost { zone: 2, down_ms: 5_000 },
-        What::ZoneSilent { zone: 1, for_ms: 5_000 },
-        What::ZonesApart { a: 0, b: 2, for_ms: 5_000 },
-    ] {
-        for killed in [false, true] {
-            let mut script = vec![Fault { at_ms: 3_000, what: what.clone() }];
-            if killed {
-                let nodes = (0..3).collect();
-                script.push(Fault { at_ms: 3_900, what: What::NodesKilled { nodes, down_ms: 300 } });
-            }
-            let given_up = std::rc::Rc::new(std::cell::RefCell::new(std::collections::BTreeSet::new()));
-            let sees = given_up.clone();
-            let trace = move |line: &str| {
-                if let Some(told) = chalksill_world::agreement::Told::read(line) {
-                    sees.borrow_mut().extend(told.away().into_iter().map(str::to_owned));
-                }
-            };
-            let plan = Plan { scenario: scenario.clone(), seed: 3, script: Some(script), mutant: None };
-            let report = run(&plan, Some(std::rc::Rc::new(std::cell::RefCell::new(trace))));
-            kept(&report);
-            assert_eq!(given_up.borrow().len(), 1, "{what:?}, voters killed {killed}: {given_up:?}");
+    let mut script = vec![Fault { at_ms: 3_000, what: what.clone() }];
+    if voters_killed {
+        let nodes = (0..3).collect();
+        script.push(Fault { at_ms: 3_900, what: What::NodesKilled { nodes, down_ms: 300 } });
+    }
+    let given_up = std::rc::Rc::new(std::cell::RefCell::new(std::collections::BTreeSet::new()));
+    let sees = given_up.clone();
+    let trace = move |line: &str| {
+        if let Some(told) = chalksill_world::agreement::Told::read(line) {
+            sees.borrow_mut().extend(told.away().into_iter().map(str::to_owned));
+        }
+    };
+    let plan = Plan { scenario, seed: 3, script: Some(script), mutant: None };
+    let report = run(&plan, Some(std::rc::Rc::new(std::cell::RefCell::new(trace))));
+    kept(&report);
+    assert_eq!(given_up.borrow().len(), 1, "{what:?}, voters killed {voters_killed}: {given_up:?}");
+}
+
+#[test]
+fn a_zone_that_is_lost_or_silent_breaks_no_rule_and_is_given_up_by_all() {
+    for what in [What::ZoneLost { zone: 2, down_ms: 5_000 }, What::ZoneSilent { zone: 1, for_ms: 5_000 }] {
+        for voters_killed in [false, true] {
+            one_zone_is_given_up(&what, voters_killed);
         }
     }
 }
 
+/// Both sides of a cut see the other one silent.
+const ZONES_APART: What = What::ZonesApart { a: 0, b: 2, for_ms: 5_000 };
+
+#[test]
+fn of_two_zones_apart_one_is_given_up_by_all() {
+    one_zone_is_given_up(&ZONES_APART, false);
+}
+
+#[test]
+fn of_two_zones_apart_one_is_given_up_by_all_though_voters_are_killed() {
+    one_zone_is_given_up(&ZONES_APART, true);
+}
+
 /// Seeds that once broke a rule, by the fault of the node. The figures are in the changes that mended them.
 #[test]
 fn seeds_that_broke_a_rule_once_keep_it_now() {
