Scale: the host of real sockets, hollow nodes beside real ones

Nodes without clients' data share processes, each at a loopback address of its own, and run the whole code of a node on a host that counts. Cache servers with the origin, discovery, and real nodes are workers of their own, which end when their standard input does. Bounds are counted before anything starts.

--- a/crates/chalksill/src/main.rs
+++ b/crates/chalksill/src/main.rs
@@ -6,6 +6,8 @@
 mod places;
 mod plot;
 mod record;
+mod scale;
+mod scale_real;
 mod sim;
 mod trial;
 mod world;
@@ -45,6 +47,9 @@
     /// Trials of real nodes: several processes, faults on the ways between them and on themselves
     #[command(subcommand)]
     Trial(trial::Trial),
+    /// What a fleet's control code costs by size
+    #[command(subcommand)]
+    Scale(scale::Scale),
 }
 
 /// How a command ended that did not fail.
@@ -63,6 +68,7 @@
         Command::Record(record) => record::execute(record),
         Command::Places(places) => places::execute(places),
         Command::Trial(trial) => trial::execute(trial),
+        Command::Scale(scale) => scale::execute(scale),
     };
     match done {
         Ok(Verdict::Good) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/scale/src/real_sockets/plan.rs
@@ -0,0 +1,251 @@
+//! What a run on real sockets consists of, and what its nodes and stand-ins are told.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
+
+use chalksill_world::agreement;
+use chalksill_world::scenario as world;
+use serde::{Deserialize, Serialize};
+
+use super::error::RealSocketsError;
+use crate::record::{FleetSize, FleetState};
+
+/// The port on which a node listens for clients, at an address of its own.
+const CLIENT_PORT: u16 = 7945;
+/// The port of messages between decision modules.
+const PEER_PORT: u16 = 7946;
+/// Nodes on one third byte of an address.
+const NODES_PER_BLOCK: u32 = 250;
+/// Second bytes of the loopback networks that runs use: trials have those below.
+const FIRST_NETWORK: u8 = 96;
+/// How many of these there are.
+const NETWORKS: u32 = 128;
+/// The agreement knows this many zones at most; a fleet of more zones is run with this many.
+const MOST_ZONES: u32 = 16;
+/// The most voters of the agreement that a run has.
+const MOST_VOTERS: u32 = 5;
+
+/// A series of runs of one state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RealSocketsPlan {
+    /// Its name.
+    pub name: String,
+    /// The state in which the fleet is measured.
+    pub state: FleetState,
+    /// The sizes.
+    pub sizes: Vec<SizePlan>,
+    /// Runs at each size.
+    pub repetitions: u32,
+    /// The seed of the first run; each further one has the next.
+    pub seed: u64,
+    /// For how long nodes run before they are measured, in seconds.
+    pub settle_s: f64,
+    /// For how long they are measured, in seconds.
+    pub measured_s: f64,
+    /// Changes of discovery's list in a second.
+    pub changes_per_s: f64,
+    /// Requests a second that clients send to each real node; 0 for none.
+    pub load_per_real_node: f64,
+    /// Hollow nodes that share a process.
+    pub nodes_per_process: u32,
+    /// For how long discovery is down where it restarts, in seconds.
+    pub discovery_down_s: f64,
+}
+
+/// One size.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SizePlan {
+    /// Hollow nodes.
+    pub hollow_nodes: u32,
+    /// Real nodes beside them.
+    pub real_nodes: u32,
+    /// Sites that they stand at.
+    pub sites: u32,
+    /// Zones that the sites form.
+    pub zones: u32,
+    /// Regions that the zones form.
+    pub regions: u32,
+    /// Cache servers.
+    pub cache_servers: u32,
+}
+
+impl SizePlan {
+    /// All nodes.
+    pub fn nodes(&self) -> u32 {
+        self.hollow_nodes + self.real_nodes
+    }
+
+    /// Zones that the nodes are told: no more than the agreement knows.
+    pub fn zones_told(&self) -> u32 {
+        self.zones.clamp(1, MOST_ZONES)
+    }
+
+    /// Voters of the agreement: an odd number of hollow nodes, so that all they say is counted; none where there is nothing to
+    /// agree on.
+    pub fn voters(&self) -> u32 {
+        let most = self.hollow_nodes.min(MOST_VOTERS);
+        let odd = most - u32::from(most.is_multiple_of(2) && most > 0);
+        if self.zones_told() < 2 { 0 } else { odd }
+    }
+
+    /// Processes of hollow nodes.
+    pub fn hollow_processes(&self, nodes_per_process: u32) -> u32 {
+        self.hollow_nodes.div_ceil(nodes_per_process.max(1))
+    }
+
+    /// The size as the record has it.
+    pub fn recorded(&self, changes_per_s: f64) -> FleetSize {
+        FleetSize {
+            nodes: self.nodes(),
+            sites: self.sites,
+            zones: self.zones_told(),
+            regions: self.regions.clamp(1, self.zones_told()),
+            cache_servers: self.cache_servers,
+            changes_per_s,
+        }
+    }
+}
+
+/// The loopback network of one run, in which each node has an address of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Network(u8);
+
+impl Network {
+    /// A network that nobody uses now: each process and each run looks for it from another place on.
+    ///
+    /// # Errors
+    /// All are in use.
+    pub fn free(process: u32, run: u32) -> Result<Network, RealSocketsError> {
+        let first = process.wrapping_mul(7).wrapping_add(run);
+        let network = |offset: u32| Network(FIRST_NETWORK + (first.wrapping_add(offset) % NETWORKS) as u8);
+        let unused = |network: &Network| UdpSocket::bind(network.peer(0)).is_ok();
+        let found = (0..NETWORKS).map(network).find(unused);
+        found.ok_or_else(|| RealSocketsError::Plan("all loopback networks for runs are in use".into()))
+    }
+
+    /// The address of a node.
+    pub fn address(self, node: u32) -> IpAddr {
+        let (block, host) = (node / NODES_PER_BLOCK, node % NODES_PER_BLOCK);
+        Ipv4Addr::new(127, self.0, 1 + block as u8, 1 + host as u8).into()
+    }
+
+    /// Where a node listens for clients.
+    pub fn client(self, node: u32) -> SocketAddr {
+        (self.address(node), CLIENT_PORT).into()
+    }
+
+    /// Where a node hears the decision modules of its peers.
+    pub fn peer(self, node: u32) -> SocketAddr {
+        (self.address(node), PEER_PORT).into()
+    }
+
+    /// Where a node hears the agreement.
+    pub fn agreement(self, node: u32) -> SocketAddr {
+        (self.address(node), agreement::PORT).into()
+    }
+}
+
+/// What all processes of a run are told.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FleetPlan {
+    /// Its size.
+    pub size: SizePlan,
+    /// Its network.
+    pub network: Network,
+    /// Its seed.
+    pub seed: u64,
+    /// Changes of discovery's list in a second.
+    pub changes_per_s: f64,
+    /// Requests a second over all real nodes.
+    pub load: f64,
+}
+
+impl FleetPlan {
+    /// The world of the stand-ins, and of the settings that nodes are told.
+    ///
+    /// # Errors
+    /// A text that is no scenario.
+    pub fn world(&self) -> Result<world::Scenario, RealSocketsError> {
+        let zones: Vec<String> = (0..self.size.zones_told()).map(zone_name).collect();
+        let text = format!(
+            r#"
+            name = "scale"
+            seconds = 1.0
+            zones = {zones:?}
+            [load]
+            rate = {load:?}
+            keys = 1000
+            [[class]]
+            name = "read"
+            share = 1
+            aim_ms = 500
+            deadline_ms = 1500
+            effect = "pure"
+            work_ms = [2, 6]
+            [[tenant]]
+            name = "all"
+            share = 1
+            quota = 100000.0
+            [nodes]
+            count = {nodes}
+            sockets = 1024
+            memory_mb = 64.0
+            [boxes]
+            count = {servers}
+            cores = 2
+            speeds = [1.0]
+            room = 40
+            keys = 500
+            [origin]
+            slots = 24
+            room = 80
+            time_ms = [20, 60]
+            [discovery]
+            lag_ms = [0, 0]
+            call_ms = 0.0
+            "#,
+            load = self.load.max(0.1),
+            nodes = self.size.nodes(),
+            servers = self.size.cache_servers,
+        );
+        world::parse(&text).map_err(|fault| RealSocketsError::Plan(fault.to_string()))
+    }
+
+    /// The operator's file of a node: zones agreed on where there are any to agree on.
+    ///
+    /// # Errors
+    /// A text that is no TOML.
+    pub fn operator(&self, node: u32) -> Result<String, RealSocketsError> {
+        let voters = self.size.voters();
+        if voters == 0 {
+            return Ok(String::new());
+        }
+        let regions = self.size.regions.clamp(1, self.size.zones_told());
+        let mut text = String::from("[places]\non = true\npool = \"all\"\n");
+        for region in 0..regions {
+            let zones = (0..self.size.zones_told()).filter(|zone| zone % regions == region);
+            let zones: Vec<String> = zones.map(zone_name).collect();
+            text += &format!("[[places.region]]\nname = \"r{region:02}\"\nzones = {zones:?}\n");
+        }
+        let voters: Vec<u32> = (0..voters).collect();
+        text += &format!("[accord]\non = true\nvoters = {voters:?}\n");
+        let members: Vec<SocketAddr> = (0..self.size.nodes()).map(|n| self.network.agreement(n)).collect();
+        let operator = agreement::operator(&text, self.network.agreement(node), &members);
+        operator.map_err(RealSocketsError::Plan)
+    }
+
+    /// Where decision modules hear each other, by node.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        (0..self.size.nodes()).map(|node| self.network.peer(node)).collect()
+    }
+
+    /// The numbers of the real nodes: those after the hollow ones.
+    pub fn real_nodes(&self) -> std::ops::Range<u32> {
+        self.size.hollow_nodes..self.size.nodes()
+    }
+}
+
+fn zone_name(zone: u32) -> String {
+    format!("z{zone:02}")
+}
--- /dev/null
+++ b/crates/scale/src/real_sockets/stand_ins.rs
@@ -0,0 +1,190 @@
+//! Stand-ins of what nodes talk to, in processes of their own: cache servers and the origin in one, discovery in another.
+
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use chalksill_world::cache::Cache;
+use chalksill_world::discovery::Discovery;
+use chalksill_world::fleet::{Fleet, Member};
+use chalksill_world::observe::{NodeNo, Phase, Seen, Witness};
+use chalksill_world::origin::Origin;
+use mothpier_host::{Host, Listener, Machine};
+use tokio::task::{AbortHandle, LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::counting::{ChannelMap, CountingHost, CountingListener};
+use super::error::RealSocketsError;
+use super::plan::FleetPlan;
+use super::protocol::{DiscoveryPlan, DiscoveryReady, Reply, Request, ServerAddresses, StandInCounts};
+use super::worker::{Command, reply};
+
+/// The machine of a stand-in.
+const MACHINE: Machine = Machine { program: "chalksill" };
+/// Hollow nodes are this one to stand-ins, all together.
+const HOLLOW: NodeNo = 0;
+/// Real nodes are this one.
+const REAL: NodeNo = 1;
+/// A port that is free.
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// A host for each kind of nodes, so that their traffic is told apart.
+struct Hosts {
+    hollow: CountingHost<Machine>,
+    real: CountingHost<Machine>,
+}
+
+impl Hosts {
+    fn new() -> Hosts {
+        let map = || ChannelMap { discovery: None, agreement_port: 0, real_nodes: Rc::new([]) };
+        Hosts { hollow: CountingHost::new(MACHINE, map()), real: CountingHost::new(MACHINE, map()) }
+    }
+
+    fn counts(&self) -> StandInCounts {
+        StandInCounts { hollow: self.hollow.counts(), real: self.real.counts() }
+    }
+
+    async fn listen(&self) -> Result<Listeners, RealSocketsError> {
+        self.listen_at(&ServerAddresses { hollow: ANY, real: ANY }).await
+    }
+
+    async fn listen_at(&self, at: &ServerAddresses) -> Result<Listeners, RealSocketsError> {
+        let cannot = |e: std::io::Error| RealSocketsError::Worker(format!("cannot listen: {e}"));
+        let hollow = self.hollow.listen(at.hollow).await.map_err(cannot)?;
+        let real = self.real.listen(at.real).await.map_err(cannot)?;
+        Ok(Listeners { hollow, real })
+    }
+}
+
+/// A listener for each kind of nodes.
+struct Listeners {
+    hollow: CountingListener<Machine>,
+    real: CountingListener<Machine>,
+}
+
+impl Listeners {
+    fn addresses(&self) -> Result<ServerAddresses, RealSocketsError> {
+        let cannot = |e: std::io::Error| RealSocketsError::Worker(e.to_string());
+        let hollow = self.hollow.local_addr().map_err(cannot)?;
+        Ok(ServerAddresses { hollow, real: self.real.local_addr().map_err(cannot)? })
+    }
+}
+
+/// Serves as all cache servers and as the origin until the process ends.
+///
+/// # Errors
+/// A socket that can't be opened.
+pub(super) async fn serve_cache_servers(
+    plan: FleetPlan,
+    mut command: Command,
+) -> Result<(), RealSocketsError> {
+    let fleet = Fleet::new(plan.world()?, plan.seed, Witness::begin());
+    let hosts = Hosts::new();
+    let origin = plan.size.cache_servers as usize;
+    let mut addresses = Vec::new();
+    for number in 0..origin {
+        let listeners = hosts.listen().await?;
+        addresses.push(listeners.addresses()?);
+        let cache = Cache::new(&fleet, number, 0, false);
+        fleet.witness.saw(Seen::BoxUp { at: number, start: 0, power: cache.power(), cold: false });
+        fleet.add(number, cache.clone());
+        spawn_local(cache.clone().serve::<CountingHost<Machine>>(listeners.hollow, |_| HOLLOW));
+        spawn_local(cache.serve::<CountingHost<Machine>>(listeners.real, |_| REAL));
+    }
+    let listeners = hosts.listen().await?;
+    addresses.push(listeners.addresses()?);
+    let all = Origin::new(&fleet, origin);
+    spawn_local(all.clone().serve::<CountingHost<Machine>>(listeners.hollow, |_| HOLLOW));
+    spawn_local(all.serve::<CountingHost<Machine>>(listeners.real, |_| REAL));
+    fleet.fill(&(0..origin).collect::<Vec<_>>());
+    reply(&Reply::CacheServersReady(addresses));
+    loop {
+        match command.next().await {
+            Request::Count => reply(&Reply::StandInCounts(hosts.counts())),
+            Request::Restart { .. } => {
+                return Err(RealSocketsError::Worker("cache servers are not restarted".into()));
+            }
+        }
+    }
+}
+
+/// Serves as discovery until the process ends.
+///
+/// # Errors
+/// A socket that can't be opened.
+pub(super) async fn serve_discovery(
+    plan: DiscoveryPlan,
+    mut command: Command,
+) -> Result<(), RealSocketsError> {
+    let fleet = Fleet::new(plan.fleet.world()?, plan.fleet.seed, Witness::begin());
+    let hosts = Hosts::new();
+    let discovery = Discovery::new(&fleet, members(&plan));
+    let listeners = hosts.listen().await?;
+    let at = listeners.addresses()?;
+    let mut serving = serve_lists(&discovery, listeners);
+    reply(&Reply::DiscoveryReady(DiscoveryReady {
+        hollow: at.hollow,
+        real: at.real,
+        known_hollow: discovery.known(HOLLOW),
+        known_real: discovery.known(REAL),
+    }));
+    spawn_local(change_list(discovery.clone(), plan.fleet.changes_per_s));
+    loop {
+        match command.next().await {
+            Request::Count => reply(&Reply::StandInCounts(hosts.counts())),
+            Request::Restart { down_ms } => {
+                serving.abort();
+                sleep(Duration::from_millis(down_ms)).await;
+                serving = serve_lists(&discovery, hosts.listen_at(&at).await?);
+                reply(&Reply::Restarted { at_ms: MACHINE.unix_time().as_millis() as u64 });
+            }
+        }
+    }
+}
+
+/// Serves the list; what is aborted by the handle takes all connections with it.
+fn serve_lists(discovery: &Rc<Discovery>, listeners: Listeners) -> AbortHandle {
+    let local = LocalSet::new();
+    local.spawn_local(discovery.clone().serve::<CountingHost<Machine>>(listeners.hollow, |_| HOLLOW));
+    local.spawn_local(discovery.clone().serve::<CountingHost<Machine>>(listeners.real, |_| REAL));
+    spawn_local(local).abort_handle()
+}
+
+fn members(plan: &DiscoveryPlan) -> BTreeMap<usize, Member> {
+    let zones = plan.fleet.size.zones_told() as usize;
+    let origin = plan.servers.len().saturating_sub(1);
+    let member = |(number, server): (usize, &ServerAddresses)| {
+        let member = Member {
+            id: format!("s-{number:04}"),
+            addresses: vec![server.hollow, server.real],
+            zone: number % zones,
+            origin: number == origin,
+            phase: Phase::Ready,
+            started: 0,
+        };
+        (number, member)
+    };
+    plan.servers.iter().enumerate().map(member).collect()
+}
+
+/// Changes an entry of the list every so often: one cache server after the other is told to drain, and is ready again with the
+/// change after it.
+async fn change_list(discovery: Rc<Discovery>, changes_per_s: f64) {
+    let servers = discovery.ready();
+    if changes_per_s <= 0.0 || servers.is_empty() {
+        return pending().await;
+    }
+    let pause = Duration::from_secs_f64(1.0 / changes_per_s);
+    let mut due = Instant::now();
+    for change in 0.. {
+        due += pause;
+        sleep_until(due).await;
+        let number = servers[change / 2 % servers.len()];
+        if let Some(mut member) = discovery.member(number) {
+            member.phase = if change % 2 == 0 { Phase::Draining } else { Phase::Ready };
+            discovery.set_after(number, member, Duration::ZERO);
+        }
+    }
+}
