--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -2,3 +2,4 @@
 //! fitted over the sizes, and the capacity page is written from the runs that were kept.
 
 pub mod record;
+pub mod scenario;
