--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod real_sockets;
 pub mod record;
+pub mod scenario;
