--- a/crates/scale/src/real_sockets.rs
+++ b/crates/scale/src/real_sockets.rs
@@ -26,11 +26,12 @@
 
 use crate::record::{FleetState, HostKind, Run, RunRecord, VERSION};
 use costs::Measured;
+use plan::{FleetPlan, Network};
 use stage::Stage;
 
 pub use bounds::{Allowed, check};
 pub use error::{Bound, BoundExceeded, RealSocketsError};
-pub use plan::{FleetPlan, Network, RealSocketsPlan, SizePlan};
+pub use plan::{RealSocketsOptions, RealSocketsPlan, SizePlan};
 pub use processes::Programs;
 pub use worker::work;
 
@@ -86,8 +87,8 @@
     if spans.iter().any(|span| !(0.0..=600.0).contains(span)) || plan.measured_s < 0.5 {
         return bad("spans are 0 to 600 s, and what is measured at least 0.5 s");
     }
-    let rates = [plan.changes_per_s, plan.load_per_real_node];
-    if rates.iter().any(|rate| !(0.0..=1000.0).contains(rate)) {
+    let mut rates = plan.sizes.iter().map(|size| size.changes_per_s).chain([plan.load_per_real_node]);
+    if rates.any(|rate| !(0.0..=1000.0).contains(&rate)) {
         return bad("rates are 0 to 1000 a second");
     }
     if plan.nodes_per_process == 0 || plan.sizes.is_empty() || plan.repetitions == 0 {
@@ -142,9 +143,10 @@
         size,
         network: Network::free(std::process::id(), number)?,
         seed,
-        changes_per_s: plan.changes_per_s,
+        agreement: plan.agreement,
         load: plan.load_per_real_node * f64::from(size.real_nodes),
     };
+    let voters = fleet.voters();
     let mut stage = Stage::start(workers, programs, plan, fleet, folder).await?;
     let (settle, span) = (Duration::from_secs_f64(plan.settle_s), Duration::from_secs_f64(plan.measured_s));
     if plan.load_per_real_node > 0.0 && size.real_nodes > 0 {
@@ -161,9 +163,9 @@
     }
     sleep((before.at + span).saturating_duration_since(Instant::now())).await;
     let after = stage.look_after().await?;
-    let measured = Measured { size, before: &before, after: &after };
+    let measured = Measured { size, voters, before: &before, after: &after };
     Ok(Run {
-        size: size.recorded(plan.changes_per_s),
+        size: size.recorded(),
         repetition,
         seed,
         measured_s: measured.seconds(),
--- a/crates/scale/src/real_sockets/costs.rs
+++ b/crates/scale/src/real_sockets/costs.rs
@@ -12,6 +12,8 @@
 pub(super) struct Measured<'a> {
     /// The size.
     pub size: SizePlan,
+    /// Voters of the agreement: the first nodes.
+    pub voters: u32,
     /// The look before.
     pub before: &'a Look,
     /// The look after.
@@ -90,7 +92,7 @@
 
     /// The agreement's leader, its other voters, and its other members; one whose leader changed has none.
     fn agreement_members(&self) -> (Vec<u32>, Vec<u32>, Vec<u32>) {
-        let voters = self.size.voters();
+        let voters = self.voters;
         if voters == 0 {
             return Default::default();
         }
--- a/crates/scale/src/real_sockets/plan.rs
+++ b/crates/scale/src/real_sockets/plan.rs
@@ -8,6 +8,7 @@
 
 use super::error::RealSocketsError;
 use crate::record::{FleetSize, FleetState};
+use crate::scenario::Scenario;
 
 /// The port on which a node listens for clients, at an address of its own.
 const CLIENT_PORT: u16 = 7945;
@@ -42,8 +43,8 @@
     pub settle_s: f64,
     /// For how long they are measured, in seconds.
     pub measured_s: f64,
-    /// Changes of discovery's list in a second.
-    pub changes_per_s: f64,
+    /// Whether nodes agree on which zones serve.
+    pub agreement: bool,
     /// Requests a second that clients send to each real node; 0 for none.
     pub load_per_real_node: f64,
     /// Hollow nodes that share a process.
@@ -53,7 +54,7 @@
 }
 
 /// One size.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SizePlan {
     /// Hollow nodes.
@@ -68,6 +69,48 @@
     pub regions: u32,
     /// Cache servers.
     pub cache_servers: u32,
+    /// Changes of discovery's list in a second.
+    pub changes_per_s: f64,
+}
+
+/// What a scenario does not say, for it is of real sockets alone.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RealSocketsOptions {
+    /// How many of the nodes of each size are real ones.
+    pub real_nodes: u32,
+    /// Hollow nodes that share a process.
+    pub nodes_per_process: u32,
+    /// For how long discovery is down where it restarts, in seconds.
+    pub discovery_down_s: f64,
+}
+
+impl RealSocketsPlan {
+    /// The plan of a scenario.
+    pub fn of_scenario(scenario: &Scenario, options: &RealSocketsOptions) -> RealSocketsPlan {
+        let real = |size: &FleetSize| options.real_nodes.min(size.nodes);
+        let plan = |size: &FleetSize| SizePlan {
+            hollow_nodes: size.nodes - real(size),
+            real_nodes: real(size),
+            sites: size.sites,
+            zones: size.zones,
+            regions: size.regions,
+            cache_servers: size.cache_servers,
+            changes_per_s: size.changes_per_s,
+        };
+        RealSocketsPlan {
+            name: scenario.name.clone(),
+            state: scenario.state,
+            sizes: scenario.sizes.iter().map(plan).collect(),
+            repetitions: scenario.repetitions,
+            seed: scenario.seed,
+            settle_s: scenario.warm_up.as_secs_f64(),
+            measured_s: scenario.measured.as_secs_f64(),
+            agreement: scenario.agreement,
+            load_per_real_node: scenario.load.per_s / f64::from(options.real_nodes.max(1)),
+            nodes_per_process: options.nodes_per_process,
+            discovery_down_s: options.discovery_down_s,
+        }
+    }
 }
 
 impl SizePlan {
@@ -81,28 +124,20 @@
         self.zones.clamp(1, MOST_ZONES)
     }
 
-    /// Voters of the agreement: an odd number of hollow nodes, so that all they say is counted; none where there is nothing to
-    /// agree on.
-    pub fn voters(&self) -> u32 {
-        let most = self.hollow_nodes.min(MOST_VOTERS);
-        let odd = most - u32::from(most.is_multiple_of(2) && most > 0);
-        if self.zones_told() < 2 { 0 } else { odd }
-    }
-
     /// Processes of hollow nodes.
     pub fn hollow_processes(&self, nodes_per_process: u32) -> u32 {
         self.hollow_nodes.div_ceil(nodes_per_process.max(1))
     }
 
     /// The size as the record has it.
-    pub fn recorded(&self, changes_per_s: f64) -> FleetSize {
+    pub fn recorded(&self) -> FleetSize {
         FleetSize {
             nodes: self.nodes(),
             sites: self.sites,
             zones: self.zones_told(),
             regions: self.regions.clamp(1, self.zones_told()),
             cache_servers: self.cache_servers,
-            changes_per_s,
+            changes_per_s: self.changes_per_s,
         }
     }
 }
@@ -155,13 +190,21 @@
     pub network: Network,
     /// Its seed.
     pub seed: u64,
-    /// Changes of discovery's list in a second.
-    pub changes_per_s: f64,
+    /// Whether nodes agree on which zones serve.
+    pub agreement: bool,
     /// Requests a second over all real nodes.
     pub load: f64,
 }
 
 impl FleetPlan {
+    /// Voters of the agreement: the first nodes, an odd number of hollow ones, so that all they say is counted; none where there is
+    /// nothing to agree on.
+    pub fn voters(&self) -> u32 {
+        let most = self.size.hollow_nodes.min(MOST_VOTERS);
+        let odd = most - u32::from(most.is_multiple_of(2) && most > 0);
+        if self.agreement && self.size.zones_told() > 1 { odd } else { 0 }
+    }
+
     /// The world of the stand-ins, and of the settings that nodes are told.
     ///
     /// # Errors
@@ -217,7 +260,7 @@
     /// # Errors
     /// A text that is no TOML.
     pub fn operator(&self, node: u32) -> Result<String, RealSocketsError> {
-        let voters = self.size.voters();
+        let voters = self.voters();
         if voters == 0 {
             return Ok(String::new());
         }
--- a/crates/scale/src/real_sockets/stage.rs
+++ b/crates/scale/src/real_sockets/stage.rs
@@ -157,7 +157,7 @@
     /// # Errors
     /// None in time.
     pub async fn agreed(&mut self) -> Result<(), RealSocketsError> {
-        if self.plan.size.voters() == 0 {
+        if self.plan.voters() == 0 {
             return Ok(());
         }
         let until = Instant::now() + LEADER;
--- a/crates/scale/src/real_sockets/stand_ins.rs
+++ b/crates/scale/src/real_sockets/stand_ins.rs
@@ -130,7 +130,7 @@
         known_hollow: discovery.known(HOLLOW),
         known_real: discovery.known(REAL),
     }));
-    spawn_local(change_list(discovery.clone(), plan.fleet.changes_per_s));
+    spawn_local(change_list(discovery.clone(), plan.fleet.size.changes_per_s));
     loop {
         match command.next().await {
             Request::Count => reply(&Reply::StandInCounts(hosts.counts())),
--- a/crates/scale/tests/real_sockets.rs
+++ b/crates/scale/tests/real_sockets.rs
@@ -31,12 +31,13 @@
             zones: 2,
             regions: 1,
             cache_servers: 3,
+            changes_per_s: 2.0,
         }],
         repetitions: 1,
         seed: 1,
         settle_s: 0.2,
         measured_s,
-        changes_per_s: 2.0,
+        agreement: true,
         load_per_real_node: 5.0,
         nodes_per_process: 2,
         discovery_down_s: 0.5,
@@ -89,7 +90,7 @@
     let begin = Instant::now();
     let (output, record, left) = play(plan);
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
-    assert_eq!(left, [], "processes are left");
+    assert!(left.is_empty(), "processes are left: {left:?}");
     assert!(begin.elapsed() < HUNG, "it did not end by its own time");
     let mut record = record.expect("a record");
     assert_eq!(record.runs.len(), 1);
@@ -185,7 +186,8 @@
     until("all processes run", || processes(command, &long.name).len() == 7);
     kill(Pid::from_raw(command as i32), Signal::SIGINT).unwrap();
     let output = started.child.wait_with_output().unwrap();
-    assert_eq!(processes(command, &long.name), [], "processes are left");
+    let left = processes(command, &long.name);
+    assert!(left.is_empty(), "processes are left: {left:?}");
     assert_eq!(output.status.code(), Some(2));
     let said = String::from_utf8_lossy(&output.stderr);
     assert!(said.contains("interrupted; all that was started has ended"), "{said}");
