--- a/crates/node/src/accord.rs
+++ b/crates/node/src/accord.rs
@@ -4,6 +4,7 @@
 use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use brassrouter::Pool;
@@ -47,7 +48,7 @@
     socket: Rc<OnceCell<H::Datagrams>>,
     takes_part: bool,
     inbox: AbortHandle,
-    members: Vec<SocketAddr>,
+    members: Arc<[SocketAddr]>,
     me: MemberId,
     figures: mothpier_plan::Figures,
     zones: Vec<String>,
@@ -79,7 +80,7 @@
     host: H,
     listen: SocketAddr,
     socket: Rc<OnceCell<H::Datagrams>>,
-    members: Vec<SocketAddr>,
+    members: Arc<[SocketAddr]>,
     events: mpsc::Sender<Input>,
 ) {
     while socket.get().is_none() {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,7 @@
 //! What the node is told at its start: the environment and the JSON file that it names.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use brassrouter::settings::{self, Site};
 use serde::Deserialize;
@@ -31,8 +32,8 @@
     pub ops: Option<SocketAddr>,
     /// Where messages of other nodes come in.
     pub peer_listen: Option<SocketAddr>,
-    /// The tier's nodes by their numbers.
-    pub peers: Vec<SocketAddr>,
+    /// The tier's nodes by their numbers; shared, since simulations run thousands of nodes in one process.
+    pub peers: Arc<[SocketAddr]>,
     /// The address that reaches all of them.
     pub peers_all: Option<SocketAddr>,
     /// The list of servers as it was last held.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -398,6 +398,7 @@
             Input::Discovery(Heard::List(list)) => {
                 self.parts.desk.lifecycle.step(Step::Ready);
                 self.counters.lists += 1;
+                self.parts.desk.figures.list_taken(list.revision);
                 self.listed = Some(Instant::now());
                 let kind = if list.complete { ListKind::Full } else { ListKind::Delta };
                 self.list(list, kind);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 /// What the operator has switched on.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
@@ -35,11 +36,17 @@
     /// Where this node hears the others.
     pub listen: Option<SocketAddr>,
     /// Where this node finds each node, by its number, and from where it hears it.
-    pub members: Vec<SocketAddr>,
+    #[serde(deserialize_with = "shared")]
+    pub members: Arc<[SocketAddr]>,
     /// Figures of the plan.
     pub plan: mothpier_plan::Figures,
 }
 
+/// Addresses that many nodes of one process may share.
+fn shared<'a, D: serde::Deserializer<'a>>(from: D) -> Result<Arc<[SocketAddr]>, D::Error> {
+    Vec::deserialize(from).map(Arc::from)
+}
+
 impl Accord {
     fn check(&self) -> Result<(), (String, String)> {
         self.plan.check().map_err(|(key, what)| (format!("plan.{key}"), what))?;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -4,6 +4,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use mothpier_host::{Datagrams, Host};
@@ -26,7 +27,7 @@
     socket: Rc<RefCell<Option<Rc<H::Datagrams>>>>,
     inbox: AbortHandle,
     /// By their numbers.
-    addresses: Vec<SocketAddr>,
+    addresses: Arc<[SocketAddr]>,
     all: Option<SocketAddr>,
 }
 
@@ -37,7 +38,7 @@
         host: H,
         listen: SocketAddr,
         shared: bool,
-        addresses: Vec<SocketAddr>,
+        addresses: Arc<[SocketAddr]>,
         all: Option<SocketAddr>,
         events: mpsc::Sender<Input>,
     ) -> std::io::Result<Self> {
--- a/crates/ops/src/figures.rs
+++ b/crates/ops/src/figures.rs
@@ -34,6 +34,7 @@
     pub(crate) origin_out: AtomicU64,
     pub(crate) origin_most: AtomicU64,
     pub(crate) list_age_ms: AtomicU64,
+    list_revision: AtomicU64,
     pub(crate) list_calls_failed: AtomicU64,
     pub(crate) connects: AtomicU64,
     pub(crate) connects_refused: AtomicU64,
@@ -66,6 +67,7 @@
             origin_out: AtomicU64::new(0),
             origin_most: AtomicU64::new(0),
             list_age_ms: AtomicU64::new(0),
+            list_revision: AtomicU64::new(0),
             list_calls_failed: AtomicU64::new(0),
             connects: AtomicU64::new(0),
             connects_refused: AtomicU64::new(0),
@@ -88,6 +90,21 @@
         self.list_calls_failed.fetch_add(1, Relaxed);
     }
 
+    /// A list of discovery, of this revision, was taken in.
+    pub fn list_taken(&self, revision: u64) {
+        self.list_revision.store(revision, Relaxed);
+    }
+
+    /// The revision of the list that was taken in last; 0 before any.
+    pub fn list_revision(&self) -> u64 {
+        self.list_revision.load(Relaxed)
+    }
+
+    /// As many calls as the node may have out at the origin, as it last told.
+    pub fn origin_most(&self) -> u64 {
+        self.origin_most.load(Relaxed)
+    }
+
     /// A connection to a cache server was begun.
     pub fn connect(&self) {
         self.connects.fetch_add(1, Relaxed);
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -3,3 +3,5 @@
 
 pub mod record;
 pub mod scenario;
+pub mod usage;
+pub mod virtual_clock;
--- /dev/null
+++ b/crates/scale/tests/virtual_clock.rs
@@ -0,0 +1,101 @@
+//! Runs of small fleets under the virtual clock: the same counters from the same seed, figures that can be, and bounds.
+
+use chalksill_scale::record::{Change, FleetSum, Limit, Role, RoleCost, Run};
+use chalksill_scale::scenario::Scenario;
+use chalksill_scale::virtual_clock;
+
+const TINY: &str = r#"name = "tiny"
+host = "virtual-clock"
+measured_s = 5
+warm_up_s = 3
+
+[[size]]
+nodes = 3
+cache_servers = 4
+changes_per_s = 1
+sites = 3
+zones = 2
+regions = 2
+"#;
+
+fn scenario(head: &str, tail: &str) -> Scenario {
+    Scenario::read(&format!("{head}\n{}{tail}", TINY)).unwrap()
+}
+
+fn run(scenario: &Scenario, repetition: u32) -> Run {
+    virtual_clock::run(scenario, scenario.sizes[0], repetition).unwrap()
+}
+
+/// A run without what the machine decides: time and memory.
+fn counters(run: Run) -> Run {
+    let counted =
+        |cost: RoleCost| RoleCost { resident_bytes: None, user_cpu: None, system_cpu: None, ..cost };
+    let roles = run.roles.into_iter().map(|(role, cost)| (role, counted(cost))).collect();
+    Run { roles, wall_s: 0.0, ..run }
+}
+
+fn sum(run: &Run, limit: Limit) -> &FleetSum {
+    run.sums.iter().find(|sum| sum.limit == limit).unwrap()
+}
+
+#[test]
+fn a_tiny_fleet_is_counted_and_the_same_seed_counts_the_same() {
+    let scenario = scenario("agreement = true", "");
+    let first = run(&scenario, 0);
+    let node = &first.roles[&Role::HollowNode];
+    assert_eq!(node.members, 3);
+    for figure in [
+        node.messages_in_per_s,
+        node.messages_out_per_s,
+        node.bytes_in_per_s,
+        node.bytes_out_per_s,
+        first.roles[&Role::Discovery].bytes_out_per_s,
+        first.roles[&Role::AgreementLeader].messages_out_per_s,
+    ] {
+        assert!(figure > 0.0, "{first:?}");
+    }
+    let acted = first.spreads.iter().map(|spread| (spread.change, spread.acted, spread.expected));
+    assert_eq!(acted.collect::<Vec<_>>(), [(Change::List, 3, 3), (Change::Plan, 3, 3)]);
+    assert_eq!(counters(first), counters(run(&scenario, 0)));
+}
+
+#[test]
+fn another_seed_counts_otherwise() {
+    let scenario = scenario("agreement = true", "");
+    assert_ne!(counters(run(&scenario, 0)).roles, counters(run(&scenario, 1)).roles);
+}
+
+#[test]
+fn few_nodes_keep_the_limits_of_calls_at_the_origin_under_a_load_of_misses() {
+    let run = run(&scenario("", "[load]\nper_s = 400\nmisses = 1.0\n"), 0);
+    let out = sum(&run, Limit::OriginOutstanding);
+    assert!(out.peak > 0.0 && out.peak <= out.bound, "{out:?}");
+    assert!(out.allowed > 0.0 && out.allowed <= out.bound, "{out:?}");
+    let window = sum(&run, Limit::OriginWindow);
+    assert!(window.peak > 0.0 && window.peak <= window.bound, "{window:?}");
+    assert_eq!(run.roles[&Role::HollowNode].user_cpu, None);
+}
+
+#[test]
+fn all_watches_come_back_after_a_restart_of_discovery() {
+    let run = run(&scenario("state = \"discovery-restart\"", ""), 0);
+    let spread = &run.spreads[0];
+    assert_eq!((spread.change, spread.acted), (Change::List, 3));
+    assert_eq!(run.roles[&Role::Discovery].connections, 3.0);
+}
+
+#[test]
+fn regions_that_are_apart_hear_less_of_each_other() {
+    let calm = run(&scenario("agreement = true", ""), 0);
+    let apart = run(&scenario("agreement = true\nstate = \"regions-apart\"", ""), 0);
+    let heard = |run: &Run| run.roles[&Role::HollowNode].messages_in_per_s;
+    assert!(heard(&apart) < heard(&calm), "{} and {}", heard(&apart), heard(&calm));
+}
+
+#[test]
+fn what_needs_more_memory_than_the_bound_is_refused_with_the_expected_figure() {
+    let scenario = scenario("", "[bounds]\nmemory_part = 0.01\n");
+    let told = virtual_clock::check(&scenario, 1_000_000_000).unwrap_err();
+    assert!(told.contains("3 nodes with 4 cache servers are expected to need 0.1 GB"), "{told}");
+    virtual_clock::check(&scenario, 24_000_000_000).unwrap();
+}
--- a/crates/simnet/src/lib.rs
+++ b/crates/simnet/src/lib.rs
@@ -15,12 +15,14 @@
 
 mod net;
 mod socket;
+mod tally;
 
 use std::future::Future;
 use std::time::Duration;
 
 pub use net::{Links, Net, ProcessId};
 pub use socket::{SimDatagrams, SimHost, SimListener, SimReading, SimStream};
+pub use tally::{Traffic, Way};
 
 /// Runs a world to its end on a virtual clock: time passes only when everything waits.
 ///
--- a/crates/simnet/src/net.rs
+++ b/crates/simnet/src/net.rs
@@ -18,6 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::socket::SimHost;
+use crate::tally::{Tally, Traffic, Way};
 use crate::{BACKLOG, DATAGRAMS, LONG};
 
 /// Names one run of a program on a machine.
@@ -162,6 +163,8 @@
     machines: BTreeMap<IpAddr, Machine>,
     /// Directed pairs between which nothing passes now.
     cuts: BTreeSet<(IpAddr, IpAddr)>,
+    /// Directed pairs of zones, likewise.
+    zone_cuts: BTreeSet<(u8, u8)>,
     /// TCP packets that wait for their link.
     held: VecDeque<(IpAddr, IpAddr, Packet)>,
     queue: BinaryHeap<Reverse<Due>>,
@@ -178,6 +181,8 @@
     pub sockets: BTreeMap<ProcessId, usize>,
     digest: u64,
     packets: u64,
+    /// Only where somebody asked for it.
+    tally: Option<Tally>,
     /// Who waits for so many packets.
     awaited: Vec<(u64, Rc<Notify>)>,
     log: Option<LogSink>,
@@ -195,6 +200,7 @@
             unix,
             machines: BTreeMap::new(),
             cuts: BTreeSet::new(),
+            zone_cuts: BTreeSet::new(),
             held: VecDeque::new(),
             queue: BinaryHeap::new(),
             number: 0,
@@ -209,6 +215,7 @@
             sockets: BTreeMap::new(),
             digest: seed,
             packets: 0,
+            tally: None,
             awaited: Vec::new(),
             log: None,
         };
@@ -274,6 +281,41 @@
         self.earlier.notify_one();
     }
 
+    /// Cuts all links between two groups of zones, in both directions.
+    pub fn cut_zones(&self, left: &[u8], right: &[u8]) {
+        self.state.borrow_mut().zone_cuts.extend(both_ways(left, right));
+    }
+
+    /// Mends all links between two groups of zones; what waited for them goes on.
+    pub fn mend_zones(&self, left: &[u8], right: &[u8]) {
+        let mut s = self.state.borrow_mut();
+        both_ways(left, right).for_each(|pair| {
+            s.zone_cuts.remove(&pair);
+        });
+        s.release();
+        drop(s);
+        self.earlier.notify_one();
+    }
+
+    /// Counts traffic from now on, from 0. Without this call none is counted.
+    pub fn begin_tally(&self) {
+        self.state.borrow_mut().tally = Some(Tally::default());
+    }
+
+    /// The traffic of a machine on one way since the tally began; none without a tally.
+    pub fn traffic(&self, ip: IpAddr, way: Way) -> Traffic {
+        self.state.borrow().tally.as_ref().map(|tally| tally.traffic(ip, way)).unwrap_or_default()
+    }
+
+    /// Connections that are up or on their way up, by the address that they were made to.
+    pub fn connections(&self) -> BTreeMap<SocketAddr, usize> {
+        let mut counts = BTreeMap::new();
+        for connection in self.state.borrow().conns.values().filter(|c| c.phase != Phase::Refused) {
+            *counts.entry(connection.ends[1].address).or_default() += 1;
+        }
+        counts
+    }
+
     /// Changes the part of the datagrams that is lost, 0 to 1.
     pub fn lose_datagrams(&self, part: f64) {
         self.state.borrow_mut().links.lost = part;
@@ -346,6 +388,7 @@
 
     pub(crate) fn send(&self, from: IpAddr, to: IpAddr, packet: Packet) {
         let mut s = self.state.borrow_mut();
+        s.tally_sent(&packet);
         if s.send(from, to, packet) {
             self.earlier.notify_one();
         }
@@ -419,7 +462,7 @@
     /// Puts a packet on its way; whether the wire must look at its queue again.
     pub fn send(&mut self, from: IpAddr, to: IpAddr, packet: Packet) -> bool {
         let silent = |ip: &IpAddr| self.machines.get(ip).is_none_or(|m| m.silent);
-        if silent(&from) || silent(&to) || self.cuts.contains(&(from, to)) {
+        if silent(&from) || silent(&to) || self.cuts.contains(&(from, to)) || self.zones_cut(&from, &to) {
             if !matches!(packet, Packet::Datagram { .. }) {
                 self.held.push_back((from, to, packet));
             }
@@ -455,6 +498,33 @@
         earlier
     }
 
+    fn zones_cut(&self, from: &IpAddr, to: &IpAddr) -> bool {
+        let zone = |ip| self.machines.get(ip).map(|machine| machine.zone);
+        let pair = zone(from).zip(zone(to));
+        !self.zone_cuts.is_empty() && pair.is_some_and(|pair| self.zone_cuts.contains(&pair))
+    }
+
+    /// The way of a connection's side.
+    fn way(ends: &[End; 2], side: usize) -> Way {
+        let port = ends[1].address.port();
+        if side == 0 { Way::Opened(port) } else { Way::Accepted(port) }
+    }
+
+    fn tally_sent(&mut self, packet: &Packet) {
+        let Some(tally) = &mut self.tally else { return };
+        match packet {
+            Packet::Data(id, to, bytes) => {
+                let Some(connection) = self.conns.get(id) else { return };
+                let from = connection.ends[1 - to].address.ip();
+                tally.sent(from, Self::way(&connection.ends, 1 - to), bytes.len());
+            }
+            Packet::Datagram { from, to, bytes } => {
+                tally.sent(from.ip(), Way::Datagrams(to.port()), bytes.len());
+            }
+            _ => {}
+        }
+    }
+
     /// What waited for a link that is there again goes on, in its order.
     fn release(&mut self) {
         for (from, to, packet) in std::mem::take(&mut self.held) {
@@ -538,6 +608,9 @@
                 } else if end.error.is_none() {
                     end.inbox.extend_from_slice(&bytes);
                     wake(&mut end.reader);
+                    if let Some(tally) = &mut self.tally {
+                        tally.received(c.ends[side].address.ip(), Self::way(&c.ends, side), bytes.len());
+                    }
                 }
             }
             Packet::Fin(id, side) => {
@@ -555,6 +628,9 @@
             Packet::Datagram { from, to, bytes } => {
                 self.mix(at, 7, 0, &bytes);
                 if let Some(m) = self.mailboxes.get_mut(&to).filter(|m| m.queue.len() < DATAGRAMS) {
+                    if let Some(tally) = &mut self.tally {
+                        tally.received(to.ip(), Way::Datagrams(to.port()), bytes.len());
+                    }
                     m.queue.push_back((from, bytes));
                     wake(&mut m.waker);
                 }
@@ -612,6 +688,11 @@
     }
 }
 
+/// All directed pairs between two groups of zones.
+fn both_ways(left: &[u8], right: &[u8]) -> impl Iterator<Item = (u8, u8)> {
+    left.iter().flat_map(move |l| right.iter().flat_map(move |r| [(*l, *r), (*r, *l)]))
+}
+
 pub(crate) fn wake(waker: &mut Option<Waker>) {
     if let Some(w) = waker.take() {
         w.wake();
