--- a/crates/chalksill/src/main.rs
+++ b/crates/chalksill/src/main.rs
@@ -7,7 +7,6 @@
 mod plot;
 mod record;
 mod scale;
-mod scale_real;
 mod sim;
 mod trial;
 mod world;
@@ -47,7 +46,7 @@
     /// Trials of real nodes: several processes, faults on the ways between them and on themselves
     #[command(subcommand)]
     Trial(trial::Trial),
-    /// What a fleet's control code costs by size
+    /// What the control of a fleet costs by its size
     #[command(subcommand)]
     Scale(scale::Scale),
 }
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,3 +4,5 @@
 pub mod real_sockets;
 pub mod record;
 pub mod scenario;
+pub mod usage;
+pub mod virtual_clock;
--- a/crates/scale/src/real_sockets.rs
+++ b/crates/scale/src/real_sockets.rs
@@ -70,7 +70,7 @@
         scenario: plan.name.clone(),
         host: HostKind::RealSockets,
         state: plan.state,
-        machine: usage::machine()?,
+        machine: crate::usage::machine(),
         commit: commit.into(),
         date: date.chars().take_while(|c| *c != 'T').collect(),
         runs,
--- a/crates/scale/src/real_sockets/usage.rs
+++ b/crates/scale/src/real_sockets/usage.rs
@@ -1,10 +1,8 @@
-//! What the kernel tells of processes and of the machine.
+//! What the kernel tells of a run's processes.
 
 use procfs::process::Process;
-use procfs::{CpuInfo, Current, Meminfo};
 
 use super::error::RealSocketsError;
-use crate::record::Machine;
 
 /// What a process uses.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -50,18 +48,3 @@
         (spent * self.user_part, spent * (1.0 - self.user_part))
     }
 }
-
-/// This machine.
-///
-/// # Errors
-/// A kernel that does not tell.
-pub fn machine() -> Result<Machine, RealSocketsError> {
-    let read = || {
-        let processors = CpuInfo::current()?;
-        let name = processors.model_name(0).unwrap_or("unknown").to_owned();
-        Ok((processors.num_cores(), Meminfo::current()?.mem_total, name))
-    };
-    let told: Result<_, procfs::ProcError> = read();
-    let (cores, memory_bytes, processor) = told.map_err(|e| RealSocketsError::Usage(e.to_string()))?;
-    Ok(Machine { cores: cores as u32, memory_bytes, processor })
-}
