--- a/crates/scale/src/real_sockets/processes.rs
+++ b/crates/scale/src/real_sockets/processes.rs
@@ -84,10 +84,9 @@
         let mut bytes = serde_json::to_vec(line).map_err(|e| bad(e.to_string()))?;
         bytes.push(b'\n');
         let written = timeout(ANSWER, self.input.write_all(&bytes)).await;
-        written.map_err(|_| RealSocketsError::Deadline("a worker's reading of a request"))?.or_else(|_| {
-            // It has ended: what it said before tells why.
-            Ok(())
-        })
+        // One that can't be written to has ended: what it said before tells why, and is read next.
+        let _ = written.map_err(|_| RealSocketsError::Deadline("a worker's reading of a request"))?;
+        Ok(())
     }
 
     async fn read(&mut self, within: Duration) -> Result<Reply, RealSocketsError> {
