--- a/crates/scale/src/virtual_clock.rs
+++ b/crates/scale/src/virtual_clock.rs
@@ -9,7 +9,7 @@
 mod fleet;
 mod layout;
 mod origin_sums;
-pub mod settings;
+mod settings;
 mod spread;
 mod states;
 
--- a/crates/scale/src/virtual_clock/costs.rs
+++ b/crates/scale/src/virtual_clock/costs.rs
@@ -2,7 +2,7 @@
 //! process used.
 
 use std::collections::BTreeMap;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use chalksill_simnet::{Traffic, Way};
@@ -28,7 +28,7 @@
         let all = fleet.net.connections();
         let discovery = all.get(&layout::DISCOVERY).copied().unwrap_or(0);
         let servers = 0..fleet.origin();
-        let addresses = servers.map(|n| std::net::SocketAddr::new(layout::cache_ip(n), layout::DATA_PORT));
+        let addresses = servers.map(|n| SocketAddr::new(layout::cache_ip(n), layout::DATA_PORT));
         let cache_servers = addresses.filter_map(|at| all.get(&at)).sum();
         self.discovery = self.discovery.max(discovery);
         self.cache_servers = self.cache_servers.max(cache_servers);
--- a/crates/scale/src/virtual_clock/settings.rs
+++ b/crates/scale/src/virtual_clock/settings.rs
@@ -1,6 +1,6 @@
 //! What the stand-ins and the nodes of a simulated fleet are told: the world's scenario, and each node's configuration.
 
-use std::sync::Arc;
+use std::net::SocketAddr;
 
 use chalksill_world::agreement;
 use chalksill_world::discovery::Discovery;
@@ -132,7 +132,7 @@
     pub fn new(world: &World, layout: Layout, discovery: &Discovery) -> Result<Configurations, String> {
         let nodes = world.nodes.count;
         let peers: Vec<_> = (0..nodes).map(layout::peer_address).collect();
-        let listen = std::net::SocketAddr::new(layout::node_ip(0), layout::DATA_PORT);
+        let listen = SocketAddr::new(layout::node_ip(0), layout::DATA_PORT);
         let staff = Some(layout::staff_address(0));
         let addresses = Addresses { listen, discovery: layout::DISCOVERY, peers: &peers, staff };
         let text = configuration(world, 0, &addresses, 0, discovery.known(0));
@@ -149,7 +149,6 @@
         config.name = format!("n{node}");
         config.listen.set_ip(layout::node_ip(node));
         config.seed = seed;
-        config.peers = Arc::clone(&self.first.peers);
         config.peer_listen = Some(layout::peer_address(node));
         config.ops = Some(layout::staff_address(node));
         config.site.decisions.me = node as u32;
@@ -161,6 +160,6 @@
     }
 }
 
-fn agreement_address(node: usize) -> std::net::SocketAddr {
-    std::net::SocketAddr::new(layout::node_ip(node), agreement::PORT)
+fn agreement_address(node: usize) -> SocketAddr {
+    SocketAddr::new(layout::node_ip(node), agreement::PORT)
 }
--- a/crates/scale/src/virtual_clock/spread.rs
+++ b/crates/scale/src/virtual_clock/spread.rs
@@ -101,7 +101,7 @@
     let order = Control::Order(Wish { zone, how: How::Out, span: ORDER.as_millis() as u64 });
     fleet.each_node(|number, node| {
         if number == 0 {
-            let _ = node.control.try_send(order.clone());
+            let _ = node.control.try_send(order);
         }
     });
     while begin.elapsed() < LONGEST && log.acted().len() < fleet.size.nodes as usize {
