--- a/crates/scale/src/virtual_clock/costs.rs
+++ b/crates/scale/src/virtual_clock/costs.rs
@@ -2,7 +2,7 @@
 //! process used.
 
 use std::collections::BTreeMap;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use chalksill_simnet::{Traffic, Way};
@@ -28,7 +28,7 @@
         let all = fleet.net.connections();
         let discovery = all.get(&layout::DISCOVERY).copied().unwrap_or(0);
         let servers = 0..fleet.origin();
-        let addresses = servers.map(|n| std::net::SocketAddr::new(layout::cache_ip(n), layout::DATA_PORT));
+        let addresses = servers.map(|n| SocketAddr::new(layout::cache_ip(n), layout::DATA_PORT));
         let cache_servers = addresses.filter_map(|at| all.get(&at)).sum();
         self.discovery = self.discovery.max(discovery);
         self.cache_servers = self.cache_servers.max(cache_servers);
@@ -87,7 +87,8 @@
         cost.user_cpu = Some(each(measured.processor.user.as_secs_f64() / span));
         cost.system_cpu = Some(each(measured.processor.system.as_secs_f64() / span));
     }
-    cost.connections = each((measured.connections.discovery + measured.connections.cache_servers) as f64);
+    let to_servers = if measured.hollow { measured.connections.cache_servers } else { 0 };
+    cost.connections = each((measured.connections.discovery + to_servers) as f64);
     cost
 }
 
