Scale: least squares of four models, chosen by the error at the held-out largest size

A cost by size needs a model before anything is said of 6,600 nodes. Constant, linear, n log n and quadratic are fitted without the largest size; the one that predicts it best is chosen, and what is off by more than a quarter there is called not understood. Own least squares of two coefficients: the kept crates for it bring a whole linear algebra along.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -1,4 +1,6 @@
 //! Scale runs: the control code of many nodes is run at several sizes, what each role costs is measured, a model is
 //! fitted over the sizes, and the capacity page is written from the runs that were kept.
 
+pub mod fit;
+pub mod models;
 pub mod record;
