--- a/crates/chalksill/src/main.rs
+++ b/crates/chalksill/src/main.rs
@@ -6,6 +6,7 @@
 mod places;
 mod plot;
 mod record;
+mod scale;
 mod sim;
 mod trial;
 mod world;
@@ -45,6 +46,9 @@
     /// Trials of real nodes: several processes, faults on the ways between them and on themselves
     #[command(subcommand)]
     Trial(trial::Trial),
+    /// What control costs by the size of a fleet: runs, fits over sizes, and the capacity page
+    #[command(subcommand)]
+    Scale(scale::Scale),
 }
 
 /// How a command ended that did not fail.
@@ -63,6 +67,7 @@
         Command::Record(record) => record::execute(record),
         Command::Places(places) => places::execute(places),
         Command::Trial(trial) => trial::execute(trial),
+        Command::Scale(scale) => scale::execute(scale),
     };
     match done {
         Ok(Verdict::Good) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/chalksill/src/scale/mod.rs
@@ -0,0 +1,25 @@
+//! `chalksill scale`: what control costs by the size of a fleet.
+
+mod fit;
+mod page;
+
+use clap::Subcommand;
+
+use crate::Verdict;
+
+/// The subcommands.
+#[derive(Subcommand)]
+pub enum Scale {
+    /// Fits models to the runs of one kind, and says what they tell of the target
+    Fit(fit::Fit),
+    /// Writes the tables of the capacity page from the runs that are kept, or checks them
+    Page(page::Page),
+}
+
+/// Carries a subcommand out.
+pub fn execute(scale: Scale) -> Result<Verdict, String> {
+    match scale {
+        Scale::Fit(fit) => fit::execute(&fit),
+        Scale::Page(page) => page::execute(&page),
+    }
+}
