--- a/crates/scale/src/arithmetic.rs
+++ b/crates/scale/src/arithmetic.rs
@@ -279,6 +279,11 @@
     fleet.settings_per_day / DAY_S * fleet.nodes
 }
 
+/// Seconds between two changes of settings.
+pub fn settings_every_s(fleet: &Target) -> f64 {
+    DAY_S / fleet.settings_per_day
+}
+
 /// Changes of settings that are under way at a time where each takes all of its time.
 pub fn settings_under_way(fleet: &Target) -> f64 {
     fleet.settings_per_day / DAY_S * fleet.settings_within_s
@@ -586,6 +591,13 @@
     ),
     row("origin's allowance", "calls/s that nodes' tallies add up to", origin_rate, None, GATE),
     row("settings", "messages/s, one to each node for each change", settings_messages, None, NONE),
+    row(
+        "settings",
+        "seconds between two changes, each a restart of every node",
+        settings_every_s,
+        None,
+        "`mothpier::handover`",
+    ),
     row("settings", "changes under way at a time", settings_under_way, None, NONE),
     row("purges", "messages/s, one to each cache server for each purge", purge_messages, None, NONE),
     row("purges", "purges under way at a time", purges_under_way, None, NONE),
--- a/crates/scale/tests/arithmetic.rs
+++ b/crates/scale/tests/arithmetic.rs
@@ -41,6 +41,7 @@
     close("purges under way", arithmetic::purges_under_way, 92.5);
     close("settings", arithmetic::settings_messages, 2_291.7);
     close("settings under way", arithmetic::settings_under_way, 5.903);
+    close("between changes of settings", arithmetic::settings_every_s, 2.88);
     close("between peers", arithmetic::peer_bytes, 16_384.0);
     close("peers heard", arithmetic::peers_heard, 32.0);
     close("between restarts", arithmetic::restart_every_s, 94.95);
