--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod record;
 pub mod records;
 pub mod report;
+pub mod scenario;
 pub mod series;
 pub mod target;
 pub mod text;
