--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -289,9 +289,9 @@
     for kept in kept {
         for fitted in kept.fits.iter().filter(|fitted| fitted.series.key.axis == Axis::Nodes) {
             let Some(bound) = fitted.bound() else { continue };
-            let (nodes, from) = match (fitted.measured_beyond(), fitted.fitted_beyond()) {
-                (Some((nodes, value)), _) => (nodes, format!("measured: {} there", figure(value))),
-                (None, Some(nodes)) => (nodes, "the slope".into()),
+            let (nodes, most, from) = match (fitted.measured_beyond(), fitted.fitted_beyond()) {
+                (Some(m), _) => (m.size, m.bound, format!("measured: {} there", figure(m.value))),
+                (None, Some(nodes)) => (nodes, bound.most, "the slope".into()),
                 (None, None) => continue,
             };
             let key = &fitted.series.key;
@@ -300,7 +300,7 @@
                 nodes,
                 at: figure_whole(nodes),
                 whose: format!("{} ({})", key.subject, kept.kind),
-                what: format!("{} over {}", key.quantity, figure(bound.most)),
+                what: format!("{} over {}", key.quantity, figure(most)),
                 from,
             });
         }
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use crate::arithmetic::{BoundKind, list_changes};
-use crate::fit::{Fit, NoFit, Verdict, by_size, fit};
+use crate::fit::{Fit, NoFit, SizeValues, Verdict, by_size, fit};
 use crate::record::{Change, Role, Run};
 use crate::series::{self, Axis, Quantity, Series, Subject};
 use crate::target::TARGET;
@@ -27,6 +27,17 @@
     pub kind: BoundKind,
 }
 
+/// A size that was measured beyond its bound.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MeasuredBeyond {
+    /// The size.
+    pub size: f64,
+    /// The mean there.
+    pub value: f64,
+    /// The bound there.
+    pub bound: f64,
+}
+
 /// Fits each series of runs of one kind.
 pub fn fit_all(runs: &[&Run]) -> Vec<Fitted> {
     let fitted = |series: Series| Fitted { outcome: fit(&series.points), series };
@@ -43,12 +54,16 @@
 }
 
 impl Fitted {
-    /// What the series may be at the most. Members of the agreement are nodes, for the operator's file takes no others, and have a node's
+    /// What the series may be at the most at the largest size. Members of the agreement are nodes, for the operator's file takes no others, and have a node's
     /// budget.
     pub fn bound(&self) -> Option<SeriesBound> {
+        self.bound_at(f64::INFINITY)
+    }
+
+    fn bound_at(&self, size: f64) -> Option<SeriesBound> {
         let budget = TARGET.budget;
         let (most, kind) = match (self.series.key.subject, self.series.key.quantity) {
-            (Subject::Sum(_), _) => (self.series.bound?, BoundKind::Design),
+            (Subject::Sum(_), _) => (self.series.bound_at(size)?, BoundKind::Design),
             (Subject::Spread(Change::Settings), _) => (TARGET.settings_within_s, BoundKind::Design),
             (Subject::Role(role), quantity) if is_node(role) => match quantity {
                 Quantity::Bytes => (budget.bytes_per_s, BoundKind::Budget),
@@ -61,15 +76,22 @@
         Some(SeriesBound { most, kind })
     }
 
-    /// The smallest size that was measured at which the mean is beyond the bound.
-    pub fn measured_beyond(&self) -> Option<(f64, f64)> {
-        let bound = self.bound()?;
-        let sizes = by_size(&self.series.points);
-        sizes.iter().find(|size| size.mean() > bound.most).map(|size| (size.size, size.mean()))
+    /// The smallest size that was measured at which the mean is beyond the bound there.
+    pub fn measured_beyond(&self) -> Option<MeasuredBeyond> {
+        let beyond = |size: &SizeValues| {
+            let value = size.mean();
+            let bound = self.bound_at(size.size)?;
+            (value > bound.most).then_some(MeasuredBeyond { size: size.size, value, bound: bound.most })
+        };
+        by_size(&self.series.points).iter().find_map(beyond)
     }
 
-    /// The size, beyond those measured and up to the target, from which on the fit is beyond the bound. Only of a fit that is understood.
+    /// The size, beyond those measured and up to the target, from which on the fit is beyond the bound. Only of a fit that is understood, and of a
+    /// bound that is the same at all sizes.
     pub fn fitted_beyond(&self) -> Option<f64> {
+        if self.series.bound_varies() {
+            return None;
+        }
         let (bound, fit) = (self.bound()?, self.outcome.as_ref().ok()?);
         let (mut within, mut beyond) = (fit.held_out_size, target_size(self.series.key.axis));
         let exceeds = |size: f64| fit.chosen.curve.predict(size) > bound.most;
--- a/crates/scale/src/series.rs
+++ b/crates/scale/src/series.rs
@@ -134,12 +134,25 @@
     pub key: Key,
     /// The values, one for each run.
     pub points: Vec<Point>,
-    /// The design's limit, where the runs tell one; the last run's.
-    pub bound: Option<f64>,
+    /// The design's limit at each size, where the runs tell one.
+    pub bounds: Vec<Point>,
     /// Runs in which not all that should have acted did: the time of the last is only that of those that did.
     pub incomplete: usize,
 }
 
+impl Series {
+    /// The design's limit at the largest of the sizes up to this one, where the runs tell it.
+    pub fn bound_at(&self, size: f64) -> Option<f64> {
+        let up_to = self.bounds.iter().filter(|bound| bound.size <= size);
+        up_to.max_by(|a, b| a.size.total_cmp(&b.size)).map(|bound| bound.value)
+    }
+
+    /// Whether the design's limit is another one at another size, so that nothing is known of it at sizes that were not run.
+    pub fn bound_varies(&self) -> bool {
+        self.bounds.windows(2).any(|pair| pair[0].value != pair[1].value)
+    }
+}
+
 /// One value of one run.
 struct Value {
     subject: Subject,
@@ -216,10 +229,12 @@
             for value in values(run) {
                 let (subject, quantity) = (value.subject, value.quantity);
                 let key = Key { subject, quantity, axis, others: others.clone() };
-                let new = || Series { key: key.clone(), points: Vec::new(), bound: None, incomplete: 0 };
+                let new =
+                    || Series { key: key.clone(), points: Vec::new(), bounds: Vec::new(), incomplete: 0 };
                 let entry = series.entry(key.clone()).or_insert_with(new);
-                entry.points.push(Point { size: axis.of(&run.size), value: value.value });
-                entry.bound = value.bound.or(entry.bound);
+                let size = axis.of(&run.size);
+                entry.points.push(Point { size, value: value.value });
+                entry.bounds.extend(value.bound.map(|value| Point { size, value }));
                 entry.incomplete += usize::from(!value.complete);
             }
         }
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -74,6 +74,27 @@
     assert!((nodes - 6_300.0).abs() < 100.0 && budget.contains("the slope"), "{budget}");
 }
 
+#[test]
+fn a_bound_that_grows_with_the_size_is_compared_at_each_size() {
+    let mut records = records(&[10, 20, 40, 80]);
+    for run in &mut records[0].1.runs {
+        let sum = &mut run.sums[0];
+        let nodes = f64::from(run.size.nodes);
+        (sum.bound, sum.allowed, sum.peak) = (nodes, nodes - 1.0, 1.0);
+    }
+    let passed = |records: &[(PathBuf, RunRecord)]| {
+        let text = tables(records);
+        let passed = text.split("### Where bounds are passed").nth(1).unwrap().to_owned();
+        passed.lines().find(|line| line.contains("sum of origin-outstanding")).map(str::to_owned)
+    };
+    assert_eq!(passed(&records), None, "80 at 80 are no reason to tell of 40 at 40");
+    records[0].1.runs[3].sums[0].allowed = 90.0;
+    assert!(
+        passed(&records).unwrap().contains("allowed over 20 |"),
+        "three runs of 20 with 90, 19 and 19 are 42.7 in the mean"
+    );
+}
+
 #[test]
 fn too_few_sizes_are_said_so_and_not_fitted() {
     let record = common::record(&[50, 100, 200]);
@@ -98,4 +119,10 @@
     let picture = plot::svg(&fits).unwrap();
     assert!(picture.starts_with("<svg") && picture.contains("<circle") && picture.contains("<polygon"));
     assert!(picture.contains("agreement-leader: messages/s over nodes, linear"));
+    let bound = "stroke=\"#C85046\"";
+    assert_eq!(
+        picture.matches(bound).count(),
+        5,
+        "a node's bytes and memory, the leader's bytes, and both sums"
+    );
 }
