--- a/crates/chalksill/src/scale/mod.rs
+++ b/crates/chalksill/src/scale/mod.rs
@@ -2,6 +2,7 @@
 
 mod fit;
 mod page;
+mod run;
 
 use clap::Subcommand;
 
@@ -14,6 +15,8 @@
     Fit(fit::Fit),
     /// Writes the tables of the capacity page from the runs that are kept, or checks them
     Page(page::Page),
+    /// Runs a fleet's control code at each size of a scenario, and tells what each role cost
+    Run(run::Run),
 }
 
 /// Carries a subcommand out.
@@ -21,5 +24,6 @@
     match scale {
         Scale::Fit(fit) => fit::execute(&fit),
         Scale::Page(page) => page::execute(&page),
+        Scale::Run(run) => run::execute(&run),
     }
 }
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -13,3 +13,5 @@
 pub mod series;
 pub mod target;
 pub mod text;
+pub mod usage;
+pub mod virtual_clock;
