--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -110,6 +110,11 @@
         SPREAD_ERRORS * self.chosen.curve.slope_error
     }
 
+    /// Whether the cost is seen to grow or fall: the slope is larger than its spread.
+    pub fn slope_is_told(&self) -> bool {
+        self.chosen.curve.slope.abs() > self.slope_spread()
+    }
+
     /// The value at a size that was not measured.
     pub fn extrapolate(&self, size: f64) -> Extrapolation {
         let curve = &self.chosen.curve;
--- a/crates/scale/src/models.rs
+++ b/crates/scale/src/models.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 
+/// Deviations below this part of the largest value are what rounding leaves of none.
+const ROUNDING: f64 = 1e-12;
+
 /// One measured value at one size.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Point {
@@ -106,7 +109,11 @@
     let slope = if model == Model::Constant { 0.0 } else { products / basis_squares };
     let intercept = value_mean - slope * basis_mean;
     let residuals: f64 = points.iter().map(|p| (p.value - intercept - slope * basis(p)).powi(2)).sum();
-    let deviation = (residuals / freedom).sqrt();
+    let largest = points.iter().map(|p| p.value.abs()).fold(0.0, f64::max);
+    let deviation = match (residuals / freedom).sqrt() {
+        rounded if rounded <= ROUNDING * largest => 0.0,
+        deviation => deviation,
+    };
     let slope_error = if model == Model::Constant { 0.0 } else { deviation / basis_squares.sqrt() };
     let curve =
         Curve { model, intercept, slope, slope_error, deviation, points: count, basis_mean, basis_squares };
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -97,6 +97,7 @@
 struct Kept<'a> {
     kind: String,
     records: Vec<&'a RunRecord>,
+    /// Of all series but those that are 0 in every run.
     fits: Vec<Fitted>,
 }
 
@@ -108,7 +109,9 @@
     let mut kept = Vec::new();
     for (kind, records) in by_kind {
         let runs: Vec<&Run> = records.iter().flat_map(|record| &record.runs).collect();
-        kept.push(Kept { kind, fits: fit_all(&runs), records });
+        let mut fits = fit_all(&runs);
+        fits.retain(|fitted| !fitted.is_nothing());
+        kept.push(Kept { kind, fits, records });
     }
     kept
 }
@@ -246,7 +249,7 @@
             ]);
         }
     }
-    table(&heads, &rows)
+    table(&heads, &rows) + "\nWhat is 0 in every run is left out.\n"
 }
 
 fn fits(kept: &[Kept<'_>]) -> String {
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -4,6 +4,7 @@
 
 use crate::arithmetic::{BoundKind, list_changes};
 use crate::fit::{Fit, NoFit, SizeValues, Verdict, by_size, fit};
+use crate::models::Model;
 use crate::record::{Change, Role, Run};
 use crate::series::{self, Axis, Quantity, Series, Subject};
 use crate::target::TARGET;
@@ -86,8 +87,8 @@
         by_size(&self.series.points).iter().find_map(beyond)
     }
 
-    /// The size, beyond those measured and up to the target, from which on the fit is beyond the bound. Only of a fit that is understood, and of a
-    /// bound that is the same at all sizes.
+    /// The size, beyond those measured and up to the target, from which on the fit is beyond the bound. Only of a fit that is understood and whose
+    /// slope is larger than its spread, and of a bound that is the same at all sizes.
     pub fn fitted_beyond(&self) -> Option<f64> {
         if self.series.bound_varies() {
             return None;
@@ -95,7 +96,8 @@
         let (bound, fit) = (self.bound()?, self.outcome.as_ref().ok()?);
         let (mut within, mut beyond) = (fit.held_out_size, target_size(self.series.key.axis));
         let exceeds = |size: f64| fit.chosen.curve.predict(size) > bound.most;
-        if fit.verdict() == Verdict::NotUnderstood || beyond <= within || !exceeds(beyond) {
+        let relied_upon = fit.verdict() == Verdict::Understood && fit.slope_is_told();
+        if !relied_upon || beyond <= within || !exceeds(beyond) {
             return None;
         }
         if exceeds(within) {
@@ -108,11 +110,19 @@
         Some(beyond.floor())
     }
 
+    /// Whether it is 0 in every run.
+    pub fn is_nothing(&self) -> bool {
+        self.series.points.iter().all(|point| point.value == 0.0)
+    }
+
     /// What else is to be said of it.
     fn note(&self) -> String {
         let verdict = match &self.outcome {
             Err(none) => none.to_string(),
             Ok(fit) if fit.verdict() == Verdict::NotUnderstood => "not understood".into(),
+            Ok(fit) if fit.chosen.curve.model != Model::Constant && !fit.slope_is_told() => {
+                "understood, but a slope within its spread".into()
+            }
             Ok(_) => "understood".into(),
         };
         match self.series.incomplete {
--- a/crates/scale/tests/fit.rs
+++ b/crates/scale/tests/fit.rs
@@ -98,3 +98,22 @@
     assert_eq!((found.chosen.curve.model, found.chosen.held_out_error), (Model::Constant, 0.0));
     assert_eq!(found.repetition_spread, 0.0);
 }
+
+#[test]
+fn a_slope_within_its_spread_is_not_told_from_none() {
+    // A tenth up and down between sizes: no model of the four goes through it.
+    let uneven = |(i, size): (usize, f64)| {
+        let value = 100.0 * (1.0 + if i % 2 == 0 { 0.1 } else { -0.1 });
+        [Point { size, value }, Point { size, value: value + 1.0 }, Point { size, value: value - 1.0 }]
+    };
+    let found = fit(&SIZES.into_iter().enumerate().flat_map(uneven).collect::<Vec<_>>()).unwrap();
+    assert!(!found.slope_is_told(), "{found:?}");
+    assert!(fit(&points(Model::Linear, 10.0, 2.0)).unwrap().slope_is_told());
+}
+
+#[test]
+fn what_rounding_leaves_is_no_spread() {
+    let exact = SIZES.map(|size| [0.1 + 0.3 * size; 3].map(|value| Point { size, value })).concat();
+    let found = fit(&exact).unwrap();
+    assert_eq!((found.slope_spread(), found.chosen.curve.prediction_error(6_600.0)), (0.0, 0.0));
+}
