--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -7,7 +7,7 @@
 use crate::arithmetic::{BoundKind, CONTROL, Failure, LOAD, Passed, Row, failures, with_nodes};
 use crate::fit::by_size;
 use crate::record::{Run, RunRecord};
-use crate::records::kind;
+use crate::records::word;
 use crate::report::{Fitted, HEADS, fit_all};
 use crate::series::Axis;
 use crate::target::{FLEET_TODAY, TARGET};
@@ -104,7 +104,7 @@
 fn kept(records: &[(PathBuf, RunRecord)]) -> Vec<Kept<'_>> {
     let mut by_kind: BTreeMap<String, Vec<&RunRecord>> = BTreeMap::new();
     for (_, record) in records {
-        by_kind.entry(kind(record)).or_default().push(record);
+        by_kind.entry(name(record)).or_default().push(record);
     }
     let mut kept = Vec::new();
     for (kind, records) in by_kind {
@@ -116,6 +116,11 @@
     kept
 }
 
+/// The name of a record's runs in tables.
+fn name(record: &RunRecord) -> String {
+    format!("{} ({}, {})", record.scenario, word(&record.host), word(&record.state))
+}
+
 /// All tables of the page.
 pub fn tables(records: &[(PathBuf, RunRecord)]) -> String {
     let kept = kept(records);
@@ -255,12 +260,21 @@
 fn fits(kept: &[Kept<'_>]) -> String {
     let heads = [&["runs"][..], &HEADS[..]].concat();
     let mut rows = Vec::new();
+    let mut without: BTreeMap<(&str, String), usize> = BTreeMap::new();
     for kept in kept {
         for fitted in &kept.fits {
-            rows.push([vec![kept.kind.clone()], fitted.cells()].concat());
+            match &fitted.outcome {
+                Ok(_) => rows.push([vec![kept.kind.clone()], fitted.cells()].concat()),
+                Err(none) => *without.entry((&kept.kind, none.to_string())).or_default() += 1,
+            }
         }
     }
-    table(&heads, &rows)
+    let mut text = if rows.is_empty() { "No series has a fit.\n".into() } else { table(&heads, &rows) };
+    for (place, ((kind, why), series)) in without.into_iter().enumerate() {
+        let gap = if place == 0 { "\n" } else { "" };
+        text.push_str(&format!("{gap}- {kind}: {series} series have {why}.\n"));
+    }
+    text
 }
 
 /// One bound that is passed.
@@ -302,7 +316,7 @@
                 kind: bound.kind,
                 nodes,
                 at: figure_whole(nodes),
-                whose: format!("{} ({})", key.subject, kept.kind),
+                whose: format!("{}, {}", key.subject, kept.kind),
                 what: format!("{} over {}", key.quantity, figure(most)),
                 from,
             });
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -102,6 +102,11 @@
     assert!(!fits.is_empty() && fits.iter().all(|fitted| fitted.outcome.is_err()));
     assert!(terminal(&fits).contains("no fit: 3 of at least 4 sizes"), "{}", terminal(&fits));
     assert!(plot::svg(&fits).is_err(), "there is nothing to draw");
+    let page = tables(&records(&[50, 100, 200]));
+    assert!(
+        page.contains("- made-up (virtual-clock, calm): 6 series have no fit: 3 of at least 4 sizes."),
+        "{page}"
+    );
 }
 
 #[test]
