Docs: the capacity page on the runs that are kept; zones that grow along are told

Fits along nodes name the zones that grow with them, which is what made the leader's bytes look quadratic.

--- a/crates/scale/src/arithmetic.rs
+++ b/crates/scale/src/arithmetic.rs
@@ -183,6 +183,11 @@
     LEAST_OUT * fleet.nodes / ORIGIN_CALL_S
 }
 
+/// Calls out at the origin that all may have together where quotas are as high as the peak.
+pub fn origin_outstanding_at_peak(fleet: &Target) -> f64 {
+    fleet.requests_per_s * ORIGIN_CALL_S
+}
+
 /// Calls a second at the origin that the nodes' own tallies add up to at the least: quotas below this are not held by them.
 pub fn origin_rate(fleet: &Target) -> f64 {
     LEAST_ORIGIN_RATE * fleet.nodes
@@ -589,6 +594,13 @@
         None,
         GATE,
     ),
+    row(
+        "origin's allowance",
+        "calls out that all may have, quotas as high as the peak",
+        origin_outstanding_at_peak,
+        None,
+        GATE,
+    ),
     row("origin's allowance", "calls/s that nodes' tallies add up to", origin_rate, None, GATE),
     row("settings", "messages/s, one to each node for each change", settings_messages, None, NONE),
     row(
--- a/crates/scale/src/series.rs
+++ b/crates/scale/src/series.rs
@@ -197,6 +197,15 @@
     others.join(", ")
 }
 
+/// The zones of runs, in words, where they are not the same in all: what grows with them is not told apart from the axis.
+fn zones_along(runs: &[&Run]) -> String {
+    let zones = || runs.iter().map(|run| run.size.zones);
+    match (zones().min(), zones().max()) {
+        (Some(least), Some(most)) if least < most => format!("; {least} to {most} zones along"),
+        _ => String::new(),
+    }
+}
+
 /// Axes along which runs differ, each with the runs whose other axes stand still; where that is so of no two sizes, all runs over nodes.
 fn groups<'a>(runs: &[&'a Run]) -> Vec<(Axis, String, Vec<&'a Run>)> {
     let mut groups = Vec::new();
@@ -208,6 +217,7 @@
         for (others, members) in by_others {
             let first = axis.of(&members[0].size);
             if members.iter().any(|run| axis.of(&run.size) != first) {
+                let others = others + &zones_along(&members);
                 groups.push((axis, others, members));
             }
         }
--- a/crates/scale/tests/arithmetic.rs
+++ b/crates/scale/tests/arithmetic.rs
@@ -23,6 +23,7 @@
     close("lists of nodes that start", arithmetic::restart_bytes_per_day, 116.5e6);
     close("origin", arithmetic::origin_outstanding, 13_200.0);
     close("origin's quotas", arithmetic::quotas_for_outstanding, 132_000.0);
+    close("origin at the peak", arithmetic::origin_outstanding_at_peak, 440_000.0);
     close("origin's rate", arithmetic::origin_rate, 198_000.0);
     close("cold", arithmetic::cold_calls, 13_200.0);
     close("cold, bound", arithmetic::cold_calls_bound, 1_683.7);
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -131,3 +131,13 @@
         "a node's bytes and memory, the leader's bytes, and both sums"
     );
 }
+
+#[test]
+fn zones_that_grow_along_are_told_beside_the_axis() {
+    let mut record = common::record(&[50, 100, 200, 400]);
+    let even = terminal(&fit_all(&record.runs.iter().collect::<Vec<_>>()));
+    record.runs[0].size.zones = 2;
+    let along = terminal(&fit_all(&record.runs.iter().collect::<Vec<_>>()));
+    assert!(along.contains("0.5 changes a second; 2 to 4 zones along)"), "{along}");
+    assert!(!even.contains("zones along"), "{even}");
+}
