Scale: a table of each role at the target's number of nodes, with its source

Measured there, else from a fit that may be relied upon, else said to be not known. The test of a changed figure names the first line that differs, which is one of this table now (the series is no longer understood); it still asks for the changed mean as well.

--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -7,7 +7,7 @@
 
 use std::fmt;
 
-use crate::models::{Curve, Model, Point, least_squares};
+use crate::models::{Curve, Model, Point, ROUNDING, least_squares};
 
 /// Sizes that a fit needs: three to fit two coefficients with something to spare, and the one that is held out.
 pub const LEAST_SIZES: usize = 4;
@@ -162,10 +162,8 @@
 
 /// The distance of a value from another, as a part of that one.
 fn relative_error(value: f64, of: f64) -> f64 {
-    if value == of {
-        return 0.0;
-    }
-    (value - of).abs() / of.abs()
+    let distance = (value - of).abs();
+    if distance <= ROUNDING * of.abs() { 0.0 } else { distance / of.abs() }
 }
 
 /// Fits all candidates without the largest size, and chooses by the error there.
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod arithmetic;
 pub mod fit;
+pub mod kept;
 pub mod models;
 pub mod page;
 pub mod plot;
@@ -12,6 +13,7 @@
 pub mod report;
 pub mod scenario;
 pub mod series;
+pub mod summary;
 pub mod target;
 pub mod text;
 pub mod usage;
--- a/crates/scale/src/models.rs
+++ b/crates/scale/src/models.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 /// Deviations below this part of the largest value are what rounding leaves of none.
-const ROUNDING: f64 = 1e-12;
+pub(crate) const ROUNDING: f64 = 1e-12;
 
 /// One measured value at one size.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -6,10 +6,11 @@
 
 use crate::arithmetic::{BoundKind, CONTROL, Failure, LOAD, Passed, Row, failures, with_nodes};
 use crate::fit::by_size;
-use crate::record::{Run, RunRecord};
-use crate::records::word;
-use crate::report::{Fitted, HEADS, fit_all};
+use crate::kept::{Kept, group};
+use crate::record::RunRecord;
+use crate::report::HEADS;
 use crate::series::Axis;
+use crate::summary::roles_at_target;
 use crate::target::{FLEET_TODAY, TARGET};
 use crate::text::{figure, percent, table};
 
@@ -93,41 +94,17 @@
     }
 }
 
-/// Runs of one scenario, host and state.
-struct Kept<'a> {
-    kind: String,
-    records: Vec<&'a RunRecord>,
-    /// Of all series but those that are 0 in every run.
-    fits: Vec<Fitted>,
-}
-
-fn kept(records: &[(PathBuf, RunRecord)]) -> Vec<Kept<'_>> {
-    let mut by_kind: BTreeMap<String, Vec<&RunRecord>> = BTreeMap::new();
-    for (_, record) in records {
-        by_kind.entry(name(record)).or_default().push(record);
-    }
-    let mut kept = Vec::new();
-    for (kind, records) in by_kind {
-        let runs: Vec<&Run> = records.iter().flat_map(|record| &record.runs).collect();
-        let mut fits = fit_all(&runs);
-        fits.retain(|fitted| !fitted.is_nothing());
-        kept.push(Kept { kind, fits, records });
-    }
-    kept
-}
-
-/// The name of a record's runs in tables.
-fn name(record: &RunRecord) -> String {
-    format!("{} ({}, {})", record.scenario, word(&record.host), word(&record.state))
-}
-
 /// All tables of the page.
 pub fn tables(records: &[(PathBuf, RunRecord)]) -> String {
-    let kept = kept(records);
+    let kept = group(records);
     let parts = [
         part("Control at the target, by arithmetic from the protocols", &arithmetic(CONTROL)),
         part("Requests, objects and machines at the target, by arithmetic", &arithmetic(LOAD)),
         part("What failures set off at the target", &failure_table(&failures(&TARGET))),
+        part(
+            "Roles in calm at the target's number of nodes",
+            &or_none(!kept.is_empty(), || roles_at_target(&kept)),
+        ),
         part("Runs that are kept", &or_none(!kept.is_empty(), || runs(&kept))),
         part("Measured", &or_none(!kept.is_empty(), || measured(&kept))),
         part("Slopes, and what they say of the target", &or_none(!kept.is_empty(), || fits(&kept))),
@@ -204,7 +181,7 @@
             }
             let machine = &record.machine;
             rows.push(vec![
-                kept.kind.clone(),
+                kept.name.clone(),
                 sizes.join("; "),
                 record.runs.len().to_string(),
                 format!(
@@ -245,7 +222,7 @@
             };
             let sizes: Vec<String> = by_size(&fitted.series.points).iter().map(size).collect();
             rows.push(vec![
-                kept.kind.clone(),
+                kept.name.clone(),
                 key.subject.to_string(),
                 key.quantity.to_string(),
                 format!("{} ({})", key.axis, key.others),
@@ -264,8 +241,8 @@
     for kept in kept {
         for fitted in &kept.fits {
             match &fitted.outcome {
-                Ok(_) => rows.push([vec![kept.kind.clone()], fitted.cells()].concat()),
-                Err(none) => *without.entry((&kept.kind, none.to_string())).or_default() += 1,
+                Ok(_) => rows.push([vec![kept.name.clone()], fitted.cells()].concat()),
+                Err(none) => *without.entry((&kept.name, none.to_string())).or_default() += 1,
             }
         }
     }
@@ -316,7 +293,7 @@
                 kind: bound.kind,
                 nodes,
                 at: figure_whole(nodes),
-                whose: format!("{}, {}", key.subject, kept.kind),
+                whose: format!("{}, {}", key.subject, kept.name),
                 what: format!("{} over {}", key.quantity, figure(most)),
                 from,
             });
--- a/crates/scale/tests/fit.rs
+++ b/crates/scale/tests/fit.rs
@@ -1,7 +1,7 @@
 //! Fits of points that were made from known models.
 #![allow(missing_docs)]
 
-use chalksill_scale::fit::{Fit, NoFit, Verdict, fit};
+use chalksill_scale::fit::{Fit, NoFit, Verdict, by_size, fit};
 use chalksill_scale::models::{Model, Point, least_squares};
 
 const SIZES: [f64; 5] = [25.0, 50.0, 100.0, 200.0, 400.0];
@@ -114,4 +114,7 @@
     let exact = SIZES.map(|size| [0.1 + 0.3 * size; 3].map(|value| Point { size, value })).concat();
     let found = fit(&exact).unwrap();
     assert_eq!((found.slope_spread(), found.chosen.curve.prediction_error(6_600.0)), (0.0, 0.0));
+    // Three times 0.011 have a mean that differs from it in the last bit.
+    let equal = by_size(&[Point { size: 1.0, value: 0.011 }; 3]);
+    assert!(equal[0].mean() != 0.011 && equal[0].spread() == 0.0, "{}", equal[0].spread());
 }
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -39,7 +39,8 @@
     let told = difference(&before, &after).expect("one figure of one run has changed");
     let line = before.split('\n').nth(told.line - 1).unwrap();
     assert_eq!(line, told.page);
-    assert!(line.contains("change of list") && told.runs.contains("400: 4"), "{told}");
+    assert!(line.contains("change of list") && told.runs.contains("| not known |"), "{told}");
+    assert!(!before.contains("400: 4 (±") && after.contains("400: 4 (±"), "the mean of 1.5, 1.5 and 9");
     let again = with_tables(&before, &tables(&changed)).unwrap();
     assert_eq!(difference(&again, &after), None);
 }
@@ -141,3 +142,20 @@
     assert!(along.contains("0.5 changes a second; 2 to 4 zones along)"), "{along}");
     assert!(!even.contains("zones along"), "{even}");
 }
+
+#[test]
+fn a_role_at_the_target_is_measured_where_it_can_be_and_else_from_a_slope() {
+    let role = |sizes: &[u32], role: &str| {
+        let text = tables(&records(sizes));
+        let roles = text.split("### Roles in calm").nth(1).unwrap().split("###").next().unwrap().to_owned();
+        roles.lines().find(|line| line.contains(role)).unwrap().to_owned()
+    };
+    let fitted = role(&[50, 100, 200, 400], "agreement-leader | messages/s");
+    assert!(fitted.contains("| 13,200 ±") && fitted.contains("slope up to 400 nodes"), "{fitted}");
+    let measured = role(&[50, 100, 200, 6_600], "agreement-leader | messages/s");
+    assert!(measured.contains("| 13,200 ±") && measured.contains("measured: made-up"), "{measured}");
+    let over = role(&[50, 100, 200, 400], "hollow-node | bytes/s");
+    assert!(over.contains("| 19,900 ±") && over.contains("none: 1.05 times it"), "{over}");
+    let unknown = role(&[50, 100, 200], "hollow-node | bytes/s");
+    assert!(unknown.contains("not known"), "{unknown}");
+}
