--- a/crates/chalksill/src/main.rs
+++ b/crates/chalksill/src/main.rs
@@ -46,7 +46,7 @@
     /// Trials of real nodes: several processes, faults on the ways between them and on themselves
     #[command(subcommand)]
     Trial(trial::Trial),
-    /// What the control of a fleet costs by its size
+    /// What control costs by the size of a fleet: runs, fits over sizes, and the capacity page
     #[command(subcommand)]
     Scale(scale::Scale),
 }
