World: the lints of the new rule; the connection that waits for an answer is one value

Cause: the rule of the told time was not linted; Cache::begin had nine arguments. Change: Waiter holds the two ends of a connection, two methods are renamed.

--- a/crates/world/src/cache.rs
+++ b/crates/world/src/cache.rs
@@ -110,6 +110,13 @@
     wait: Duration,
 }
 
+/// The connection that waits for an attempt's answer.
+struct Waiter {
+    done: oneshot::Sender<(Bytes, How)>,
+    /// Closed when the connection is.
+    closed: Rc<Semaphore>,
+}
+
 impl Cache {
     /// A box that starts now; a cold one holds nothing.
     pub fn new(fleet: &Rc<Fleet>, number: BoxNo, life: u64, cold: bool) -> Rc<Cache> {
@@ -202,10 +209,11 @@
                     Ok(Some(frame)) => match self.asked(frame) {
                         Ok(Some(asked)) => {
                             let (done, answer) = oneshot::channel();
+                            let waiter = Waiter { done, closed: closed.clone() };
                             pending.push_back((asked.request, answer));
                             let extra = if std::mem::take(&mut first) { handshake } else { 0.0 };
                             let until = self.fleet.witness.since_beginning(came) + asked.wait;
-                            self.clone().begin(asked, node, until, extra, crowded, done, closed.clone());
+                            self.clone().begin(asked, node, until, extra, crowded, waiter);
                         }
                         Ok(None) => {
                             let _ = writing.write_all(b"+OK\r\n").await;
@@ -309,9 +317,9 @@
         until: Duration,
         extra: f64,
         crowded: bool,
-        done: oneshot::Sender<(Bytes, How)>,
-        closed: Rc<Semaphore>,
+        waiter: Waiter,
     ) {
+        let Waiter { done, closed } = waiter;
         let boxes = &self.fleet.scenario.boxes;
         let [least, most] = self.fleet.scenario.class[asked.class].work_ms;
         let whole = least + (most - least) * self.rng.borrow_mut().random::<f64>();
--- a/crates/world/src/time_told.rs
+++ b/crates/world/src/time_told.rs
@@ -34,10 +34,14 @@
 
     /// The bytes of an attempt with the time that its request came with; `None` for what is no attempt.
     pub fn put_back(&self, written: &[u8]) -> Option<Vec<u8>> {
-        if written.starts_with(b"*") { self.into_command(written) } else { self.into_call(written) }
+        if written.starts_with(b"*") {
+            self.put_back_in_command(written)
+        } else {
+            self.put_back_in_call(written)
+        }
     }
 
-    fn into_command(&self, written: &[u8]) -> Option<Vec<u8>> {
+    fn put_back_in_command(&self, written: &[u8]) -> Option<Vec<u8>> {
         let mut rest = BytesMut::from(written);
         let mut words = words(resp::take_frame(&mut rest, resp::MAX_VALUE).ok()??)?;
         let extras = self.extras(text(&words, ID)?, text(&words, EXTRAS)?)?;
@@ -45,7 +49,7 @@
         Some([resp::command(words).as_ref(), rest.as_ref()].concat())
     }
 
-    fn into_call(&self, written: &[u8]) -> Option<Vec<u8>> {
+    fn put_back_in_call(&self, written: &[u8]) -> Option<Vec<u8>> {
         let end = written.windows(4).position(|w| w == b"\r\n\r\n")?;
         let (head, rest) = (std::str::from_utf8(&written[..end]).ok()?, &written[end..]);
         let header = |wanted: &str| {
