--- a/crates/scale/src/arithmetic.rs
+++ b/crates/scale/src/arithmetic.rs
@@ -20,9 +20,10 @@
 const LEAST_ORIGIN_RATE: f64 = 30.0;
 /// A watch of discovery is answered after this many seconds where nothing changes (`discovery::WAIT`).
 const WATCH_S: f64 = 2.0;
-/// Calls that discovery can answer in a second: those of the stand-in of the simulated worlds, which takes them in turn at 1 ms each.
+/// Calls that discovery can answer in a second: those of the stand-in of `chalksill sim`, which takes them in turn at 1 ms each. The
+/// stand-in of scale runs answers at once.
 const DISCOVERY_CALLS_PER_S: f64 = 1_000.0;
-/// A call that has waited for its turn for so many seconds is failed by that stand-in.
+/// A service for all nodes fails a call that has waited for its turn for so many seconds (`discovery::SERVICE_LATE`).
 const DISCOVERY_TURN_S: f64 = 2.0;
 /// A line of discovery's list in JSON, in bytes: an id, an address, a place, a kind, a cell, a phase, a size and a start.
 const LINE_BYTES: f64 = 150.0;
@@ -737,7 +738,7 @@
             "not told",
             "every watch is opened anew at once, and asks for the whole list where the revision is not known",
             format!(
-                "{} s of turns where the stand-in fails calls after {} s",
+                "{} s of turns at 1 ms a call, and calls that have waited {} s are failed",
                 figure(discovery_restart_s(fleet)),
                 figure(DISCOVERY_TURN_S)
             ),
