--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -4,7 +4,7 @@
 
 use crate::arithmetic::{BoundKind, list_changes};
 use crate::fit::{Fit, NoFit, SizeValues, Verdict, by_size, fit};
-use crate::models::Model;
+use crate::models::{Model, ROUNDING};
 use crate::record::{Change, Role, Run};
 use crate::series::{self, Axis, Quantity, Series, Subject};
 use crate::target::TARGET;
@@ -82,7 +82,11 @@
         let beyond = |size: &SizeValues| {
             let value = size.mean();
             let bound = self.bound_at(size.size)?;
-            (value > bound.most).then_some(MeasuredBeyond { size: size.size, value, bound: bound.most })
+            (value > bound.most * (1.0 + ROUNDING)).then_some(MeasuredBeyond {
+                size: size.size,
+                value,
+                bound: bound.most,
+            })
         };
         by_size(&self.series.points).iter().find_map(beyond)
     }
