--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -8,6 +8,7 @@
 use std::fmt;
 
 use crate::models::{Curve, Model, Point, ROUNDING, least_squares};
+use crate::text::percent;
 
 /// Sizes that a fit needs: three to fit two coefficients with something to spare, and the one that is held out.
 pub const LEAST_SIZES: usize = 4;
@@ -139,6 +140,14 @@
         self.values.iter().sum::<f64>() / self.values.len().max(1) as f64
     }
 
+    /// The spread in words: nothing is known of it from one run.
+    pub fn spread_words(&self) -> String {
+        match self.values.len() {
+            0 | 1 => "one run".into(),
+            runs => format!("± {}, {runs}", percent(self.spread())),
+        }
+    }
+
     /// The largest part by which a repetition differs from the mean.
     pub fn spread(&self) -> f64 {
         let mean = self.mean();
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -12,7 +12,7 @@
 use crate::series::Axis;
 use crate::summary::roles_at_target;
 use crate::target::{FLEET_TODAY, TARGET};
-use crate::text::{figure, percent, table};
+use crate::text::{figure, table};
 
 /// Before the tables.
 pub const BEGIN: &str = "<!-- begin generated -->";
@@ -212,13 +212,7 @@
         for fitted in &kept.fits {
             let key = &fitted.series.key;
             let size = |s: &crate::fit::SizeValues| {
-                format!(
-                    "{}: {} (± {}, {})",
-                    figure(s.size),
-                    figure(s.mean()),
-                    percent(s.spread()),
-                    s.values.len()
-                )
+                format!("{}: {} ({})", figure(s.size), figure(s.mean()), s.spread_words())
             };
             let sizes: Vec<String> = by_size(&fitted.series.points).iter().map(size).collect();
             rows.push(vec![
--- a/crates/scale/src/summary.rs
+++ b/crates/scale/src/summary.rs
@@ -14,8 +14,9 @@
 /// Where a figure comes from, the most trustworthy first.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Source {
-    /// Runs at the target's number of nodes, and the largest part by which a repetition differs from their mean.
-    Measured { spread: f64 },
+    /// Runs at the target's number of nodes, and the largest part by which a repetition differs from their mean;
+    /// one run has none.
+    Measured { spread: Option<f64> },
     /// A fit, with the largest size that was measured.
     Slope { spread: f64, up_to: f64 },
 }
@@ -49,7 +50,8 @@
 
     fn value(&self) -> String {
         let spread = match self.source {
-            Source::Measured { spread } => spread * self.value.abs(),
+            Source::Measured { spread: None } => return format!("{} (one run)", figure(self.value)),
+            Source::Measured { spread: Some(spread) } => spread * self.value.abs(),
             Source::Slope { spread, .. } => spread,
         };
         format!("{} ± {}", figure(self.value), figure(spread))
@@ -60,7 +62,8 @@
     let (bound, runs) = (fitted.bound(), format!("{runs}, {}", fitted.series.key.others));
     let sizes = by_size(&fitted.series.points);
     if let Some(size) = sizes.iter().find(|size| size.size == TARGET.nodes) {
-        let source = Source::Measured { spread: size.spread() };
+        let spread = (size.values.len() > 1).then(|| size.spread());
+        let source = Source::Measured { spread };
         return Some(Known { value: size.mean(), source, runs, bound });
     }
     let fit = fitted.outcome.as_ref().ok()?;
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -7,7 +7,7 @@
 
 use chalksill_scale::page::{BEGIN, END, MarkerError, difference, tables, with_tables};
 use chalksill_scale::plot;
-use chalksill_scale::record::RunRecord;
+use chalksill_scale::record::{FleetState, RunRecord};
 use chalksill_scale::report::{fit_all, terminal};
 
 fn records(sizes: &[u32]) -> Vec<(PathBuf, RunRecord)> {
@@ -160,3 +160,39 @@
     let unknown = role(&[50, 100, 200], "hollow-node | bytes/s");
     assert!(unknown.contains("not known"), "{unknown}");
 }
+
+#[test]
+fn a_role_at_the_target_is_told_of_calm_runs_and_measured_before_fitted() {
+    let mut all = records(&[6_600]);
+    all[0].1.scenario = "at-target".into();
+    all.extend(records(&[50, 100, 200, 400]));
+    all.extend(records(&[6_600]));
+    let troubled = &mut all[2].1;
+    (troubled.scenario, troubled.state) = ("a-troubled-one".into(), FleetState::ZoneLost);
+    for run in &mut troubled.runs {
+        run.spreads[0].last_s = 99.0;
+    }
+    for order in [[0, 1, 2], [2, 1, 0]] {
+        let records: Vec<_> = order.into_iter().map(|place| all[place].clone()).collect();
+        let text = tables(&records);
+        let roles = text.split("### Roles in calm").nth(1).unwrap().split("###").next().unwrap();
+        let list = roles.lines().find(|line| line.contains("change of list")).unwrap();
+        assert!(list.contains("| 1.5 ±") && list.contains("measured: at-target"), "{list}");
+    }
+    all[0].1.scenario = "z-later-by-name".into();
+    let text = tables(&all);
+    assert!(text.contains("measured: z-later-by-name (virtual-clock, calm)"), "{text}");
+}
+
+#[test]
+fn one_run_is_said_to_be_one_and_has_no_spread() {
+    let mut one = records(&[6_600]);
+    one[0].1.runs.truncate(1);
+    let text = tables(&one);
+    let of_leader = |line: &&str| line.contains("agreement-leader | messages/s");
+    let lines: Vec<&str> = text.lines().filter(of_leader).collect();
+    assert!(
+        lines[0].contains("| 13,200 (one run) |") && lines[1].contains("6,600: 13,200 (one run)"),
+        "{lines:?}"
+    );
+}
