World: comments of the told time's rule say cache server

Cause: comments written or moved with rule 12 used the word of the earlier style. Change: comments alone.

--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -16,7 +16,7 @@
 //! 10. **Bound to zones.** A request of a class that is bound to zones reaches no box outside them.
 //! 11. **Over.** What has been answered, or whose client has gone, is not sent on: no attempt begins later.
 //! 12. **Time left.** The time that an attempt tells is at most what is left to its client: what the client told, counted
-//!     from when its last byte was written, with a slack of 50 ms and the ways from the client and to the box.
+//!     from when its last byte was written, with a slack of 50 ms and the ways from the client and to the server.
 //!
 //! The caps of rule 5 are those of the decision module's gate (its constants are no part of its interface): a part of
 //! 80 calls out, or of a tenth of all quotas a second, for each node, 2 to 20 of them, and in a window the greater of
@@ -630,7 +630,7 @@
 
     /// Judges what an attempt tells of the time that is left.
     fn tells(&mut self, now: Duration, at: BoxNo, id: RequestNo, until: Duration) {
-        // What was written to a box that could not be reached comes when it can.
+        // What was written to a cache server that could not be reached comes when it can.
         let mended = self.mended.get(&at).is_some_and(|m| now < *m + SLACK);
         if mended || self.away.contains_key(&at) {
             return;
@@ -689,7 +689,7 @@
             && !self.bound[class].contains(&(at % self.zones));
         let ran = r.attempts.iter().find(|a| a.fate != Fate::NotRun).map(|a| (a.at, a.arrived));
         let count = r.attempts.len() + 1;
-        // What was written to a box that could not be reached comes when it can.
+        // What was written to a cache server that could not be reached comes when it can.
         let late = r.ended.map(|end| now.saturating_sub(end)).filter(|late| *late > OVER + SLACK);
         if let Some(late) = late.filter(|_| !mended && !away) {
             let what = format!("request {id:x} was sent on {late:?} after it was over");
--- a/crates/world/tests/hard_cases.rs
+++ b/crates/world/tests/hard_cases.rs
@@ -247,7 +247,7 @@
         (false, false, [over, left], 1),
         (false, false, [left, over], 1),
         (false, false, [over, over], 2),
-        // What was written to a box that can't be reached is judged by nobody.
+        // What was written to a cache server that cannot be reached is judged by nobody.
         (false, true, [over, over], 0),
         // A connection that waited in a crowd was accepted, and its request read, 50 ms before the first attempt came.
         (true, false, [once_accepted, once_accepted], 0),
