--- a/crates/node/tests/unit/servers.rs
+++ b/crates/node/tests/unit/servers.rs
@@ -113,16 +113,24 @@
     Command { attempt, payload: Payload::Request { command: command.into(), extras } }
 }
 
-/// There is no time that it could tell: it stays unwritten until it is given up, and holds up nothing behind it.
-#[test]
-fn an_attempt_without_time_left_is_not_written() {
+/// Runs a test of a node that may have one connection to the server 7, which the test serves by hand.
+fn with_one_connection(
+    test: impl AsyncFnOnce(std::net::TcpListener, Servers<Machine>, mpsc::Receiver<Input>),
+) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        // One connection.
-        let (mut servers, mut inputs) = servers(64, 64);
+        let (mut servers, inputs) = servers(64, 64);
         assert!(servers.listed(7, Some(address), true).is_empty());
+        test(listener, servers, inputs).await;
+    });
+}
+
+/// There is no time that it could tell: it stays unwritten until it is given up, and holds up nothing behind it.
+#[test]
+fn an_attempt_without_time_left_is_not_written() {
+    with_one_connection(async |listener, mut servers, mut inputs| {
         assert!(servers.send(7, read_until(1, Instant::now())));
         assert!(servers.send(7, Command { attempt: 2, payload: Payload::Probe }));
         assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
@@ -146,12 +154,7 @@
 /// What was sent before it has been given up already: nothing would ever end this connection.
 #[test]
 fn a_connection_is_closed_when_the_last_that_waits_on_it_is_taken_back_unwritten() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, async {
-        let (mut servers, mut inputs) = servers(64, 64);
-        assert!(servers.listed(7, Some(address), true).is_empty());
+    with_one_connection(async |listener, mut servers, mut inputs| {
         assert!(servers.send(7, Command { attempt: 1, payload: Payload::Probe }));
         assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
         assert!(servers.event(7, 1, Event::Up).is_empty());
