Tests: clients of many habits at a node that is drained or ends; red as found

Cause: not mended yet. A connection ends only when nothing is owed on it, nothing of a command has begun and a timer has passed with nothing read, so that its client decides when.

--- /dev/null
+++ b/crates/mothpier/tests/drain.rs
@@ -0,0 +1,154 @@
+//! How long a drained node holds the connections of clients, whatever these do.
+#![allow(missing_docs)]
+
+mod habits;
+mod world;
+
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use habits::{Client, HELD_AT_MOST, Habit};
+use world::*;
+
+/// Takes this long for a slow answer.
+const SLOW: Duration = Duration::from_millis(250);
+/// The same for one that is usual.
+const USUAL: Duration = Duration::from_millis(20);
+
+/// A cache server that answers by the kind of the key.
+fn server() -> std::net::SocketAddr {
+    serve(command, |asked| {
+        match asked[1].split('-').next() {
+            Some("slow") => thread::sleep(SLOW),
+            Some("usual") => thread::sleep(USUAL),
+            Some("silent") => return Reaction::Silence,
+            _ => {}
+        }
+        array(&asked[2])
+    })
+}
+
+/// Habits with the kinds of keys that they are seen with. Each group has a node and a cache server of its own, for an answer that
+/// is slow to come holds up those behind it on a server's connection.
+const GROUPS: [&[(Habit, &str)]; 4] = [
+    &[
+        (Habit::Silent, "fast"),
+        (Habit::Rests, "fast"),
+        (Habit::ClosedLoop, "fast"),
+        (Habit::Overlaps(2), "fast"),
+        (Habit::Overlaps(128), "fast"),
+        (Habit::Bursts(400), "fast"),
+        (Habit::BeginsLate(ms(500)), "fast"),
+        (Habit::BeginsLate(ms(1700)), "fast"),
+        (Habit::BeginsLate(ms(2300)), "fast"),
+        (Habit::ByteByByte, "fast"),
+        (Habit::Uploads, "fast"),
+        (Habit::NeverReads, "fast"),
+    ],
+    &[(Habit::ClosedLoop, "usual"), (Habit::Overlaps(2), "usual"), (Habit::Bursts(8), "usual")],
+    &[(Habit::ClosedLoop, "slow"), (Habit::Overlaps(2), "slow"), (Habit::Overlaps(3), "slow")],
+    &[(Habit::ClosedLoop, "silent"), (Habit::Overlaps(2), "silent"), (Habit::Overlaps(8), "silent")],
+];
+/// The same for connections that are opened after the drain was told.
+const OPENED_LATE: &[(Habit, &str)] = &[
+    (Habit::Silent, "fast"),
+    (Habit::ClosedLoop, "fast"),
+    (Habit::Overlaps(2), "fast"),
+    (Habit::BeginsLate(ms(1000)), "fast"),
+    (Habit::BeginsLate(ms(2200)), "fast"),
+    (Habit::BeginsLate(ms(2400)), "fast"),
+];
+
+const fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// Waits until the drain is so old.
+fn wait_until(began: Instant, age: Duration) {
+    thread::sleep((began + age).saturating_duration_since(Instant::now()));
+}
+
+/// Lets clients of some habits use a node, drains it, and gives what was wrong with their connections.
+fn drained_under(
+    name: &str,
+    habits: &[(Habit, &'static str)],
+    late: &[(Habit, &'static str)],
+) -> Vec<String> {
+    let discovery = Discovery::start(&member("s-1", server(), "m", "ready"));
+    let node = node(name, &discovery, &[]);
+    let told = Arc::new(Mutex::new(None));
+    let start = |(number, (habit, kind)): (usize, &(Habit, &'static str))| {
+        Client::start(node.address, number, *habit, kind, told.clone())
+    };
+    let mut clients: Vec<Client> = habits.iter().enumerate().map(start).collect();
+    thread::sleep(ms(300));
+    let began = Instant::now();
+    *told.lock().unwrap() = Some(began);
+    assert_eq!(node.status("PUT /drain"), 200);
+    // The front sends new connections for 0.2 s more.
+    wait_until(began, ms(150));
+    clients.extend(late.iter().enumerate().map(|(number, late)| start((habits.len() + number, late))));
+    wait_until(began, HELD_AT_MOST);
+    let held = clients.iter().filter_map(|client| client.held(began)).map(|held| format!("held: {held}"));
+    let wrong =
+        clients.iter().filter_map(Client::ended_wrongly).map(|wrong| format!("ended wrongly: {wrong}"));
+    let all = held.chain(wrong).collect();
+    clients.iter().for_each(|client| println!("{}", client.told(began)));
+    all
+}
+
+#[test]
+fn four_seconds_after_a_drain_no_connection_is_held_idle_or_with_a_recent_request() {
+    let groups = GROUPS.into_iter().enumerate().map(|(number, habits)| {
+        let late = if number == 0 { OPENED_LATE } else { &[] };
+        thread::spawn(move || drained_under(&format!("drain-{number}"), habits, late))
+    });
+    let groups: Vec<_> = groups.collect();
+    let wrong: Vec<String> = groups.into_iter().flat_map(|group| group.join().unwrap()).collect();
+    assert!(wrong.is_empty(), "4 s after the drain:\n{}", wrong.join("\n"));
+}
+
+/// SIGKILL comes no sooner after SIGTERM: the longest deadline, of which 3 s count at most, and 0.7 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3700);
+
+/// Lets clients of some habits use a node, ends it with SIGTERM and SIGKILL, and gives what was wrong with their connections.
+fn ended_under(name: &str, habits: &[(Habit, &'static str)], late: &[(Habit, &'static str)]) -> Vec<String> {
+    let discovery = Discovery::start(&member("s-1", server(), "m", "ready"));
+    let mut node = node(name, &discovery, &[]);
+    let told = Arc::new(Mutex::new(None));
+    let start = |(number, (habit, kind)): (usize, &(Habit, &'static str))| {
+        Client::start(node.address, number, *habit, kind, told.clone())
+    };
+    let mut clients: Vec<Client> = habits.iter().enumerate().map(start).collect();
+    thread::sleep(ms(300));
+    let began = Instant::now();
+    *told.lock().unwrap() = Some(began);
+    node.signal("TERM");
+    // New connections come for 0.4 s at most.
+    wait_until(began, ms(350));
+    clients.extend(late.iter().enumerate().map(|(number, late)| start((habits.len() + number, late))));
+    wait_until(began, EARLIEST_KILL);
+    let ended = node.child.try_wait().unwrap();
+    let _ = node.child.kill();
+    node.ended();
+    // All see the end of their connections now.
+    wait_until(began, EARLIEST_KILL + ms(200));
+    let mut wrong: Vec<String> = clients.iter().filter_map(Client::ended_wrongly).collect();
+    if !ended.is_some_and(|status| status.success()) {
+        wrong.push(format!("{name}: the process has not ended in order by itself: {ended:?}"));
+    }
+    clients.iter().for_each(|client| println!("{}", client.told(began)));
+    wrong
+}
+
+#[test]
+fn at_the_earliest_sigkill_all_that_clients_went_on_asking_is_answered() {
+    let groups = GROUPS.into_iter().enumerate().map(|(number, habits)| {
+        let late = if number == 0 { OPENED_LATE } else { &[] };
+        thread::spawn(move || ended_under(&format!("end-{number}"), habits, late))
+    });
+    let groups: Vec<_> = groups.collect();
+    let wrong: Vec<String> = groups.into_iter().flat_map(|group| group.join().unwrap()).collect();
+    assert!(wrong.is_empty(), "as the process ended:\n{}", wrong.join("\n"));
+}
--- /dev/null
+++ b/crates/mothpier/tests/habits/mod.rs
@@ -0,0 +1,390 @@
+//! Clients that use one connection each, in the ways that the platform's pages leave them, until the node ends it.
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// After a drain was told, a client's connection must not be held idle from here on, nor with a request that came less than
+/// [`RECENT`] ago.
+pub const HELD_AT_MOST: Duration = Duration::from_secs(4);
+/// See [`HELD_AT_MOST`].
+pub const RECENT: Duration = Duration::from_secs(2);
+/// A request that was sent so short a time before its client saw the end of the connection crossed that end.
+pub const CROSSING: Duration = Duration::from_millis(30);
+/// The value that a slow upload sends.
+const UPLOAD: usize = 2 * 1024 * 1024;
+/// How often a client that waits for its time looks whether its connection has ended.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// What a client does on its connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Habit {
+    /// Asks once, and then nothing more.
+    Rests,
+    /// Asks nothing.
+    Silent,
+    /// Asks again as soon as it has its answer.
+    ClosedLoop,
+    /// Keeps so many requests open at all times.
+    Overlaps(usize),
+    /// Writes so many commands at once, and again once all are answered.
+    Bursts(usize),
+    /// Begins its first command so long after the drain was told, and writes a byte each 50 ms.
+    BeginsLate(Duration),
+    /// Writes one command after the other, a byte each 5 ms.
+    ByteByByte,
+    /// Writes a large value in pieces, without end.
+    Uploads,
+    /// Asks again and again and takes no answers.
+    NeverReads,
+}
+
+/// How a connection ended, as its client saw it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    /// With the end of the stream.
+    Closed,
+    /// With a reset.
+    Reset,
+}
+
+/// What became of the requests of one client.
+#[derive(Debug, Default)]
+pub struct Account {
+    /// Requests that have no answer, by their ids, and when their last byte was written.
+    pub open: VecDeque<(String, Instant)>,
+    pub served: usize,
+    pub refused: usize,
+    pub failed: usize,
+    /// Answers that belong to no open request.
+    pub strange: Vec<String>,
+    pub ended: Option<(Instant, End)>,
+}
+
+/// A client that is at work.
+pub struct Client {
+    pub habit: Habit,
+    /// The kind of its keys, which tells a server how to answer.
+    pub kind: &'static str,
+    account: Arc<Mutex<Account>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Client {
+    /// Connects and begins. `told` is when the drain is told, for habits that wait for it.
+    pub fn start(
+        node: SocketAddr,
+        number: usize,
+        habit: Habit,
+        kind: &'static str,
+        told: Arc<Mutex<Option<Instant>>>,
+    ) -> Client {
+        let account = Arc::new(Mutex::new(Account::default()));
+        let stop = Arc::new(AtomicBool::new(false));
+        let stream = TcpStream::connect(node).unwrap();
+        stream.set_nodelay(true).unwrap();
+        let reading = stream.try_clone().unwrap();
+        let writer =
+            Writer { stream, number, kind, account: account.clone(), stop: stop.clone(), told, asked: 0 };
+        thread::spawn(move || writer.run(habit));
+        if habit != Habit::NeverReads {
+            let (account, stop) = (account.clone(), stop.clone());
+            thread::spawn(move || read_answers(reading, &account, &stop));
+        }
+        Client { habit, kind, account, stop }
+    }
+
+    /// What became of its requests by now.
+    pub fn account(&self) -> MutexGuard<'_, Account> {
+        self.account.lock().unwrap()
+    }
+
+    /// Why its connection breaks the rule, at a time at which the drain is [`HELD_AT_MOST`] old; `None` where it does not.
+    pub fn held(&self, told: Instant) -> Option<String> {
+        let account = self.account();
+        if account.ended.is_some() {
+            return None;
+        }
+        let recent = account.open.iter().filter(|(_, sent)| *sent > told + HELD_AT_MOST - RECENT).count();
+        let state = match (account.open.len(), recent) {
+            (0, _) => "idle".to_owned(),
+            // What came before may take its time.
+            (_, 0) => return None,
+            (open, recent) => format!("{open} open, {recent} of them recent"),
+        };
+        Some(format!("{:?} of {} keys: {state}, {} served", self.habit, self.kind, account.served))
+    }
+
+    /// What it did, in a line.
+    pub fn told(&self, began: Instant) -> String {
+        let Account { open, served, refused, failed, ended, .. } = &*self.account();
+        let ended = ended.map(|(at, end)| (at.saturating_duration_since(began), end));
+        format!(
+            "{:?} of {} keys: {served} served, {refused} refused, {failed} failed, {} open, ended {ended:?}",
+            self.habit,
+            self.kind,
+            open.len()
+        )
+    }
+
+    /// What is wrong with the end of its connection: a reset, or requests that were read and not answered.
+    pub fn ended_wrongly(&self) -> Option<String> {
+        if self.habit == Habit::NeverReads {
+            // It can't tell.
+            return None;
+        }
+        let account = self.account();
+        let (ended, end) = account.ended?;
+        let lost: Vec<_> = account.open.iter().filter(|(_, sent)| *sent + CROSSING < ended).collect();
+        let wrong = end == End::Reset || !lost.is_empty() || !account.strange.is_empty();
+        wrong.then(|| {
+            format!(
+                "{:?} of {} keys: {end:?}, without an answer {lost:?}, strange answers {:?}",
+                self.habit, self.kind, account.strange
+            )
+        })
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// The side of a client that writes.
+struct Writer {
+    stream: TcpStream,
+    number: usize,
+    kind: &'static str,
+    account: Arc<Mutex<Account>>,
+    stop: Arc<AtomicBool>,
+    told: Arc<Mutex<Option<Instant>>>,
+    asked: usize,
+}
+
+impl Writer {
+    fn run(mut self, habit: Habit) {
+        // A connection that the node has ended takes nothing more.
+        let _ = match habit {
+            Habit::Silent => Ok(()),
+            Habit::Rests => self.ask(1),
+            Habit::ClosedLoop => self.keep_open(1),
+            Habit::Overlaps(depth) => self.keep_open(depth),
+            Habit::Bursts(count) => self.burst(count),
+            Habit::BeginsLate(after) => self.begin_late(after),
+            Habit::ByteByByte => self.byte_by_byte(),
+            Habit::Uploads => self.upload(),
+            Habit::NeverReads => self.never_read(),
+        };
+        // Its side stays open until the test ends.
+        while !self.is_over() {
+            thread::sleep(LOOK);
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    fn has_ended(&self) -> bool {
+        self.is_over() || self.account.lock().unwrap().ended.is_some()
+    }
+
+    fn open(&self) -> usize {
+        self.account.lock().unwrap().open.len()
+    }
+
+    /// The next request, which is on its way from now on.
+    fn next(&mut self) -> Vec<u8> {
+        self.asked += 1;
+        let id = format!("{}-{}", self.number, self.asked);
+        // Reads of one key may share an answer.
+        let key = format!("{}-{id}", self.kind);
+        self.account.lock().unwrap().open.push_back((id.clone(), Instant::now()));
+        command(&["CACHE.GET", &key, &id, "c=read,t=acme,d=20000"])
+    }
+
+    /// The requests that are on their way were written whole just now.
+    fn written(&self, count: usize) {
+        let now = Instant::now();
+        let mut account = self.account.lock().unwrap();
+        account.open.iter_mut().rev().take(count).for_each(|(_, sent)| *sent = now);
+    }
+
+    fn ask(&mut self, count: usize) -> io::Result<()> {
+        let requests: Vec<u8> = (0..count).flat_map(|_| self.next()).collect();
+        self.stream.write_all(&requests)?;
+        if count > 1 {
+            self.written(count);
+        }
+        Ok(())
+    }
+
+    fn keep_open(&mut self, depth: usize) -> io::Result<()> {
+        while !self.has_ended() {
+            match depth.saturating_sub(self.open()) {
+                0 => thread::sleep(Duration::from_micros(50)),
+                missing => self.ask(missing)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn burst(&mut self, count: usize) -> io::Result<()> {
+        while !self.has_ended() {
+            match self.open() {
+                0 => self.ask(count)?,
+                _ => thread::sleep(Duration::from_micros(50)),
+            }
+        }
+        Ok(())
+    }
+
+    fn write_slowly(&mut self, bytes: &[u8], pause: Duration) -> io::Result<()> {
+        for byte in bytes {
+            if self.has_ended() {
+                return Ok(());
+            }
+            self.stream.write_all(std::slice::from_ref(byte))?;
+            thread::sleep(pause);
+        }
+        Ok(())
+    }
+
+    fn begin_late(&mut self, after: Duration) -> io::Result<()> {
+        let told = loop {
+            let told = *self.told.lock().unwrap();
+            match told {
+                Some(told) => break told,
+                None if self.has_ended() => return Ok(()),
+                None => thread::sleep(LOOK),
+            }
+        };
+        thread::sleep((told + after).saturating_duration_since(Instant::now()));
+        let bytes = command(&[
+            "CACHE.GET",
+            &format!("{}-late-{}", self.kind, self.number),
+            "late",
+            "c=read,t=acme,d=20000",
+        ]);
+        let (last, first) = bytes.split_last().expect("a command has bytes");
+        self.write_slowly(first, Duration::from_millis(50))?;
+        self.account.lock().unwrap().open.push_back(("late".into(), Instant::now()));
+        self.stream.write_all(std::slice::from_ref(last))
+    }
+
+    fn byte_by_byte(&mut self) -> io::Result<()> {
+        while !self.has_ended() {
+            let id = format!("{}-{}", self.number, self.asked);
+            self.asked += 1;
+            let bytes = command(&["CACHE.GET", &format!("{}-{id}", self.kind), &id, "c=read,t=acme,d=20000"]);
+            let (last, first) = bytes.split_last().expect("a command has bytes");
+            self.write_slowly(first, Duration::from_millis(5))?;
+            if self.has_ended() {
+                return Ok(());
+            }
+            self.account.lock().unwrap().open.push_back((id, Instant::now()));
+            self.stream.write_all(std::slice::from_ref(last))?;
+        }
+        Ok(())
+    }
+
+    fn upload(&mut self) -> io::Result<()> {
+        let head = format!(
+            "*5\r\n$9\r\nCACHE.SET\r\n$6\r\nupload\r\n$2\r\nu1\r\n$21\r\nc=once,t=acme,d=20000\r\n${UPLOAD}\r\n"
+        );
+        self.stream.write_all(head.as_bytes())?;
+        let mut left = UPLOAD;
+        while left > 1 && !self.has_ended() {
+            let piece = left.min(4096) - 1;
+            self.stream.write_all(&vec![b'v'; piece])?;
+            left -= piece;
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(())
+    }
+
+    fn never_read(&mut self) -> io::Result<()> {
+        self.stream.set_write_timeout(Some(Duration::from_millis(100)))?;
+        while !self.has_ended() {
+            let request = self.next();
+            match self.stream.write_all(&request) {
+                Ok(()) => thread::sleep(Duration::from_millis(1)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => {
+                    self.account.lock().unwrap().ended = Some((Instant::now(), End::Reset));
+                    return Ok(());
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The bytes of a command.
+pub fn command(words: &[&str]) -> Vec<u8> {
+    let mut bytes = format!("*{}\r\n", words.len());
+    words.iter().for_each(|word| bytes += &format!("${}\r\n{word}\r\n", word.len()));
+    bytes.into_bytes()
+}
+
+fn read_answers(stream: TcpStream, account: &Mutex<Account>, stop: &AtomicBool) {
+    let mut reader = BufReader::new(stream);
+    loop {
+        let answer = read_answer(&mut reader);
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let mut account = account.lock().unwrap();
+        match answer {
+            Ok(Some(answer)) => account.take(&answer),
+            Ok(None) => {
+                account.ended = Some((Instant::now(), End::Closed));
+                return;
+            }
+            Err(_) => {
+                account.ended = Some((Instant::now(), End::Reset));
+                return;
+            }
+        }
+    }
+}
+
+impl Account {
+    fn take(&mut self, answer: &str) {
+        // What is said of a command that has not come whole belongs to no request.
+        if answer.starts_with("-ERR protocol") {
+            return;
+        }
+        let Some((id, _)) = self.open.pop_front() else {
+            return self.strange.push(answer.to_owned());
+        };
+        match answer {
+            _ if answer == format!("${id}") => self.served += 1,
+            _ if answer.starts_with("-BUSY") => self.refused += 1,
+            _ if answer.starts_with("-ERR") => self.failed += 1,
+            _ => self.strange.push(format!("{id}: {answer}")),
+        }
+    }
+}
+
+/// A line, or a value behind `$`; `None` at the end.
+fn read_answer(reader: &mut BufReader<TcpStream>) -> io::Result<Option<String>> {
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let line = line.trim_end().to_owned();
+    let Some(length) = line.strip_prefix('$').and_then(|length| length.parse::<usize>().ok()) else {
+        return Ok(Some(line));
+    };
+    let mut value = vec![0; length + 2];
+    reader.read_exact(&mut value)?;
+    Ok(Some(format!("${}", String::from_utf8_lossy(&value[..length]))))
+}
