Node: the log names configuration keys that nothing reads, and a missing second address

Change: keys of the file and variables of the environment that nothing reads are named at the start, and so is the lack of an ops address.

--- a/crates/mothpier/src/main.rs
+++ b/crates/mothpier/src/main.rs
@@ -18,6 +18,11 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
+/// The variables of the environment that are read, behind their common beginning.
+const VARIABLES: [&str; 7] = ["NAME", "LISTEN", "DISCOVERY", "CONFIG", "OPS", "OPERATOR", "SOCKET_FD"];
+/// With what each of them begins.
+const VARIABLES_BEGIN: &str = "ROUTER_";
+
 const HOST: Machine = Machine { program: "mothpier" };
 
 fn main() -> ExitCode {
@@ -43,6 +48,13 @@
     }
 }
 
+/// Variables of the environment that are meant for a node, and that nothing reads.
+fn unknown_variables() -> Vec<String> {
+    let names = std::env::vars_os().filter_map(|(name, _)| name.into_string().ok());
+    let unknown = |name: &String| name.strip_prefix(VARIABLES_BEGIN).is_some_and(|n| !VARIABLES.contains(&n));
+    names.filter(unknown).collect()
+}
+
 /// The listener that `ROUTER_SOCKET_FD` names, where it is set.
 fn inherited_listener() -> Result<Option<TcpListener>, String> {
     let named = std::env::var_os("ROUTER_SOCKET_FD").filter(|v| !v.is_empty());
@@ -115,6 +127,7 @@
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let (control, told) = mpsc::channel(8);
     config.notes.iter().for_each(|note| HOST.log(format_args!("{note}")));
+    unknown_variables().iter().for_each(|name| HOST.log(format_args!("nothing reads the variable {name}")));
     let desk = Desk::new(&config.site.classes);
     if let Some(address) = config.ops {
         staff(address, desk.clone(), control.clone(), config.sockets)?;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,10 +1,12 @@
 //! What the node is told at its start: the environment and the JSON file that it names.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use brassrouter::settings::{self, Site};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::discovery::List;
@@ -46,6 +48,21 @@
     pub keys: Keys,
 }
 
+/// The keys that [`File`] has.
+const KEYS: [&str; 11] = [
+    "name",
+    "listen",
+    "discovery",
+    "seed",
+    "limits",
+    "ops",
+    "peer_listen",
+    "peers",
+    "peers_all",
+    "known",
+    "settings",
+];
+
 #[derive(Deserialize)]
 struct File {
     name: Option<String>,
@@ -125,7 +142,7 @@
     if file.limits.sockets < 32 {
         return Err(format!("limits.sockets: {} are too few to work with", file.limits.sockets));
     }
-    let mut notes = Vec::new();
+    let mut notes = unknown_keys(text);
     // Discovery has it anyhow: what can't be read of it must not keep the node from its start.
     let known = file.known.and_then(|known| {
         let list = serde_json::from_value(known);
@@ -136,6 +153,10 @@
     {
         notes.push(format!("ops: the environment says {env}, the file {file}; the environment's holds"));
     }
+    let ops = optional("ops", env.ops.or(file.ops))?;
+    if ops.is_none() {
+        notes.push("ops: no second address is given, so that staff can't drain this node".into());
+    }
     Ok(Config {
         notes,
         name: env.name.or(file.name).unwrap_or_else(|| "mothpier".into()),
@@ -144,7 +165,7 @@
         seed,
         sockets: file.limits.sockets,
         memory: (file.limits.memory_mb.clamp(16.0, 1e6) * 1048576.0) as usize,
-        ops: optional("ops", env.ops.or(file.ops))?,
+        ops,
         peer_listen: optional("peer_listen", file.peer_listen)?,
         peers: file.peers.into_iter().map(|p| address("peers", Some(p))).collect::<Result<_, _>>()?,
         peers_all: optional("peers_all", file.peers_all)?,
@@ -154,3 +175,18 @@
         keys: Keys::default(),
     })
 }
+
+/// A line for the log that names the keys of the file that nothing here reads: one of them may be meant for something that the
+/// node knows by another name.
+fn unknown_keys(text: &[u8]) -> Vec<String> {
+    let keys: BTreeMap<String, IgnoredAny> = serde_json::from_slice(text).unwrap_or_default();
+    let unknown: Vec<&str> = keys.keys().map(String::as_str).filter(|key| !KEYS.contains(key)).collect();
+    match unknown.as_slice() {
+        [] => Vec::new(),
+        unknown => vec![format!("the configuration has keys that nothing reads: {}", unknown.join(", "))],
+    }
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/config.rs"]
+mod tests;
