Clients: one retirement plan bounds every connection, whatever its client does

Cause: a drain closed a connection only where nothing was owed on it, nothing of a command had begun and a timer of a millisecond had passed with nothing read. A client that asks again at once, overlaps requests, begins late, uploads slowly or takes no answers put its own end off; four places each knew a part of when that was. Change: clients/retirement.rs holds the spans of drain, stop and hand-over as one typed plan without I/O, of which each connection asks what is to be done with it and when to look again; writing is bounded by it as well. A connection closes behind its last answer at once. Connections, refusals and further attempts tell their reasons, in the log (ten lines a second of each kind) and as figures; a retirement logs how many connections are open in which state, and names those held at 4 s. service.rs is three parts; answers, reading and session import each other no more. A test of the figures' text counts classes' lines alone now, for there are other counters with labels; the tests of the old limits at a process' end moved to the plan's. Measured: drain.rs, red as found, passes: 26 habits of clients, none held 4 s after a drain, and none without an answer at the earliest SIGKILL, by when the process has ended by itself.

--- a/crates/node/src/clients/eviction.rs
+++ b/crates/node/src/clients/eviction.rs
@@ -1,21 +1,10 @@
-//! Connections that give way where there are many: those open, and which of them goes. The order in which they go is
-//! [`crate::crowd`]'s.
-
-use std::rc::Rc;
+//! Connections that give way where there are many. The order in which they go is [`crate::crowd`]'s.
 
 use mothpier_host::Host;
-use tokio::sync::Notify;
-use tokio::time::Instant;
 
 use super::Clients;
-use crate::crowd::{Activity, turn};
-
-pub(super) struct Entry {
-    /// When it last sent something or was answered; `None` while an answer is owed to it.
-    pub(super) idle: Option<Instant>,
-    pub(super) activity: Activity,
-    pub(super) evict: Rc<Notify>,
-}
+use super::shown::Entry;
+use crate::crowd::turn;
 
 impl<H: Host> Clients<H> {
     /// Whether half of the connections that there may be are open.
--- a/crates/node/src/clients/listening.rs
+++ b/crates/node/src/clients/listening.rs
@@ -1,6 +1,5 @@
 //! Accepting the connections of clients, and turning them away where too many are new.
 
-use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
@@ -9,20 +8,20 @@
 use std::time::Duration;
 
 use mothpier_host::{Host, Listener, Stream};
+use mothpier_ops::{CloseReason, Reason};
 use mothpier_resp as resp;
 use mothpier_storm::Verdict;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use super::Clients;
-use super::eviction::Entry;
 use super::retiring::Listening;
-use super::session::{Newcomer, Session};
-use super::state::State;
+use super::session::Session;
+use super::shown::Entry;
 use crate::accepting::{self, Failures, Reaction};
-use crate::crowd::Activity;
+use crate::event_log::EventKind;
 use crate::shortage::Outlasting;
 use crate::stream::{CLOSE_TIMEOUT, close_in_order};
 
@@ -131,10 +130,17 @@
     /// close a reset, which could overtake the answer.
     fn turn_away(self: Rc<Self>, stream: H::Stream, after: Duration, place: Option<OwnedSemaphorePermit>) {
         self.connections.set(self.connections.get() + 1);
+        let reason = CloseReason::TurnedAway;
+        self.desk.figures.closed.count(reason);
+        let after_ms = after.as_millis().max(1);
+        self.log.write(
+            EventKind::ConnectionClosed,
+            format_args!("reason={} requests=0 answers=0 retry_after_ms={after_ms}", reason.name()),
+        );
         tokio::task::spawn_local(async move {
             let (reading, writing) = stream.into_halves();
             let mut writing = Outlasting::new(writing);
-            let line = resp::error(&format!("BUSY {}", after.as_millis().max(1)));
+            let line = resp::error(&format!("BUSY {after_ms}"));
             if let Ok(Ok(())) = timeout(CLOSE_TIMEOUT, writing.write_all(&line)).await {
                 close_in_order(&reading, &mut writing).await;
             }
@@ -145,21 +151,10 @@
     /// Serves a connection in a task of its own.
     fn start(self: Rc<Self>, stream: H::Stream, number: u64) {
         self.connections.set(self.connections.get() + 1);
-        let newcomer = Newcomer::count(&self.newcomers);
         let evict = Rc::new(Notify::new());
-        let entry = Entry { idle: Some(Instant::now()), activity: Activity::Begins, evict: evict.clone() };
-        self.open.borrow_mut().insert(number, entry);
+        self.open.borrow_mut().insert(number, Entry::new(evict.clone()));
         tokio::task::spawn_local(async move {
-            let pending = VecDeque::new();
-            let mut session = Session {
-                clients: self.clone(),
-                number,
-                pending,
-                asked: 0,
-                newcomer: Some(newcomer),
-                refuses: false,
-                state: State::new(),
-            };
+            let mut session = Session::new(self.clone(), number);
             session.run(stream, evict).await;
             session.abandon_requests().await;
             drop(session);
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::command::Ids;
+use crate::event_log::EventLog;
 use crate::input::Input;
 use crate::keys::Keys;
 use crate::shortage::Outlasting;
@@ -22,15 +23,21 @@
 mod eviction;
 mod grammar;
 mod listening;
+mod owed;
 mod reading;
+mod retirement;
 mod retiring;
+mod serving;
 mod session;
+mod shown;
 mod state;
 mod timing;
+mod watching;
 
-use eviction::Entry;
 pub use grammar::Grammar;
-pub use retiring::{Leaving, Listening, Retiring};
+pub use retirement::Plan;
+pub use retiring::{Listening, Retiring};
+use shown::Entry;
 
 /// The half of a client's connection that is written to.
 type ClientWriting<H> = Outlasting<<<H as Host>::Stream as Stream>::Writing>;
@@ -71,6 +78,7 @@
     /// Connections since the start.
     connections: Rc<Cell<u64>>,
     events: mpsc::Sender<Input>,
+    log: EventLog<H>,
     open: RefCell<BTreeMap<u64, Entry>>,
     closed: Notify,
 }
@@ -86,6 +94,7 @@
         events: mpsc::Sender<Input>,
     ) -> Rc<Self> {
         Rc::new(Clients {
+            log: EventLog::new(host.clone()),
             host,
             site: grammar.site,
             keys: grammar.keys,
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -3,15 +3,17 @@
 use brassrouter::{Micros, Request};
 use bytes::{Bytes, BytesMut};
 use mothpier_host::{Host, Reading};
-use mothpier_ops::{End, Lifecycle, Phase};
+use mothpier_ops::{CloseReason, End, Lifecycle, Phase, Reason, RefuseReason};
 use mothpier_resp::{self as resp, Extent, MAX_VALUE, Malformed, WHOLE};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
+use tokio::time::Instant;
 
-use super::answers::{Slot, Wait};
 use super::grammar::words;
+use super::owed::{Slot, Wait};
 use super::session::Session;
 use crate::command::Command;
+use crate::event_log::EventKind;
 use crate::input::{Asked, Input};
 use crate::stream::READ;
 
@@ -20,14 +22,8 @@
 /// Memory that an open request counts for until its answer is written, beside its own value: half of the largest
 /// answer that is held whole, for few are large; the pieces of one that passes are no more.
 const REQUEST_KB: usize = WHOLE / 2 / 1024;
-
-/// What comes from a client.
-pub(super) struct Inbox<'a, R> {
-    pub(super) reading: &'a R,
-    pub(super) buffer: BytesMut,
-    /// When the last of it was read.
-    pub(super) received: Micros,
-}
+/// When a request that finds no room here may come back, milliseconds.
+const RETRY_MS: u64 = 100;
 
 impl<H: Host> Session<H> {
     /// Looks at a command of which a value is still coming. Room for a large one is reserved before it is read; where there
@@ -63,7 +59,7 @@
         let class =
             words(frame).map(|words| self.clients.parse(&words, received).map(|(request, _)| request.class));
         match class {
-            Some(Ok(class)) => self.refuse(class),
+            Some(Ok(class)) => self.refuse(class, RefuseReason::Memory),
             Some(Err(e)) => self.reject(e),
             None => self.protocol_error(Malformed("a command is an array of bulk strings")),
         }
@@ -92,7 +88,7 @@
                 self.answer(pong(&self.clients.desk.lifecycle));
             }
             name if name.eq_ignore_ascii_case(b"QUIT") => {
-                self.state.finish();
+                self.finish(CloseReason::Quit);
                 self.answer(Bytes::from_static(b"+OK\r\n"));
             }
             _ => self.answer(resp::error("ERR unknown command")),
@@ -100,24 +96,46 @@
     }
 
     /// Memory of so many KB for one more request, where the connection and the node may have one.
-    fn acquire_memory(&self, kilobytes: usize) -> Option<OwnedSemaphorePermit> {
+    fn acquire_memory(&self, kilobytes: usize) -> Result<OwnedSemaphorePermit, RefuseReason> {
         let clients = &self.clients;
-        if self.asked >= MAX_PIPELINE || clients.ids.borrow().len() > clients.site.max_open {
-            return None;
+        if self.asked >= MAX_PIPELINE {
+            return Err(RefuseReason::Pipeline);
+        }
+        if clients.ids.borrow().len() > clients.site.max_open {
+            return Err(RefuseReason::OpenRequests);
         }
-        clients.memory.clone().try_acquire_many_owned(kilobytes as u32).ok()
+        let memory = clients.memory.clone().try_acquire_many_owned(kilobytes as u32);
+        memory.map_err(|_| RefuseReason::Memory)
+    }
+
+    /// Refuses a request.
+    fn refuse(&mut self, class: usize, reason: RefuseReason) {
+        let clients = &self.clients;
+        clients.desk.figures.refusals.count(reason);
+        clients.log.write(
+            EventKind::RequestRefused,
+            format_args!(
+                "reason={} connection={} attempts=0 retry_after_ms={RETRY_MS}",
+                reason.name(),
+                self.number
+            ),
+        );
+        let wait = Wait::Ready(resp::error(&format!("BUSY {RETRY_MS}")));
+        let ticket = Some((clients.desk.figures.taken(class), End::Refused));
+        self.pending.push_back(Slot { wait, memory: None, ticket });
     }
 
     /// Passes a request on to the node.
     async fn ask(&mut self, request: Request, command: Box<Command>, reserved: Option<OwnedSemaphorePermit>) {
-        if self.refuses {
-            return self.refuse(request.class);
+        if self.clients.retiring.plans().refuses(!self.pending.is_empty(), Instant::now()) {
+            return self.refuse(request.class, RefuseReason::Retiring);
         }
         // Memory is bounded by what open requests may hold, and one connection by its own part of them; what is
         // beyond never runs, and is told so instead of being left unread.
         let value = command.value.as_ref().filter(|_| reserved.is_none()).map_or(0, Bytes::len);
-        let Some(mut memory) = self.acquire_memory(REQUEST_KB + value.div_ceil(1024)) else {
-            return self.refuse(request.class);
+        let mut memory = match self.acquire_memory(REQUEST_KB + value.div_ceil(1024)) {
+            Ok(memory) => memory,
+            Err(reason) => return self.refuse(request.class, reason),
         };
         if let Some(reserved) = reserved {
             memory.merge(reserved);
@@ -130,6 +148,7 @@
             return self.answer(resp::error("ERR stopping"));
         }
         self.asked += 1;
+        self.requests += 1;
         let ticket = Some((ticket, End::Failed));
         self.pending.push_back(Slot { wait: Wait::Node(id, receiver), memory: Some(memory), ticket });
     }
--- a/crates/node/src/clients/retiring.rs
+++ b/crates/node/src/clients/retiring.rs
@@ -1,21 +1,10 @@
-//! How the connections of clients retire: for a drain, for the end of the node, and for a process that takes over.
+//! What all connections of clients are told of their retirement: the plans in force, and whether new ones are taken.
 
 use std::cell::Cell;
 
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
-/// Which connections of clients are to go.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Leaving {
-    /// None: the node serves.
-    #[default]
-    None,
-    /// Each behind the answer that it was owed: a close that goes out with an answer crosses no request.
-    Answered,
-    /// Those that rest, too.
-    Resting,
-}
+use super::retirement::{Plan, Plans};
 
 /// Whether new connections are taken.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -32,18 +21,25 @@
 /// order in which they began to wait: a watch channel would wake them in a random one.
 #[derive(Default)]
 pub struct Retiring {
-    leaving: Cell<Leaving>,
+    plans: Cell<Plans>,
     /// Nothing more is accepted.
     pub(super) listening: Cell<Listening>,
-    /// When the process must have ended: all is answered before.
-    pub(super) ends: Cell<Option<Instant>>,
     pub(super) changed: Notify,
 }
 
 impl Retiring {
-    /// From now on these connections go.
-    pub fn set(&self, leaving: Leaving) {
-        self.leaving.set(leaving);
+    /// Connections go by this plan, or stay where there is none.
+    pub fn drain(&self, plan: Option<Plan>) {
+        self.set(Plans { drain: plan, ..self.plans.get() });
+    }
+
+    /// The process ends by this plan.
+    pub fn end(&self, plan: Plan) {
+        self.set(Plans { end: Some(plan), ..self.plans.get() });
+    }
+
+    fn set(&self, plans: Plans) {
+        self.plans.set(plans);
         self.changed.notify_waiters();
     }
 
@@ -53,15 +49,9 @@
         self.changed.notify_waiters();
     }
 
-    /// The process must have ended by then: nothing may be open any more.
-    pub fn end_by(&self, time: Instant) {
-        self.ends.set(Some(time));
-        self.changed.notify_waiters();
-    }
-
-    /// Which connections go now.
-    pub fn leaving(&self) -> Leaving {
-        self.leaving.get()
+    /// The plans in force.
+    pub fn plans(&self) -> Plans {
+        self.plans.get()
     }
 
     /// Waits until nothing is accepted any more. Safe to drop and call again.
--- a/crates/node/src/clients/timing.rs
+++ b/crates/node/src/clients/timing.rs
@@ -19,11 +19,6 @@
 const IDLE_CROWDED: Duration = Duration::from_millis(2100);
 /// How often an idle connection looks whether many have become open meanwhile.
 const IDLE_LOOK: Duration = Duration::from_millis(250);
-/// So long before a process must have ended all that is still open fails, that the answers go out.
-const LAST_ANSWER: Duration = Duration::from_millis(100);
-/// So long before a process must have ended nothing more is read, that what was read can be asked for at all.
-const LAST_COMMAND: Duration = Duration::from_millis(250);
-
 /// What the limits of a connection are counted from.
 pub(super) struct Progress {
     /// When it was accepted.
@@ -34,14 +29,14 @@
     pieces: usize,
     /// When the client was last heard or answered.
     active: Instant,
-    /// The last answer went out while connections were leaving behind theirs.
-    pub(super) answered_while_leaving: bool,
+    /// When it was last answered.
+    answered: Option<Instant>,
 }
 
 impl Progress {
     /// Of a connection that has only just been accepted.
     pub(super) fn new(connected: Instant) -> Progress {
-        Progress { connected, begun: None, pieces: 0, active: connected, answered_while_leaving: false }
+        Progress { connected, begun: None, pieces: 0, active: connected, answered: None }
     }
 
     /// Something has arrived.
@@ -55,6 +50,22 @@
         self.active = Instant::now();
     }
 
+    /// The client was answered.
+    pub(super) fn answered_now(&mut self) {
+        self.active_now();
+        self.answered = Some(self.active);
+    }
+
+    /// When it was accepted.
+    pub(super) fn connected(&self) -> Instant {
+        self.connected
+    }
+
+    /// When it was last answered.
+    pub(super) fn last_answered(&self) -> Option<Instant> {
+        self.answered
+    }
+
     /// When the client was last heard or answered.
     pub(super) fn last_active(&self) -> Instant {
         self.active
@@ -102,14 +113,10 @@
     pub(super) newcomer: bool,
     /// No answer is owed to it.
     pub(super) idle: bool,
-    /// It is to go as soon as it asks nothing.
-    pub(super) leaving: bool,
     /// Many connections are open.
     pub(super) crowded: bool,
     /// Of the newest command only the value, or the rest of it, is missing.
     pub(super) misses_value: bool,
-    /// When it must stop reading or answering, for the process ends.
-    pub(super) last: Option<Instant>,
 }
 
 /// Until when a connection may go on as it is; `None` where nothing limits it.
@@ -120,8 +127,6 @@
     rest_of_command: Option<Instant>,
     /// For resting, or until it is looked at again.
     rest: Option<Instant>,
-    /// For answers, as the process ends.
-    last: Option<Instant>,
 }
 
 impl Limits {
@@ -140,13 +145,12 @@
                 }
             }),
             rest: asks_nothing.then(|| rest_until(progress.active, situation, now)),
-            last: situation.last,
         }
     }
 
     /// The next of them.
     pub(super) fn next(&self) -> Option<Instant> {
-        [self.first_command, self.rest_of_command, self.rest, self.last].into_iter().flatten().min()
+        [self.first_command, self.rest_of_command, self.rest].into_iter().flatten().min()
     }
 
     /// Whether the first command has not come in time.
@@ -158,11 +162,6 @@
     pub(super) fn rest_of_command_is_late(&self) -> bool {
         passed(self.rest_of_command)
     }
-
-    /// Whether the end of the process is too near for what is owed.
-    pub(super) fn process_ends(&self) -> bool {
-        passed(self.last)
-    }
 }
 
 fn passed(limit: Option<Instant>) -> bool {
@@ -170,9 +169,7 @@
 }
 
 fn rest_until(active: Instant, situation: Situation, now: Instant) -> Instant {
-    if situation.leaving {
-        now
-    } else if active + IDLE_CROWDED > now || situation.crowded {
+    if active + IDLE_CROWDED > now || situation.crowded {
         active + IDLE_CROWDED
     } else {
         // Looked at again meanwhile: others may have come.
@@ -180,11 +177,6 @@
     }
 }
 
-/// When a connection that is owed answers must stop reading, or where it has, fail them: the process ends at `end`.
-pub(super) fn last_before(end: Instant, finishing: bool) -> Instant {
-    end - if finishing { LAST_ANSWER } else { LAST_COMMAND }
-}
-
 #[cfg(test)]
 #[path = "../../tests/unit/client_timing.rs"]
 mod tests;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod counters;
 mod crowd;
 mod discovery;
+mod event_log;
 #[cfg(test)]
 #[path = "../tests/unit/failing_host.rs"]
 mod failing_host;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,7 @@
 };
 use mothpier_handover::{Left, State};
 use mothpier_host::Host;
-use mothpier_ops::{Desk, Holds, Step};
+use mothpier_ops::{Desk, Holds, Reason, RefuseReason, RetryReason, Step};
 use mothpier_record::{Recorder, entry};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
@@ -23,6 +23,7 @@
 use crate::command::{Answer, AttemptId, Command};
 use crate::counters::Counters;
 use crate::discovery::{List, Member, Numbers, Wanted};
+use crate::event_log::{EventKind, EventLog};
 use crate::input::{Asked, Heard, Input};
 use crate::near::Nearby;
 use crate::origin::Origins;
@@ -86,6 +87,8 @@
     local_failures: u16,
     /// Of these, the ones without outcome.
     out: Vec<AttemptId>,
+    /// How the last one ended, of those that have.
+    last_status: Option<Status>,
     /// What the detector knows it by; 0 without one.
     fingerprint: u64,
 }
@@ -166,6 +169,7 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     counters: Counters,
+    log: EventLog<H>,
     /// When discovery last answered.
     listed: Option<Instant>,
     /// The list as discovery has it, where another process may ask for it.
@@ -180,6 +184,7 @@
         let warm = parts.inherited.as_mut().and_then(|i| i.policy.take());
         let warm = warm.filter(|p| *p.settings() == site.decisions).map(|p| p.succeeded(seed));
         Node {
+            log: EventLog::new(host.clone()),
             host,
             policy: warm.unwrap_or_else(|| Policy::new(site.decisions.clone(), seed)),
             site,
@@ -410,6 +415,7 @@
                     attempts: 0,
                     local_failures: 0,
                     out: Vec::new(),
+                    last_status: None,
                     fingerprint,
                 };
                 self.open.insert(request.id, open);
@@ -553,6 +559,7 @@
             Action::Send { request, server, give_up_after } => self.send(request, server, give_up_after),
             Action::Refuse { request, retry_after } => {
                 let wait = retry_after.min(self.site.max_retry_after).div_ceil(1000);
+                self.tell_refusal(request, wait);
                 let out = self.answer(request, Answer::Busy(wait));
                 self.withdraw(out);
             }
@@ -591,6 +598,29 @@
         }
     }
 
+    /// Counts and logs that the module refuses a request.
+    fn tell_refusal(&self, request: RequestId, retry_after_ms: Micros) {
+        let reason = RefuseReason::Module;
+        self.parts.desk.figures.refusals.count(reason);
+        let attempts = self.open.get(&request).map_or(0, Open::made);
+        self.log.write(
+            EventKind::RequestRefused,
+            format_args!(
+                "reason={} request={request} attempts={attempts} retry_after_ms={retry_after_ms}",
+                reason.name()
+            ),
+        );
+    }
+
+    /// Counts and logs that a request gets an attempt beyond its first.
+    fn tell_retry(&self, request: RequestId, number: u16, server: ServerId, reason: RetryReason) {
+        self.parts.desk.figures.retries.count(reason);
+        self.log.write(
+            EventKind::FurtherAttempt,
+            format_args!("reason={} request={request} attempt={number} server={server}", reason.name()),
+        );
+    }
+
     /// Gives a request its final answer and returns its attempts that are out still.
     fn answer(&mut self, request: RequestId, answer: Answer) -> Vec<AttemptId> {
         let Some(open) = self.open.remove(&request) else { return Vec::new() };
@@ -646,12 +676,17 @@
         };
         let (number, made) = (open.attempts, open.made());
         open.attempts = open.attempts.saturating_add(1);
+        let retry =
+            if open.out.is_empty() { open.last_status.map(retry_reason) } else { Some(RetryReason::Hedge) };
         open.out.push(id);
         let command = open.command.clone();
         let attempt_ends = match give_up_after {
             0 => open.ends,
             after => open.ends.min(sent + Duration::from_micros(after)),
         };
+        if let Some(reason) = retry {
+            self.tell_retry(request, number, server, reason);
+        }
         self.flights.insert(id, Flight { attempt: Some((request, number)), server, sent, call: None });
         if u32::from(made) >= self.site.decisions.max_attempts || attempt_ends <= sent {
             return self.end(id, Status::NotSent, Note::None, Load::default(), None);
@@ -783,6 +818,7 @@
         }
         if let Some(open) = self.open.get_mut(&request) {
             open.out.retain(|out| *out != id);
+            open.last_status = Some(status);
             let failures = u16::from(status == Status::LocalFailure);
             open.local_failures = open.local_failures.saturating_add(failures);
         }
@@ -806,6 +842,22 @@
     }
 }
 
+/// What a further attempt follows on, where the one before ended so.
+fn retry_reason(status: Status) -> RetryReason {
+    match status {
+        // A request that was served gets no other attempt.
+        Status::Served | Status::Miss => RetryReason::Miss,
+        Status::Error => RetryReason::Error,
+        Status::Full => RetryReason::Full,
+        Status::TimedOut => RetryReason::TimedOut,
+        Status::ConnectFailed => RetryReason::NotConnected,
+        Status::Reset => RetryReason::Reset,
+        Status::Cancelled => RetryReason::Cancelled,
+        Status::NotSent => RetryReason::NotSent,
+        Status::LocalFailure => RetryReason::LocalFailure,
+    }
+}
+
 /// How an attempt ended that was not taken.
 fn unsent(error: SendError) -> Status {
     match error {
--- a/crates/ops/src/figures.rs
+++ b/crates/ops/src/figures.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
+use crate::reasons::{ByReason, CloseReason, RefuseReason, RetryReason};
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -38,6 +40,12 @@
     pub(crate) list_calls_failed: AtomicU64,
     pub(crate) connects: AtomicU64,
     pub(crate) connects_refused: AtomicU64,
+    /// Connections of clients that have ended.
+    pub closed: ByReason<CloseReason>,
+    /// Requests that were refused.
+    pub refusals: ByReason<RefuseReason>,
+    /// Attempts of a request beyond its first.
+    pub retries: ByReason<RetryReason>,
 }
 
 /// What a node holds at a moment.
@@ -71,6 +79,9 @@
             list_calls_failed: AtomicU64::new(0),
             connects: AtomicU64::new(0),
             connects_refused: AtomicU64::new(0),
+            closed: ByReason::default(),
+            refusals: ByReason::default(),
+            retries: ByReason::default(),
         }
     }
 
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -7,6 +7,7 @@
 mod call;
 mod figures;
 mod lifecycle;
+mod reasons;
 mod text;
 
 use std::sync::{Arc, OnceLock};
@@ -15,6 +16,7 @@
 pub use call::{Called, Follows, MAX_HEAD};
 pub use figures::{End, Figures, Holds, Ticket};
 pub use lifecycle::{Lifecycle, Phase, Step};
+pub use reasons::{ByReason, CloseReason, Reason, RefuseReason, RetryReason};
 
 /// What the node shares with those who ask.
 #[derive(Debug)]
