World, trials: clients that go on, drains in series, the rule of retirement, and a soak

Found by it and mended: a new process that was killed left calls at the origin, beside which the old one took the whole cap; it keeps its part until the longest deadline is over.

--- a/crates/chalksill/src/trial.rs
+++ b/crates/chalksill/src/trial.rs
@@ -9,11 +9,17 @@
 
 use crate::{Verdict, files, plot, world};
 
+mod soak;
+
+use soak::Soak;
+
 /// The subcommands.
 #[derive(Subcommand)]
 pub enum Trial {
     /// Plays a trial and says whether all held that must
     Run(Run),
+    /// Plays seeds of drains, ends and new versions under clients that go on, each with processes of its own
+    Soak(Soak),
     /// Reads a trial and says what is wrong with it, without playing it
     Check {
         /// The trial, a TOML file
@@ -56,6 +62,7 @@
             Ok(Verdict::Good)
         }
         Trial::Run(run) => execute_run(&run),
+        Trial::Soak(soak) => soak::execute(&soak),
     }
 }
 
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -10,7 +10,7 @@
 use mothpier_handover::{Left, Message, State};
 use mothpier_host::Host;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::clients::Clients;
 use crate::discovery::List;
@@ -63,11 +63,13 @@
     pub(crate) budget: Budget,
     /// What is said to the new process, while there is one.
     pub(crate) successor: Rc<RefCell<Option<mpsc::Sender<Message>>>>,
+    /// No call at the origin lives longer.
+    pub(crate) longest_deadline: Duration,
 }
 
 impl<H: Host> Clone for Side<H> {
     fn clone(&self) -> Self {
-        let Side { host, name, clients, node, budget, successor } = self;
+        let Side { host, name, clients, node, budget, successor, longest_deadline } = self;
         Side {
             host: host.clone(),
             name: name.clone(),
@@ -75,6 +77,7 @@
             node: node.clone(),
             budget: *budget,
             successor: successor.clone(),
+            longest_deadline: *longest_deadline,
         }
     }
 }
@@ -102,8 +105,13 @@
 
     /// This process is the whole node.
     async fn alone(&self, reserve: Reserve) {
-        drop(reserve);
         self.tell(Input::Sharing(1)).await;
+        self.hold_alone(reserve).await;
+    }
+
+    /// This process holds all memory and descriptors again.
+    async fn hold_alone(&self, reserve: Reserve) {
+        drop(reserve);
         self.divide((self.budget.clients, self.budget.servers)).await;
     }
 
@@ -166,7 +174,20 @@
 
     /// Serves those that would take this process' place, one at a time, for as long as it lives.
     pub(crate) async fn beside_successors(self, mut successors: mpsc::Receiver<Link>) {
-        while let Some(mut link) = successors.recv().await {
+        // A process that has died may have calls at the origin, which this one does not know of: until they are over it goes
+        // on with its own part of the caps.
+        let mut calls_over: Option<Instant> = None;
+        loop {
+            let found = tokio::select! {
+                biased;
+                found = successors.recv() => found,
+                () = sleep_until(calls_over.unwrap_or_else(Instant::now)), if calls_over.is_some() => {
+                    calls_over = None;
+                    self.tell(Input::Sharing(1)).await;
+                    continue;
+                }
+            };
+            let Some(mut link) = found else { return };
             let hello = timeout(HELLO, link.inbox.recv()).await;
             let layout = match hello {
                 Ok(Some(Message::Hello { name, layout })) if name == self.name => layout,
@@ -206,7 +227,8 @@
                 }
             }
             self.successor.borrow_mut().take();
-            self.alone(reserve).await;
+            self.hold_alone(reserve).await;
+            calls_over = Some(Instant::now() + self.longest_deadline);
             self.host.log(format_args!("the new process has ended; this one goes on"));
         }
     }
--- a/crates/node/src/service/assembly.rs
+++ b/crates/node/src/service/assembly.rs
@@ -214,6 +214,7 @@
         node: ends.clone(),
         budget,
         successor: Rc::default(),
+        longest_deadline,
     };
     if let Some((state, link)) = before {
         spawn_local(side.clone().beside_predecessor(state.left, link));
--- a/crates/trial/src/account.rs
+++ b/crates/trial/src/account.rs
@@ -410,6 +410,8 @@
             steps: Vec::new(),
             musts: Vec::new(),
             before: Vec::new(),
+            staffed: false,
+            held_sockets: false,
         };
         Account::new(&trial)
     }
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod play;
 pub mod relay;
 pub mod report;
+pub mod soak;
 pub mod stage;
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -35,6 +35,10 @@
     pub musts: Vec<Must>,
     /// Nodes that know nothing of places and of the accord, as a version from before them.
     pub before: Parties,
+    /// Whether staff order something in it.
+    pub staffed: bool,
+    /// Whether the platform holds the sockets of nodes, which each of their processes inherits.
+    pub held_sockets: bool,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -381,7 +385,10 @@
             let others = || located(("before".into(), format!("{word:?} names other parties than nodes")));
             if parties.iter().all(|p| p.kind == Kind::Node) { Ok(parties) } else { Err(others()) }
         })?;
+        let orders = |step: &Step| matches!(step.act, Act::Hold | Act::Release);
         let trial = Trial {
+            staffed: file.steps.iter().any(orders),
+            held_sockets: false,
             before,
             name: file.name,
             about: file.about,
@@ -396,11 +403,6 @@
         Ok(trial)
     }
 
-    /// Whether staff order something in it.
-    pub fn staffed(&self) -> bool {
-        self.steps.iter().any(|step| matches!(step.act, Act::Hold | Act::Release))
-    }
-
     fn check(&self) -> Result<(), (String, String)> {
         let bad = |key: String, what: &str| Err((key, what.to_owned()));
         if self.name.is_empty() || !self.name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-') {
--- a/crates/trial/src/play.rs
+++ b/crates/trial/src/play.rs
@@ -34,21 +34,22 @@
 }
 
 /// What judges and counts while a trial runs.
-struct Watch {
-    witness: Witness,
+pub(crate) struct Watch {
+    pub(crate) witness: Witness,
     account: Rc<RefCell<Account>>,
-    collector: Rc<RefCell<Collector>>,
-    checker: Rc<RefCell<Checker>>,
+    pub(crate) collector: Rc<RefCell<Collector>>,
+    pub(crate) checker: Rc<RefCell<Checker>>,
     line: Rc<RefCell<Vec<(f64, String)>>>,
 }
 
 impl Watch {
-    fn begin(trial: &Trial, seed: u64) -> Watch {
+    pub(crate) fn begin(trial: &Trial, seed: u64, late_ways: Duration) -> Watch {
         let witness = Witness::begin();
         let origin = trial.world.boxes.count;
         let account = Rc::new(RefCell::new(Account::new(trial)));
         let collector = Rc::new(RefCell::new(Collector::new(&trial.world, seed, origin)));
-        let checker = Rc::new(RefCell::new(Checker::new(&trial.world, origin).with_unbounded_ways()));
+        let checker = Checker::new(&trial.world, origin);
+        let checker = Rc::new(RefCell::new(checker.with_unbounded_ways().with_late_ways(late_ways)));
         let line = Rc::new(RefCell::new(Vec::new()));
         let (a, c, j, l) = (account.clone(), collector.clone(), checker.clone(), line.clone());
         witness.give_to(move |o| {
@@ -71,7 +72,7 @@
 /// # Errors
 /// What hinders its start; whatever was started by then has ended.
 pub async fn play(trial: Trial, seed: u64, program: &Path, folder: &Path) -> Result<Ended, String> {
-    let watch = Watch::begin(&trial, seed);
+    let watch = Watch::begin(&trial, seed, Duration::ZERO);
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
     let mut told = Box::pin(async move {
--- a/crates/trial/src/stage.rs
+++ b/crates/trial/src/stage.rs
@@ -16,7 +16,7 @@
 use chalksill_world::live::{self, HOST};
 use chalksill_world::observe::{BoxNo, NodeNo, Phase, Seen, Witness};
 use chalksill_world::origin::Origin;
-use chalksill_world::process::{self, Process};
+use chalksill_world::process::{self, Platform, Process};
 use mothpier_host::{Host, Listener, Machine};
 use nix::sys::signal::Signal;
 use rand::Rng;
@@ -29,6 +29,8 @@
 use crate::plan::{PerRegion, Trial};
 use crate::relay::{Relay, Weather};
 
+mod lifecycle;
+
 /// Ports of a node, on an address of its own: below those that machines deal out by themselves.
 const CLIENTS: u16 = 6379;
 const PEERS: u16 = 7946;
@@ -87,6 +89,10 @@
     front: SocketAddr,
     /// How far its log was read.
     read: Cell<u64>,
+    /// Where staff reach it.
+    staff: Cell<SocketAddr>,
+    /// What its processes inherit, where the platform holds its clients' socket.
+    platform: Option<Platform>,
 }
 
 struct BoxRun {
@@ -126,6 +132,7 @@
     /// Nodes that their clients are cut off from.
     shut: RefCell<BTreeSet<NodeNo>>,
     folder: PathBuf,
+    program: PathBuf,
     peers: Vec<Vec<SocketAddr>>,
     /// As each node sees the members of the accord, where it is switched on.
     accord: Vec<Vec<SocketAddr>>,
@@ -257,6 +264,7 @@
             away: RefCell::default(),
             shut: RefCell::default(),
             folder: folder.into(),
+            program: program.into(),
             peers,
             accord,
             discovery_for,
@@ -268,10 +276,16 @@
             let files = stage.folder.join(format!("n{node}"));
             let _ = std::fs::remove_file(files.with_extension("log"));
             stage.write_files(node, 0, address)?;
-            let process = RefCell::new(Process::start(program, files, address)?);
-            stage.note_process(&process.borrow())?;
+            let staff = SocketAddr::new(address.ip(), STAFF);
+            let platform = stage.trial.held_sockets.then(|| stage.hold_socket(node, address)).transpose()?;
+            let process = match &platform {
+                Some(platform) => Process::start_on(platform, staff, program, files, address)?,
+                None => Process::start(program, files, address)?,
+            };
+            stage.note_process(&process)?;
+            let (process, staff) = (RefCell::new(process), Cell::new(staff));
             let (doing, life, read) = (Cell::new(Doing::Runs), Cell::new(0), Cell::new(0));
-            stage.nodes.push(NodeRun { process, doing, life, front, read });
+            stage.nodes.push(NodeRun { process, doing, life, front, read, staff, platform });
         }
         for (node, run) in stage.nodes.iter().enumerate() {
             let address = run.process.borrow().address;
@@ -295,7 +309,7 @@
             listen: address,
             discovery: self.discovery_for[node],
             peers: &self.peers[node],
-            staff: self.trial.staffed().then(|| SocketAddr::new(address.ip(), STAFF)),
+            staff: self.trial.staffed.then(|| SocketAddr::new(address.ip(), STAFF)),
         };
         let config = process::configuration(world, node, &at, seed, self.discoveries[place].known(node));
         let mut operator = world.nodes.operator.clone();
@@ -310,6 +324,15 @@
         process::write_files(&self.folder.join(format!("n{node}")), &config, &operator)
     }
 
+    /// Opens a node's clients' socket for its processes, and the folder that they share.
+    fn hold_socket(&self, node: NodeNo, address: SocketAddr) -> Result<Platform, String> {
+        let listener = StdListener::bind(address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
+        let folder = self.folder.join(format!("n{node}-shared"));
+        std::fs::create_dir_all(&folder).map_err(|e| format!("cannot make {}: {e}", folder.display()))?;
+        let folder = folder.canonicalize().map_err(|e| format!("no folder {}: {e}", folder.display()))?;
+        Ok(Platform { listener, folder })
+    }
+
     /// Adds a process to the list of all that were started: whoever keeps the folder can see that none is left.
     fn note_process(&self, process: &Process) -> Result<(), String> {
         let path = self.folder.join(PROCESSES);
@@ -420,7 +443,15 @@
         run.life.set(run.life.get() + 1);
         let address = run.process.borrow().address;
         self.write_files(node, run.life.get(), address)?;
-        run.process.borrow_mut().start_again()?;
+        let started = match &run.platform {
+            None => run.process.borrow_mut().start_again(),
+            Some(platform) => {
+                let files = run.process.borrow().files().to_path_buf();
+                let process = Process::start_on(platform, run.staff.get(), &self.program, files, address);
+                process.map(|process| drop(run.process.replace(process)))
+            }
+        };
+        started?;
         self.note_process(&run.process.borrow())?;
         run.doing.set(Doing::Runs);
         let (stage, life) = (self.clone(), run.life.get());
--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -20,17 +20,18 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-use crate::cache::{read, read_value};
+pub(crate) use crate::cache::read;
+use crate::cache::read_value;
 use crate::fleet::Fleet;
 use crate::observe::{NodeNo, Reply, RequestNo, Seen, Witness};
 use crate::scenario::{Effect, Habit};
 
 /// How long after its patience a client looks whether the answer came late: the grace of the rule and the way back.
-const LATE: Duration = Duration::from_millis(150);
+pub(crate) const LATE: Duration = Duration::from_millis(150);
 /// A connection is given up when it is not made in this time.
 const CONNECT: Duration = Duration::from_millis(1000);
 /// A close that comes so soon after a request on a kept connection was on its way before: the way there and back.
-const CROSSING: Duration = Duration::from_millis(25);
+pub(crate) const CROSSING: Duration = Duration::from_millis(25);
 /// One that finishes no command must meet an error or a close in this time, and the ways there and back.
 const HANGING: Duration = Duration::from_millis(3_050);
 /// A slow head comes in so many pieces, over this time at most.
@@ -205,6 +206,21 @@
         self.believed.borrow_mut()[node] = false;
     }
 
+    /// What they share with all stand-ins.
+    pub(crate) fn fleet(&self) -> &Rc<Fleet> {
+        &self.fleet
+    }
+
+    /// A new connection to a node.
+    pub(crate) async fn open(&self, node: NodeNo) -> Option<H::Stream> {
+        self.host.connect(self.nodes[node]).await.ok()
+    }
+
+    /// A node that the front believes in, for a client of any zone.
+    pub(crate) fn choose_any(&self, rng: &mut Pcg64Mcg) -> Option<NodeNo> {
+        self.choose(rng.random_range(0..self.zones), rng)
+    }
+
     /// Requests without an end yet.
     pub fn under_way(&self) -> usize {
         self.under_way.get()
@@ -644,7 +660,7 @@
 }
 
 /// Reads a node's answer; `None` for what can be none.
-fn reply(frame: &BytesFrame) -> Option<Reply> {
+pub(crate) fn reply(frame: &BytesFrame) -> Option<Reply> {
     match frame {
         BytesFrame::BulkString(value) => {
             let (of, by) = read_value(value)?;
--- a/crates/world/src/faults.rs
+++ b/crates/world/src/faults.rs
@@ -55,6 +55,8 @@
     PowerLoss,
     /// Staff drain a node and bring it back.
     Drain,
+    /// Staff drain a node and bring it back several times in a row, and drain it for good for some seconds.
+    DrainSeries,
     /// A new process takes over a node beside the old one.
     Upgrade,
     /// Connections come that never finish a command, and clients write their heads slowly.
@@ -77,7 +79,7 @@
 
 impl Kind {
     /// All kinds, in the order in which the documents name them.
-    pub const ALL: [Kind; 28] = [
+    pub const ALL: [Kind; 29] = [
         Kind::Crash,
         Kind::Deploy,
         Kind::NodeKill,
@@ -97,6 +99,7 @@
         Kind::OriginResets,
         Kind::PowerLoss,
         Kind::Drain,
+        Kind::DrainSeries,
         Kind::Upgrade,
         Kind::Crowd,
         Kind::Large,
@@ -252,6 +255,17 @@
         /// For how long.
         for_ms: u64,
     },
+    /// Staff drain a node and bring it back in a row; it stays drained behind the last.
+    DrainSeries {
+        /// Which.
+        node: NodeNo,
+        /// How often it is brought back before.
+        times: u32,
+        /// Between two calls.
+        apart_ms: u64,
+        /// For how long it is drained in the end.
+        for_ms: u64,
+    },
     /// A new process takes over from the one that runs.
     Upgrade {
         /// Which node.
@@ -362,7 +376,10 @@
         let part = |p: f64| if (0.0..=1.0).contains(&p) { Ok(()) } else { Err(format!("{p} is no part")) };
         match &self.what {
             What::Crash { boxes, .. } => boxes.iter().try_for_each(|b| is_box(*b)),
-            What::Node { node, .. } | What::Drain { node, .. } | What::Upgrade { node, .. } => is_node(*node),
+            What::Node { node, .. }
+            | What::Drain { node, .. }
+            | What::DrainSeries { node, .. }
+            | What::Upgrade { node, .. } => is_node(*node),
             What::WallClockStep(step) => step.nodes.iter().try_for_each(|n| is_node(*n)),
             What::NodesKilled { nodes, .. } => nodes.iter().try_for_each(|n| is_node(*n)),
             // Zones are dealt out over the boxes: one beyond them all has none.
@@ -469,6 +486,12 @@
         Kind::WallClockStep => What::WallClockStep(WallClockStep::draw(scenario.nodes.count, rng)),
         Kind::SystemCalls => system_calls::draw(node, rng),
         Kind::Drain => What::Drain { node, for_ms },
+        Kind::DrainSeries => What::DrainSeries {
+            node,
+            times: rng.random_range(1..4),
+            apart_ms: rng.random_range(0..1_500),
+            for_ms: rng.random_range(3_000..6_000),
+        },
         Kind::Upgrade => What::Upgrade {
             node,
             ends: [Ends::InOrder, Ends::InOrder, Ends::OldKilled, Ends::NewKilled][rng.random_range(0..4)],
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod system_calls;
 pub mod tape;
 mod time_told;
+pub mod users;
 pub mod wall_clock;
--- a/crates/world/src/mutant.rs
+++ b/crates/world/src/mutant.rs
@@ -67,13 +67,15 @@
     GivesUpBind,
     /// A datagram that can't be received is asked for again and again, without a pause.
     ReceivesAtOnce,
+    /// It says no once it is drained, and keeps the connections of its clients.
+    KeepsDrained,
     /// It takes a failed connect for one that its server refused, whatever the error.
     BlamesServers,
 }
 
 impl Mutant {
     /// All of them that break a rule, with that rule.
-    pub const ALL: [(Mutant, Rule); 17] = [
+    pub const ALL: [(Mutant, Rule); 18] = [
         (Mutant::AnswersTwice, Rule::OneAnswer),
         (Mutant::NeverAnswers, Rule::OneAnswer),
         (Mutant::WrongValue, Rule::OneAnswer),
@@ -91,6 +93,7 @@
         (Mutant::TellsAllTime, Rule::TimeLeft),
         (Mutant::GivesUpBind, Rule::Ready),
         (Mutant::ReceivesAtOnce, Rule::Backoff),
+        (Mutant::KeepsDrained, Rule::Retirement),
     ];
 
     /// The settings that its node is told.
--- a/crates/world/src/observe.rs
+++ b/crates/world/src/observe.rs
@@ -128,6 +128,20 @@
         /// The request.
         request: RequestNo,
     },
+    /// A drained node holds connections beyond their time.
+    HeldAfterDrain {
+        /// The node.
+        node: NodeNo,
+        /// Connections on which nothing is open.
+        idle: usize,
+        /// Connections with a request from the last two seconds.
+        recent: usize,
+    },
+    /// A process that was told to stop had not ended when it might be killed.
+    EndOverdue {
+        /// The node.
+        node: NodeNo,
+    },
     /// A connection on which no command was finished has met neither an answer nor a close in its time.
     Hanging {
         /// The node.
--- a/crates/world/src/process.rs
+++ b/crates/world/src/process.rs
@@ -1,6 +1,7 @@
 //! A node that runs as a process of its own: its files, its signals, what the kernel tells of it.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
@@ -21,6 +22,18 @@
 const LOOK: Duration = Duration::from_secs(1);
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// What the platform hands to each process of a node, where it holds the clients' socket itself.
+#[derive(Debug)]
+pub struct Platform {
+    /// The clients' socket, which every process inherits.
+    pub listener: TcpListener,
+    /// The folder that the processes of the node share.
+    pub folder: PathBuf,
+}
+
+/// The number under which a process has the inherited socket.
+const INHERITED: &str = "4";
+
 /// A node that runs as a process. Dropping it kills the process.
 pub struct Process {
     /// Where clients reach it.
@@ -85,7 +98,29 @@
     /// # Errors
     /// A program that can't be started, or a log that can't be written.
     pub fn start(program: &Path, files: PathBuf, address: SocketAddr) -> Result<Process, String> {
-        let child = spawn(program, &files)?;
+        let child = spawn(program, &files, alone(program))?;
+        Ok(Process { address, child, program: program.into(), files })
+    }
+
+    /// Starts a process of a node whose clients' socket the platform holds; staff reach it at an address of its own.
+    ///
+    /// # Errors
+    /// As [`start`](Self::start).
+    pub fn start_on(
+        platform: &Platform,
+        staff: SocketAddr,
+        program: &Path,
+        files: PathBuf,
+        address: SocketAddr,
+    ) -> Result<Process, String> {
+        let socket = platform.listener.try_clone().map_err(|e| format!("cannot hand on a socket: {e}"))?;
+        let mut command = Command::new("/bin/sh");
+        command.env_clear();
+        // Its standard input is the socket: the shell moves it to the number that is told, and becomes the node.
+        command.arg("-c").arg(format!("exec {INHERITED}<&0 0</dev/null; exec \"$0\"")).arg(program);
+        command.env("ROUTER_SOCKET_FD", INHERITED).env("ROUTER_OPS", staff.to_string());
+        command.env("TMPDIR", &platform.folder).stdin(Stdio::from(OwnedFd::from(socket)));
+        let child = spawn(program, &files, command)?;
         Ok(Process { address, child, program: program.into(), files })
     }
 
@@ -94,7 +129,7 @@
     /// # Errors
     /// As [`start`](Self::start).
     pub fn start_again(&mut self) -> Result<(), String> {
-        self.child = spawn(&self.program, &self.files)?;
+        self.child = spawn(&self.program, &self.files, alone(&self.program))?;
         Ok(())
     }
 
@@ -147,14 +182,19 @@
     }
 }
 
-fn spawn(program: &Path, files: &Path) -> Result<Child, String> {
+/// A program that inherits nothing.
+fn alone(program: &Path) -> Command {
+    let mut command = Command::new(program);
+    command.env_clear().stdin(Stdio::null());
+    command
+}
+
+fn spawn(program: &Path, files: &Path, mut command: Command) -> Result<Child, String> {
     let log = std::fs::File::options().create(true).append(true).open(files.with_extension("log"));
     let log = log.map_err(|e| format!("cannot write {}.log: {e}", files.display()))?;
-    Command::new(program)
-        .env_clear()
+    command
         .env("ROUTER_CONFIG", files.with_extension("json"))
         .env("ROUTER_OPERATOR", files.with_extension("toml"))
-        .stdin(Stdio::null())
         .stdout(Stdio::null())
         .stderr(log)
         .kill_on_drop(true)
@@ -189,6 +229,18 @@
     matches!(pong.await, Ok(Ok(true)))
 }
 
+/// Whether a node says at its second address that it can serve, now.
+pub async fn says_ready(staff: SocketAddr) -> bool {
+    let yes = timeout(LOOK, async {
+        let mut stream = TcpStream::connect(staff).await?;
+        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: staff\r\n\r\n").await?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await?;
+        std::io::Result::Ok(answer.starts_with("HTTP/1.1 200 "))
+    });
+    matches!(yes.await, Ok(Ok(true)))
+}
+
 /// Waits until a node answers `PING` as one that is ready.
 ///
 /// # Errors
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -20,6 +20,9 @@
 //! 13. **Ready.** A node whose system calls fail at its start is ready within seconds of it.
 //! 14. **Backoff.** A system call that goes on failing is not made again and again without a pause.
 //!
+//! 15. **Retirement.** Four seconds after a drain was told, the node holds no connection that is idle or has a request from the
+//!     last two; a process that was told to stop has ended by itself when it may be killed.
+//!
 //! The caps of rule 5 are those of the decision module's gate (its constants are no part of its interface): a part of
 //! 80 calls out, or of a tenth of all quotas a second, for each node, 2 to 20 of them, and in a window the greater of
 //! its part of all quotas and 30 a second.
@@ -94,6 +97,8 @@
     Ready,
     /// A pause between calls that fail.
     Backoff,
+    /// Connections go in time after a drain, and processes end.
+    Retirement,
 }
 
 /// A rule that was broken.
@@ -205,6 +210,8 @@
     bound: Vec<Vec<usize>>,
     /// The longest that words are under way from a client to a node and on to a cache server; `None` where nothing bounds it.
     ways: Option<Duration>,
+    /// By so much more words may be under way to a cache server than the scenario says.
+    late_ways: Duration,
     zones: usize,
     boxes: usize,
     /// What each plan's number stands for.
@@ -238,6 +245,11 @@
         self
     }
 
+    /// The same for a network that holds words back for so long at most: what arrives late may have been sent in time.
+    pub fn with_late_ways(self, late: Duration) -> Checker {
+        Checker { late_ways: late, ..self }
+    }
+
     /// A checker of a scenario in which the origin has this number.
     pub fn new(scenario: &Scenario, origin: BoxNo) -> Checker {
         let ms = Duration::from_millis;
@@ -277,6 +289,7 @@
                 })
                 .collect(),
             ways: Some(Duration::from_secs_f64(2.0 * network.across_ms[1].max(network.within_ms[1]) / 1e3)),
+            late_ways: Duration::ZERO,
             zones: scenario.zones.len(),
             boxes: scenario.boxes.count,
             plans: BTreeMap::new(),
@@ -371,6 +384,16 @@
                 }
             }
             Seen::Cut { request } => self.cut(now, *request),
+            Seen::HeldAfterDrain { node, idle, recent } => {
+                let what = format!(
+                    "node {node} holds {idle} idle connections and {recent} with recent requests 4 s after its drain"
+                );
+                self.broken(now, Rule::Retirement, what);
+            }
+            Seen::EndOverdue { node } => {
+                let what = format!("node {node} has not ended by itself when it may be killed");
+                self.broken(now, Rule::Retirement, what);
+            }
             Seen::Hanging { node, made } => {
                 // One that was made before the process began has waited in the queue of the machine meanwhile.
                 if self.nodes[*node].up && self.nodes[*node].began <= *made {
@@ -707,7 +730,8 @@
         let ran = r.attempts.iter().find(|a| a.fate != Fate::NotRun).map(|a| (a.at, a.arrived));
         let count = r.attempts.len() + 1;
         // What was written to a cache server that could not be reached comes when it can.
-        let late = r.ended.map(|end| now.saturating_sub(end)).filter(|late| *late > OVER + SLACK);
+        let most = OVER + SLACK + self.late_ways;
+        let late = r.ended.map(|end| now.saturating_sub(end)).filter(|late| *late > most);
         if let Some(late) = late.filter(|_| !mended && !away) {
             let what = format!("request {id:x} was sent on {late:?} after it was over");
             self.broken(now, Rule::Over, what);
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::faults::Kind;
+use crate::users::Use;
 
 /// A whole scenario.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -80,6 +81,12 @@
     /// How clients repeat, each by its share; `retry_ms` holds where there are none.
     #[serde(default, rename = "habit")]
     pub habits: Vec<Habit>,
+    /// So many clients beside these that each go on using a connection until the node ends it.
+    #[serde(default)]
+    pub users: usize,
+    /// How they use it, in turn.
+    #[serde(default)]
+    pub uses: Vec<Use>,
 }
 
 /// How a client repeats what failed, as client libraries do.
--- a/crates/world/src/sim.rs
+++ b/crates/world/src/sim.rs
@@ -37,6 +37,7 @@
 use crate::scenario::Scenario;
 use crate::system_calls::{FailingCall, FailingCalls};
 use crate::tape::{Recording, Tape, Tapes};
+use crate::users::{Held, Users};
 use crate::wall_clock::WallClockStep;
 
 /// The time of day at which every simulated world begins.
@@ -112,6 +113,10 @@
     nodes: RefCell<BTreeMap<NodeNo, NodeRun>>,
     boxes: RefCell<BTreeMap<BoxNo, BoxRun>>,
     clients: RefCell<Option<Rc<Clients<SimHost>>>>,
+    /// Clients that go on using their connections, where the scenario has any.
+    users: RefCell<Option<Rc<Users<SimHost>>>>,
+    /// Since when nodes are drained that are.
+    drained_since: RefCell<BTreeMap<NodeNo, Instant>>,
     lives: Cell<u64>,
     origin: BoxNo,
     mutant: Option<Mutant>,
@@ -130,6 +135,12 @@
     IpAddr::V4(Ipv4Addr::new(10, 2, (number / 250) as u8, (number % 250) as u8 + 1))
 }
 
+/// So long after a drain was told its node's connections are looked at.
+const HELD_AT_MOST: Duration = Duration::from_secs(4);
+/// What came in so long a time before that is recent.
+const RECENT: Duration = Duration::from_secs(2);
+/// New connections come for so long after a drain.
+const NEW_CONNECTIONS: Duration = Duration::from_millis(200);
 /// Until the front has noticed that a node says no, or yes again.
 const FRONT_LOOKS: Duration = Duration::from_millis(300);
 
@@ -255,6 +266,8 @@
         nodes: RefCell::default(),
         boxes: RefCell::default(),
         clients: RefCell::new(None),
+        users: RefCell::new(None),
+        drained_since: RefCell::default(),
         lives: Cell::new(0),
         origin,
         mutant: plan.mutant,
@@ -289,6 +302,11 @@
     });
     *world.clients.borrow_mut() = Some(clients.clone());
     let begin = Instant::now();
+    if scenario.load.users > 0 {
+        let users = Users::new(clients.clone());
+        users.play(begin + scenario.span());
+        *world.users.borrow_mut() = Some(users);
+    }
     for fault in plan.script() {
         let world = world.clone();
         spawn_local(async move {
@@ -299,7 +317,9 @@
     spawn_local(world.clone().count_sockets());
     clients.clone().play(scenario.span()).await;
     let end = Instant::now() + scenario.longest() + AFTER;
-    while clients.under_way() > 0 && Instant::now() < end {
+    let users = world.users.borrow().clone();
+    let under_way = || clients.under_way() + users.as_ref().map_or(0, |users| users.under_way());
+    while under_way() > 0 && Instant::now() < end {
         sleep(Duration::from_millis(20)).await;
     }
     checker.borrow_mut().finish(witness.elapsed());
@@ -454,15 +474,53 @@
         Some(NodeRun { host, task, control, ended, number: life, desk, successors })
     }
 
-    /// Staff drain a node and bring it back: the front sees it within moments.
-    async fn drain_node(self: &Rc<Self>, node: NodeNo, span: Duration) {
-        let tell = |step: Step| {
-            if let Some(run) = self.nodes.borrow().get(&node) {
-                run.desk.lifecycle.step(step);
+    /// Staff tell a node something of its lifecycle.
+    fn staff_tell(&self, node: NodeNo, step: Step) {
+        match step {
+            Step::Drain => *self.drained_since.borrow_mut().entry(node).or_insert_with(Instant::now),
+            _ => self.drained_since.borrow_mut().remove(&node).unwrap_or_else(Instant::now),
+        };
+        if let Some(run) = self.nodes.borrow().get(&node) {
+            run.desk.lifecycle.step(step);
+            if self.mutant != Some(Mutant::KeepsDrained) {
                 let _ = run.control.try_send(Control::Lifecycle);
             }
-        };
+        }
+    }
+
+    /// Staff drain a node and bring it back so often, and drain it then.
+    async fn drain_series(self: &Rc<Self>, node: NodeNo, times: u32, apart: Duration, span: Duration) {
+        for _ in 0..times {
+            self.staff_tell(node, Step::Drain);
+            sleep(apart).await;
+            self.staff_tell(node, Step::Undrain);
+            sleep(apart).await;
+        }
+        self.drain_node(node, span).await;
+    }
+
+    /// Looks what a node holds of its clients' connections 4 s after it was told to drain, if it has been drained since.
+    async fn judge_drain(self: Rc<Self>, node: NodeNo, told: Instant) {
+        let Some(life) = self.nodes.borrow().get(&node).map(|run| run.number) else { return };
+        sleep_until(told + HELD_AT_MOST).await;
+        let same = self.nodes.borrow().get(&node).is_some_and(|run| run.number == life);
+        let drained = same && self.drained_since.borrow().get(&node) == Some(&told);
+        let Some(users) = self.users.borrow().clone().filter(|_| drained) else { return };
+        let held = users.held(node, told + NEW_CONNECTIONS, told + HELD_AT_MOST - RECENT);
+        if held.idle + held.recent > 0 {
+            let Held { idle, recent } = held;
+            self.fleet.witness.saw(Seen::HeldAfterDrain { node, idle, recent });
+        }
+    }
+
+    /// Staff drain a node and bring it back: the front sees it within moments.
+    async fn drain_node(self: &Rc<Self>, node: NodeNo, span: Duration) {
+        let tell = |step: Step| self.staff_tell(node, step);
         tell(Step::Drain);
+        let told = Instant::now();
+        if self.users.borrow().is_some() && self.drained_since.borrow().get(&node) == Some(&told) {
+            spawn_local(self.clone().judge_drain(node, told));
+        }
         sleep(FRONT_LOOKS).await;
         if let Some(clients) = &*self.clients.borrow() {
             clients.stop_using(node);
@@ -513,7 +571,9 @@
             let _ = old.control.try_send(Control::Stop);
             let patience =
                 self.fleet.scenario.longest().min(Duration::from_secs(3)) + Duration::from_millis(700);
-            let _ = tokio::time::timeout(patience, &mut old.ended).await;
+            if tokio::time::timeout(patience, &mut old.ended).await.is_err() {
+                self.fleet.witness.saw(Seen::EndOverdue { node });
+            }
         }
         end(&old, ends == Ends::OldKilled);
     }
@@ -563,7 +623,9 @@
                 });
             }
             let mut ended = run.ended;
-            let _ = tokio::time::timeout(patience, &mut ended).await;
+            if tokio::time::timeout(patience, &mut ended).await.is_err() {
+                self.fleet.witness.saw(Seen::EndOverdue { node });
+            }
         }
         self.fleet.witness.saw(Seen::NodeDown { node, planned });
         self.net.kill(run.host.process());
@@ -715,6 +777,10 @@
             What::Node { node, planned, down_ms } => {
                 self.restart_node(node, planned, Duration::from_millis(down_ms)).await;
             }
+            What::DrainSeries { node, times, apart_ms, for_ms } => {
+                let ms = Duration::from_millis;
+                self.drain_series(node, times, ms(apart_ms), ms(for_ms)).await
+            }
             What::Drain { node, for_ms } => self.drain_node(node, Duration::from_millis(for_ms)).await,
             What::Upgrade { node, ends } => self.upgrade_node(node, ends).await,
             What::Burst { factor, for_ms } => {
--- a/crates/world/tests/seeds.rs
+++ b/crates/world/tests/seeds.rs
@@ -117,6 +117,10 @@
     for (name, seed) in [("operate", 714), ("operate", 7_700_312), ("crowded", 7_700_399)] {
         kept(&drawn(&scenario(name), seed, None));
     }
+    // A new process that was killed left calls at the origin, beside which the old one took all of the node's cap.
+    for seed in [112, 178, 222] {
+        kept(&drawn(&scenario("retire"), seed, None));
+    }
     // A node told to stop left all that came in the queue of a shared listener, though nobody else accepted from it.
     for seed in [98, 115, 160] {
         kept(&drawn(&scenario("crowded"), seed, None));
@@ -127,6 +131,7 @@
 fn ground(mutant: Mutant) -> (Scenario, Option<Vec<Fault>>) {
     let mut scenario = match mutant {
         Mutant::OpenGate => scenario("drought"),
+        Mutant::KeepsDrained => scenario("retire"),
         Mutant::VotesAlone | Mutant::ComesBackAtOnce | Mutant::IgnoresBounds => scenario("zones"),
         _ => scenario("small"),
     };
@@ -137,6 +142,10 @@
         let what = What::ZonesApart { a: 0, b: 2, for_ms: 13_000 };
         return (scenario, Some(vec![Fault { at_ms: 2000, what }]));
     }
+    if mutant == Mutant::KeepsDrained {
+        let what = What::Drain { node: 0, for_ms: 5_000 };
+        return (scenario, Some(vec![Fault { at_ms: 1000, what }]));
+    }
     if mutant == Mutant::OpenGate {
         // An origin that is quick enough not to be spared, and so many misses that the cap is what holds them.
         (scenario.origin.slots, scenario.origin.time_ms, scenario.load.rate) = (400, [380.0, 440.0], 500.0);
