Node: named constants in place of tuple positions in what the incident touched

Cause: NEEDED.0, SERVERS.1, STALLED.0 and CONNECTIONS.1 say nothing to a reader. Change: constants and a function with names; behaviour as it is. Unit tests of the node pass (65).

--- a/crates/node/src/crowd.rs
+++ b/crates/node/src/crowd.rs
@@ -4,10 +4,11 @@
 
 /// A connection that has only just come stays: where all others are busy it would go before it could ask.
 const JUST_COME: Duration = Duration::from_millis(20);
-/// So long nothing has come of a command that has begun, or is to, before its connection gives way as one that will never
-/// end it. The first is for one that has sent nothing or a first piece, as those that only hold a place do; a true client
-/// begins at once. The second is for one that has gone on writing: slow ones leave up to 0.6 s before their last bytes.
-const STALLED: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(1000));
+/// So long nothing has come of a command that is to begin, or of one of which a first piece has come, before its connection
+/// gives way as one that only holds a place: a true client begins at once.
+const STALLED_AT_BEGIN: Duration = Duration::from_millis(300);
+/// The same for one that has gone on writing: slow ones leave up to 0.6 s before their last bytes.
+const STALLED_IN_WRITING: Duration = Duration::from_millis(1000);
 
 /// What a connection does that is owed no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,8 +38,8 @@
     }
     match activity {
         Activity::Rests => Some(Turn::Rests),
-        Activity::Begins if idle >= STALLED.0 => Some(Turn::Stalled),
-        Activity::Writes if idle >= STALLED.1 => Some(Turn::Stalled),
+        Activity::Begins if idle >= STALLED_AT_BEGIN => Some(Turn::Stalled),
+        Activity::Writes if idle >= STALLED_IN_WRITING => Some(Turn::Stalled),
         Activity::Begins | Activity::Writes => no_room.then_some(Turn::MayAsk),
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -39,8 +39,6 @@
 const PROBE_PAUSE: Duration = Duration::from_millis(100);
 /// Between two looks at the gauges that staff read: what they tell may be half a second old.
 const GAUGES: Duration = Duration::from_millis(200);
-/// The part of the descriptors of a kind that connections to cache servers may have; the rest is for the origin.
-pub const SERVERS: (usize, usize) = (3, 4);
 /// Between two lines of the log that tell what was done meanwhile.
 const REPORT: Duration = Duration::from_secs(5);
 
@@ -390,7 +388,7 @@
             Input::Told(_) => {}
             Input::Sharing(processes) => self.events.push_back(Event::Sharing(processes)),
             Input::Inherit(left) => self.events.push_back(Event::Legacy(left)),
-            Input::Descriptors(most) => self.parts.servers.set_descriptors(most * SERVERS.0 / SERVERS.1),
+            Input::Descriptors(most) => self.parts.servers.set_descriptors(for_cache_servers(most)),
             Input::Known { whole, reply } => {
                 let _ = reply.send(self.known(whole));
             }
@@ -858,6 +856,11 @@
     }
 }
 
+/// Of the descriptors for servers, those for cache servers: the rest is for the origin.
+pub fn for_cache_servers(servers: usize) -> usize {
+    servers * 3 / 4
+}
+
 /// How an attempt ended that was not taken.
 fn unsent(error: SendError) -> Status {
     match error {
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -19,8 +19,11 @@
 use crate::accepting::{self, Failures, Reaction};
 use crate::stream::{close_in_order, read};
 
-/// Connections at once, as a part of all descriptors, and at most: a handful of callers and those that never finish.
-const CONNECTIONS: (usize, usize) = (24, 32);
+/// One in so many descriptors is for a connection here: a handful of callers and those that never finish.
+const DESCRIPTORS_PER_CONNECTION: usize = 24;
+/// Connections at once, at least and at most.
+const LEAST_CONNECTIONS: usize = 4;
+const MOST_CONNECTIONS: usize = 32;
 /// Descriptors of the listener and of the runtime.
 const OWN_DESCRIPTORS: usize = 8;
 /// Descriptors that it holds while nobody but a few callers is there.
@@ -31,7 +34,7 @@
 
 /// How many connections it may have, of a process that may hold so many descriptors.
 fn connections(descriptors: usize) -> usize {
-    (descriptors / CONNECTIONS.0).clamp(4, CONNECTIONS.1)
+    (descriptors / DESCRIPTORS_PER_CONNECTION).clamp(LEAST_CONNECTIONS, MOST_CONNECTIONS)
 }
 
 /// Descriptors to set aside for it.
--- a/crates/node/src/service/assembly.rs
+++ b/crates/node/src/service/assembly.rs
@@ -21,7 +21,7 @@
 use crate::handover::{self, Budget, Side};
 use crate::input::Input;
 use crate::near::Nearby;
-use crate::node::{Clock, Inherited, Node, Parts, SERVERS};
+use crate::node::{Clock, Inherited, Node, Parts, for_cache_servers};
 use crate::weather::Weather;
 use crate::{accord, discovery, ops, origin, peers, servers};
 
@@ -34,15 +34,16 @@
 /// Descriptors for the listener, the peers, discovery, the runtime and the standard streams.
 const OWN_DESCRIPTORS: usize = 16;
 
-/// Connections to each server that the node can do with, and to all origins.
-const NEEDED: (usize, usize) = (4, 12);
-/// The least part of the descriptors that is kept for servers; half of them is the most.
-const FOR_SERVERS: (usize, usize) = (3, 8);
+/// Connections to each cache server that the node can do with.
+const FOR_EACH_SERVER: usize = 4;
+/// The same for all origins together.
+const FOR_ORIGINS: usize = 12;
 
 /// How many of the descriptors are for servers: as many as those that are known need, but neither may leave the other side
-/// without.
+/// without. Three eighths is the least, and half of them the most.
 fn for_servers(pool: usize, known: usize) -> usize {
-    (known * NEEDED.0 + NEEDED.1).clamp((pool * FOR_SERVERS.0 / FOR_SERVERS.1).max(1), (pool / 2).max(1))
+    let (least, most) = ((pool * 3 / 8).max(1), (pool / 2).max(1));
+    (known * FOR_EACH_SERVER + FOR_ORIGINS).clamp(least, most)
 }
 
 /// A node that runs.
@@ -99,7 +100,7 @@
         multiplex: if site.decisions.may_duplicate { site.multiplex } else { 1 },
         idle_close,
         connect_timeout,
-        descriptors: servers * SERVERS.0 / SERVERS.1,
+        descriptors: for_cache_servers(servers),
     };
     let peers = match config.peer_listen.filter(|_| site.decisions.may_tell_peers) {
         Some(listen) => {
@@ -122,7 +123,7 @@
             host.clone(),
             idle_close,
             connect_timeout,
-            servers - servers * SERVERS.0 / SERVERS.1,
+            servers - for_cache_servers(servers),
             desk.figures.clone(),
             events.clone(),
         ),
