--- a/crates/node/src/clients/retirement.rs
+++ b/crates/node/src/clients/retirement.rs
@@ -282,6 +282,11 @@
 }
 
 impl Plans {
+    /// Whether there are any.
+    pub fn are_in_force(&self) -> bool {
+        self.drain.is_some() || self.end.is_some()
+    }
+
     fn each(&self) -> impl Iterator<Item = Plan> {
         [self.drain, self.end].into_iter().flatten()
     }
--- a/crates/node/src/clients/serving.rs
+++ b/crates/node/src/clients/serving.rs
@@ -82,8 +82,9 @@
                 return Closing::InOrder(self.finished_by.unwrap_or(CloseReason::Protocol));
             }
             let plans = clients.retiring.plans();
-            let standing = self.standing(progress, &inbox);
-            match plans.act(&standing, now) {
+            // Most of the time there is no plan, and nothing to find out for it.
+            let standing = plans.are_in_force().then(|| self.standing(progress, &inbox));
+            match standing.map_or((Act::Keep, None), |standing| plans.act(&standing, now)) {
                 (Act::Keep, _) => {}
                 (Act::CloseUnlessAsked, cause) => {
                     if quiet(reading, &mut inbox.buffer).await {
@@ -114,7 +115,8 @@
             }
             let limits = Limits::of(progress, self.situation(), now);
             let limit = limits.next();
-            let next = limit.into_iter().chain(plans.next(&standing, now)).min();
+            let retires = standing.and_then(|standing| plans.next(&standing, now));
+            let next = limit.into_iter().chain(retires).min();
             tokio::select! {
                 biased;
                 ready = ready_answers(&mut self.pending), if !idle => {
