Clients: the time that a request waits in the machine's queue is taken off

Cause: a request's time was counted from when the node read it. A connection that waits in the listener's queue, for a place beside an old process or for a process at all, is read only once it is accepted, and nothing told the node how long its bytes had lain there. On the real daemon, stopped for 0.4 s while a client connects and asks, the attempt told all of its 18 s. Mend: the queue notes when it was last seen empty; a connection taken later than 5 ms after that has its machine asked when the last bytes arrived (TCP_INFO), and the longer of the two is not believed. The same where reading stops behind 16 KB while an answer is written, and what comes behind a command that lies whole in the buffer does not make it younger.

--- a/crates/chalksill/tests/known_red.rs
+++ b/crates/chalksill/tests/known_red.rs
@@ -55,7 +55,12 @@
         ("part", "irst | c | a | issue 1\n", 1, "no test has this name"),
         ("benchmark", "slow | c | a | issue 1\n", 1, "no test has this name"),
         ("twin", "twin | c | a | issue 1\n", 1, "2 tests have this name"),
-        ("doubled", "first | c | a | issue 1\nthird | c | a | issue 1\nfirst | c | b | issue 2\n", 3, "named a second time"),
+        (
+            "doubled",
+            "first | c | a | issue 1\nthird | c | a | issue 1\nfirst | c | b | issue 2\n",
+            3,
+            "named a second time",
+        ),
         ("no-test", " | c | a | issue 3\n", 1, "not of the form"),
         ("no-command", "first |  | a | issue 3\n", 1, "not of the form"),
         ("no-cause", "first | c |  | issue 3\n", 1, "not of the form"),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod opening;
 pub mod receiving;
 pub mod sockets;
+mod tcp_info;
 
 use std::fmt;
 use std::future::Future;
@@ -84,6 +85,9 @@
     /// # Errors
     /// `WouldBlock` where nothing is there, or what ended the connection.
     fn try_read_buf(&self, buffer: &mut BytesMut) -> io::Result<usize>;
+
+    /// How long ago the last bytes of the other side arrived at this machine, read or not; `None` where it doesn't tell.
+    fn since_last_arrival(&self) -> Option<Duration>;
 }
 
 /// A TCP socket that waits for connections.
--- a/crates/host/src/sockets.rs
+++ b/crates/host/src/sockets.rs
@@ -10,8 +10,10 @@
 use std::future::poll_fn;
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::BytesMut;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -20,7 +22,7 @@
 use tokio::task::yield_now;
 
 use crate::interrupted::{self, TRIES, is_interrupted, poll_retry};
-use crate::{Datagrams, Listener, Reading, Stream};
+use crate::{Datagrams, Listener, Reading, Stream, tcp_info};
 
 /// The most that is read at once into a buffer which has to be cleared first.
 const READ_AT_ONCE: usize = 16 * 1024;
@@ -104,6 +106,11 @@
             read => read,
         }
     }
+
+    fn since_last_arrival(&self) -> Option<Duration> {
+        let stream: &TcpStream = self.half.as_ref();
+        tcp_info::since_last_data(stream.as_fd())
+    }
 }
 
 impl AsyncRead for MachineStream {
--- a/crates/mothpier/tests/time_told.rs
+++ b/crates/mothpier/tests/time_told.rs
@@ -108,6 +108,26 @@
     assert_tells_what_is_left(&extras(&asked), "read", held);
 }
 
+/// A node that takes no connections for a while: what clients send waits in the machine's queue.
+#[test]
+fn an_attempt_of_a_request_that_waited_to_be_accepted_tells_what_is_left() {
+    let (told, commands) = channel();
+    let told = report(told);
+    let server = serve(command, move |asked| {
+        told(asked);
+        array("value")
+    });
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let node = node("told-queued", &discovery, &LONG_AIMS);
+    node.signal("STOP");
+    let mut client = Client::connect(node.address);
+    client.send(&["CACHE.GET", "k", "i", &asked_extras("read")]);
+    let held = Hold::begin().end();
+    node.signal("CONT");
+    let asked = commands.recv_timeout(HUNG).unwrap();
+    assert_tells_what_is_left(&extras(&asked), "read", held);
+}
+
 /// A command behind one of which the server does not take the rest.
 #[test]
 fn an_attempt_that_waits_behind_a_half_written_one_tells_what_is_left() {
--- a/crates/node/src/clients/answers.rs
+++ b/crates/node/src/clients/answers.rs
@@ -11,12 +11,12 @@
 
 use super::ClientWriting;
 use super::grammar::Rejected;
+use super::inbox::Inbox;
 use super::owed::{Slot, Wait};
-use super::session::{Inbox, Session};
+use super::session::Session;
 use super::shown::ConnectionState;
 use crate::command::STANDSTILL;
 use crate::input::{Asked, Input};
-use crate::stream::read;
 
 /// A client that takes none of its answer for this long is cut off.
 const SLOW_READER: Duration = Duration::from_secs(10);
@@ -129,14 +129,16 @@
         loop {
             let full = inbox.buffer.len() >= AHEAD;
             let ahead = self.state.awaits_commands() && !full;
+            if !ahead {
+                inbox.stops_reading();
+            }
             // From one that sends more than is read ahead something may come at any time.
             let received = (!full).then_some(inbox.last_byte);
             let until = clients.retiring.plans().write_until(received, written == Written::LargeValue);
             tokio::select! {
                 biased;
                 done = &mut wait => return Some(done),
-                more = read(inbox.reading, &mut inbox.buffer), if ahead => {
-                    inbox.has_received((clients.now)());
+                more = inbox.read(|| (clients.now)()), if ahead => {
                     if !more {
                         self.state.hang_up();
                         self.abandon_requests().await;
--- a/crates/node/src/clients/listening.rs
+++ b/crates/node/src/clients/listening.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use mothpier_host::{Host, Listener, Stream};
@@ -14,9 +14,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::task::yield_now;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::Clients;
+use super::inbox::Unread;
 use super::retiring::Listening;
 use super::session::Session;
 use super::shown::Entry;
@@ -29,9 +30,50 @@
 /// ends.
 const REST_PAUSES: usize = 3;
 
+/// The connections that the machine has accepted and nobody has taken.
+struct Queue<L> {
+    listener: L,
+    /// When it was last seen empty: what is in it has come since.
+    seen_empty: Option<Instant>,
+}
+
+impl<L: Listener> Queue<L> {
+    fn new(listener: L) -> Self {
+        Queue { listener, seen_empty: None }
+    }
+
+    /// Takes the next connection, once there is one.
+    async fn next(&mut self) -> io::Result<(L::Stream, SocketAddr)> {
+        poll_fn(|cx| self.poll_next(cx)).await
+    }
+
+    /// Takes the next connection, if there is one.
+    async fn next_by_now(&mut self) -> Option<io::Result<(L::Stream, SocketAddr)>> {
+        poll_fn(|cx| match self.poll_next(cx) {
+            Poll::Ready(accepted) => Poll::Ready(Some(accepted)),
+            Poll::Pending => Poll::Ready(None),
+        })
+        .await
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<(L::Stream, SocketAddr)>> {
+        let accepted = self.listener.poll_accept(cx);
+        if accepted.is_pending() {
+            self.seen_empty = Some(Instant::now());
+        }
+        accepted
+    }
+
+    /// Since when the connection that was taken last may have waited with what was sent on it.
+    fn unread(&self) -> Unread {
+        self.seen_empty.map_or(Unread::Unknown, Unread::Since)
+    }
+}
+
 impl<H: Host> Clients<H> {
     /// Accepts until the phase ends; what the machine has accepted by then is still taken.
     pub async fn accept(self: Rc<Self>, listener: H::Listener) {
+        let mut queue = Queue::new(listener);
         let mut number = 0u64;
         let mut failures = Failures::default();
         loop {
@@ -44,21 +86,21 @@
             let accepted = tokio::select! {
                 biased;
                 () = self.retiring.listening_ended(), if self.retiring.listening.get() != Listening::TakeRest => break,
-                accepted = listener.accept() => accepted,
+                accepted = queue.next() => accepted,
                 () = self.retiring.listening_ended() => break,
             };
             number += 1;
             match accepted {
                 Ok((stream, _)) => {
                     failures.accepted();
-                    self.admit(stream, number).await;
+                    self.admit(stream, queue.unread(), number).await;
                 }
                 Err(error) => {
                     self.outlive(&error, &mut failures).await;
                 }
             }
         }
-        self.take_rest(&listener, number).await;
+        self.take_rest(&mut queue, number).await;
     }
 
     /// Does what lets the next try succeed: the listener must outlive every failure.
@@ -87,14 +129,14 @@
     }
 
     /// Lets a new connection in, or turns it away.
-    async fn admit(self: &Rc<Self>, stream: H::Stream, number: u64) {
+    async fn admit(self: &Rc<Self>, stream: H::Stream, unread: Unread, number: u64) {
         let verdict = self.admission.borrow_mut().came(self.began.elapsed(), self.newcomers.get());
         if let Verdict::TurnAway(after) = verdict {
             // Each place is free again after a farewell at the latest.
             let place = self.turning_away.clone().acquire_owned().await.ok();
             return self.clone().turn_away(stream, after, place);
         }
-        self.clone().start(stream, number);
+        self.clone().start(stream, unread, number);
         // For each that comes while many are open one that rested longest goes, and another until they are fewer:
         // clients may hold fewer than the node could, and those who find all theirs kept by others can't even ask.
         if self.crowded() {
@@ -105,18 +147,18 @@
 
     /// Takes what the machine has accepted, where no other process would. One that was aborted before, or a moment without
     /// a descriptor, leaves those behind it no less to be answered.
-    async fn take_rest(self: &Rc<Self>, listener: &H::Listener, mut number: u64) {
+    async fn take_rest(self: &Rc<Self>, queue: &mut Queue<H::Listener>, mut number: u64) {
         let (mut failures, mut pauses) = (Failures::default(), 0);
         // Once round the runtime, which looks at the sockets then.
         yield_now().await;
         while self.retiring.listening.get() == Listening::TakeRest && pauses < REST_PAUSES {
-            match accepted_by_now(listener).await {
+            match queue.next_by_now().await {
                 None => return,
                 Some(Ok((stream, _))) => {
                     failures.accepted();
                     pauses = 0;
                     number += 1;
-                    self.clone().start(stream, number);
+                    self.clone().start(stream, queue.unread(), number);
                 }
                 Some(Err(error)) => {
                     let reaction = self.outlive(&error, &mut failures).await;
@@ -149,13 +191,13 @@
     }
 
     /// Serves a connection in a task of its own.
-    fn start(self: Rc<Self>, stream: H::Stream, number: u64) {
+    fn start(self: Rc<Self>, stream: H::Stream, unread: Unread, number: u64) {
         self.connections.set(self.connections.get() + 1);
         let evict = Rc::new(Notify::new());
         self.open.borrow_mut().insert(number, Entry::new(evict.clone()));
         tokio::task::spawn_local(async move {
             let mut session = Session::new(self.clone(), number);
-            session.run(stream, evict).await;
+            session.run(stream, unread, evict).await;
             session.abandon_requests().await;
             drop(session);
             self.open.borrow_mut().remove(&number);
@@ -164,12 +206,3 @@
         });
     }
 }
-
-/// The next connection that the machine has accepted, if there is one.
-async fn accepted_by_now<L: Listener>(listener: &L) -> Option<io::Result<(L::Stream, SocketAddr)>> {
-    poll_fn(|cx| match listener.poll_accept(cx) {
-        Poll::Ready(accepted) => Poll::Ready(Some(accepted)),
-        Poll::Pending => Poll::Ready(None),
-    })
-    .await
-}
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -22,6 +22,7 @@
 mod answers;
 mod eviction;
 mod grammar;
+mod inbox;
 mod listening;
 mod owed;
 mod reading;
--- a/crates/node/src/clients/serving.rs
+++ b/crates/node/src/clients/serving.rs
@@ -3,22 +3,23 @@
 use std::rc::Rc;
 
 use bytes::BytesMut;
-use mothpier_host::{Host, Stream};
+use mothpier_host::{Host, Reading, Stream};
 use mothpier_ops::{CloseReason, Reason};
 use mothpier_resp::{self as resp, MAX_VALUE, Malformed};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::ClientWriting;
+use super::inbox::{Inbox, Unread};
 use super::owed::{Ready, ready_answers};
 use super::reading::quiet;
 use super::retirement::{Act, Cause, Standing};
-use super::session::{Inbox, Session};
+use super::session::Session;
 use super::shown::ConnectionState;
 use super::timing::{Limits, Progress, Situation};
 use crate::event_log::EventKind;
 use crate::shortage::Outlasting;
-use crate::stream::{CLOSE_TIMEOUT, close_in_order, read};
+use crate::stream::{CLOSE_TIMEOUT, close_in_order};
 
 /// Answers of one connection that may wait, refusals and errors too; a client that goes on beyond is cut off.
 const MAX_WAITING: usize = 1024;
@@ -41,12 +42,13 @@
 }
 
 impl<H: Host> Session<H> {
-    /// Serves a connection until its end.
-    pub(super) async fn run(&mut self, stream: H::Stream, evict: Rc<Notify>) {
+    /// Serves a connection until its end. What it has sent may lie unread for so long.
+    pub(super) async fn run(&mut self, stream: H::Stream, unread: Unread, evict: Rc<Notify>) {
         let (reading, writing) = stream.into_halves();
         let mut writing = Outlasting::new(writing);
         let mut progress = Progress::new(Instant::now());
-        let closing = self.serve(&reading, &mut writing, &mut progress, evict).await;
+        let mut inbox = Inbox::new(&reading, (self.clients.now)(), unread);
+        let closing = self.serve(&mut inbox, &mut writing, &mut progress, evict).await;
         self.tell_closing(closing.reason(), &progress);
         if let Closing::InOrder(_) = closing {
             self.show_state(ConnectionState::Closing);
@@ -58,22 +60,21 @@
 
     async fn serve(
         &mut self,
-        reading: &<H::Stream as Stream>::Reading,
+        inbox: &mut Inbox<'_, <H::Stream as Stream>::Reading>,
         writing: &mut ClientWriting<H>,
         progress: &mut Progress,
         evict: Rc<Notify>,
     ) -> Closing {
         let clients = self.clients.clone();
-        let last_byte = Instant::now();
-        let mut inbox = Inbox { reading, buffer: BytesMut::new(), received: (clients.now)(), last_byte };
+        let reading = inbox.reading;
         // Whether it was looked once more for what has arrived, since nothing that arrives can put the end off any more. Where
         // this process was held up, that may be a whole command.
         let mut looked = false;
         loop {
-            self.take_commands(&mut inbox, progress).await;
+            self.take_commands(inbox, progress).await;
             let idle = self.pending.is_empty();
             let now = Instant::now();
-            self.show(progress, &inbox);
+            self.show(progress, inbox);
             // Behind what was written meanwhile, which the client may still read.
             if self.state.client_has_closed() {
                 return Closing::AtOnce(CloseReason::Client);
@@ -83,7 +84,7 @@
             }
             let plans = clients.retiring.plans();
             // Most of the time there is no plan, and nothing to find out for it.
-            let standing = plans.are_in_force().then(|| self.standing(progress, &inbox));
+            let standing = plans.are_in_force().then(|| self.standing(progress, inbox));
             match standing.map_or((Act::Keep, None), |standing| plans.act(&standing, now)) {
                 (Act::Keep, _) => {}
                 (Act::CloseUnlessAsked, cause) => {
@@ -121,20 +122,19 @@
                 biased;
                 ready = ready_answers(&mut self.pending), if !idle => {
                     let taken = match ready {
-                        Ready::LargeValue => self.pass_on(&mut inbox, writing).await,
-                        Ready::Answers(ready) => self.write(ready, &mut inbox, writing).await,
+                        Ready::LargeValue => self.pass_on(inbox, writing).await,
+                        Ready::Answers(ready) => self.write(ready, inbox, writing).await,
                     };
                     progress.answered_now();
                     if let Err(reason) = taken {
                         return Closing::AtOnce(reason);
                     }
                 }
-                more = read(reading, &mut inbox.buffer), if self.state.takes_bytes() => {
+                more = inbox.read(|| (clients.now)()), if self.state.takes_bytes() => {
                     // A client that closes has gone away: what it asked for is not wanted any more.
                     if !more {
                         return Closing::AtOnce(CloseReason::Client);
                     }
-                    inbox.has_received((clients.now)());
                     if self.state.reads_commands() {
                         progress.piece_arrived();
                     }
@@ -164,7 +164,7 @@
     }
 
     /// Carries out the commands that have arrived whole.
-    async fn take_commands<R>(&mut self, inbox: &mut Inbox<'_, R>, progress: &mut Progress) {
+    async fn take_commands<R: Reading>(&mut self, inbox: &mut Inbox<'_, R>, progress: &mut Progress) {
         // Wherever it was read: none of it is a command.
         self.state.discard_refused(&mut inbox.buffer);
         while self.state.reads_commands() && !inbox.buffer.is_empty() {
@@ -172,10 +172,11 @@
                 Ok(Some(frame)) => {
                     progress.command_complete();
                     let reserved = self.state.command_complete();
-                    self.command(frame, inbox.received, reserved).await;
+                    self.command(frame, inbox.received(), reserved).await;
                 }
                 Ok(None) => {
-                    self.large(&mut inbox.buffer, inbox.received);
+                    let received = inbox.received();
+                    self.large(&mut inbox.buffer, received);
                     break;
                 }
                 Err(e) => self.protocol_error(e),
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -4,10 +4,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
-use brassrouter::Micros;
-use bytes::BytesMut;
 use mothpier_ops::CloseReason;
-use tokio::time::Instant;
 
 use super::Clients;
 use super::owed::Slot;
@@ -30,24 +27,6 @@
     }
 }
 
-/// What comes from a client.
-pub(super) struct Inbox<'a, R> {
-    pub(super) reading: &'a R,
-    pub(super) buffer: BytesMut,
-    /// When the last of it was read, on the clock of requests.
-    pub(super) received: Micros,
-    /// The same on the clock of connections.
-    pub(super) last_byte: Instant,
-}
-
-impl<R> Inbox<'_, R> {
-    /// Something has been read at this time.
-    pub(super) fn has_received(&mut self, now: Micros) {
-        self.received = now;
-        self.last_byte = Instant::now();
-    }
-}
-
 /// One connection of a client.
 pub(super) struct Session<H> {
     pub(super) clients: Rc<Clients<H>>,
--- a/crates/scale/src/real_sockets/counting.rs
+++ b/crates/scale/src/real_sockets/counting.rs
@@ -343,6 +343,10 @@
         self.connection.received(read);
         Ok(read)
     }
+
+    fn since_last_arrival(&self) -> Option<Duration> {
+        self.reading.since_last_arrival()
+    }
 }
 
 impl<H: Host> AsyncRead for CountingStream<H> {
--- a/crates/simnet/src/net.rs
+++ b/crates/simnet/src/net.rs
@@ -107,6 +107,8 @@
     pub process: ProcessId,
     /// What has arrived and was not read.
     pub inbox: BytesMut,
+    /// When the last data arrived; with none, when the connection was begun.
+    pub arrived: Instant,
     /// The other side sends no more, and all that it sent has arrived.
     pub ended: bool,
     pub error: Option<ErrorKind>,
@@ -458,6 +460,7 @@
             address,
             process,
             inbox: BytesMut::new(),
+            arrived: now,
             ended: false,
             error: None,
             reader: None,
@@ -622,6 +625,7 @@
                     self.send(from, to, Packet::Rst(id, 1 - side));
                 } else if end.error.is_none() {
                     end.inbox.extend_from_slice(&bytes);
+                    end.arrived = at;
                     wake(&mut end.reader);
                     if let Some(tally) = &mut self.tally {
                         tally.received(c.ends[side].address.ip(), Self::way(&c.ends, side), bytes.len());
--- a/crates/simnet/src/socket.rs
+++ b/crates/simnet/src/socket.rs
@@ -322,6 +322,11 @@
             }
         }
     }
+
+    fn since_last_arrival(&self) -> Option<Duration> {
+        let state = self.0.net.state.borrow();
+        Some(state.conns.get(&self.0.id)?.ends[self.0.side].arrived.elapsed())
+    }
 }
 
 /// A TCP socket that waits for connections.
--- a/crates/world/src/failing_host.rs
+++ b/crates/world/src/failing_host.rs
@@ -182,6 +182,10 @@
         buffer.extend_from_slice(&one);
         Ok(read)
     }
+
+    fn since_last_arrival(&self) -> Option<Duration> {
+        self.reading.since_last_arrival()
+    }
 }
 
 impl AsyncRead for FailingStream {
--- a/crates/world/src/mutant.rs
+++ b/crates/world/src/mutant.rs
@@ -347,6 +347,10 @@
         }
         read
     }
+
+    fn since_last_arrival(&self) -> Option<Duration> {
+        self.reading.as_ref()?.since_last_arrival()
+    }
 }
 
 impl Drop for MutantReading {
--- /dev/null
+++ b/crates/world/tests/crowds.rs
@@ -0,0 +1,23 @@
+//! Seeds of the scenario of crowds that broke a rule once, each named for the failure that it guards against.
+#![allow(missing_docs)]
+
+#[path = "common/mod.rs"]
+mod common;
+
+use common::{drawn, kept, scenario};
+
+fn keeps_the_rules(seed: u64) {
+    kept(&drawn(&scenario("crowded"), seed, None));
+}
+
+/// Requests waited in the queue of the listener while a node was upgraded, and that time was not taken off.
+#[test]
+fn the_wait_for_a_place_beside_an_old_process_is_taken_off_the_time_told() {
+    [8810069, 8811869, 8812137].into_iter().for_each(keeps_the_rules);
+}
+
+/// A request waited in the queue of the listener for more than a second while its node had no process.
+#[test]
+fn the_wait_for_a_process_is_taken_off_the_time_told() {
+    keeps_the_rules(8813983);
+}
