World: an attempt counts as sent when its last byte reached the server's machine

Cause: not the node. The cache server had been passing a large value on to a slow client and reads a command behind it only afterwards; the rule counted from when it was read. Evidence: with the machine's time of arrival in the trace, the attempt's last byte came at 13.710 s, the answer from another server at 13.939 s, and it was read at 14.208 s. Change: observations of arrivals tell when the last byte came, and rule 11 counts from that, with its bound as it was. The time told is counted from the same exact moment in place of the earliest possible one, which is stricter.

--- a/crates/trial/src/account.rs
+++ b/crates/trial/src/account.rs
@@ -430,8 +430,16 @@
     }
 
     fn arrived(a: &mut Account, at: u64, request: RequestNo, node: NodeNo, server: BoxNo) {
-        let seen =
-            Seen::Arrived { at: server, node, request, write: false, work: 1.0, running: 0, until: ms(at) };
+        let seen = Seen::Arrived {
+            at: server,
+            node,
+            request,
+            write: false,
+            work: 1.0,
+            running: 0,
+            came: ms(at),
+            until: ms(at),
+        };
         a.saw(&Observation { at: ms(at), seen });
     }
 
--- a/crates/world/src/cache.rs
+++ b/crates/world/src/cache.rs
@@ -192,10 +192,8 @@
         let mut pending: VecDeque<(RequestNo, oneshot::Receiver<(Bytes, How)>)> = VecDeque::new();
         let mut buffer = BytesMut::new();
         let mut first = true;
-        // When what was read last may have come at the earliest, and from when to when nothing was read for an answer that
-        // was written.
+        // When what was read last reached this machine.
         let mut came = Instant::now();
-        let mut unread = None;
         let lost = |pending: &mut VecDeque<(RequestNo, _)>| {
             closed.close();
             for (request, _) in pending.drain(..) {
@@ -212,8 +210,8 @@
                             let waiter = Waiter { done, closed: closed.clone() };
                             pending.push_back((asked.request, answer));
                             let extra = if std::mem::take(&mut first) { handshake } else { 0.0 };
-                            let until = self.fleet.witness.since_beginning(came) + asked.wait;
-                            self.clone().begin(asked, node, until, extra, crowded, waiter);
+                            let came = self.fleet.witness.since_beginning(came);
+                            self.clone().begin(asked, node, came, extra, crowded, waiter);
                         }
                         Ok(None) => {
                             let _ = writing.write_all(b"+OK\r\n").await;
@@ -255,7 +253,6 @@
                         }
                         return lost(&mut pending);
                     }
-                    let begun = Instant::now();
                     for (number, piece) in bytes.chunks(PIECE).enumerate() {
                         if number > 0 {
                             sleep(BETWEEN_PIECES).await;
@@ -264,17 +261,13 @@
                             return lost(&mut pending);
                         }
                     }
-                    // Answers that follow each other at once are one time in which nothing was read.
-                    let begun = unread.filter(|(_, end)| *end == begun).map_or(begun, |(first, _)| first);
-                    unread = Some((begun, Instant::now()));
                 }
                 more = read(&reading, &mut buffer), if room => {
                     // What ends its sending has given up what it asked for.
                     if !more {
                         return lost(&mut pending);
                     }
-                    let now = Instant::now();
-                    came = unread.filter(|(_, end)| *end == now).map_or(now, |(begun, _)| begun);
+                    came = Instant::now() - reading.since_last_arrival().unwrap_or_default();
                 }
                 () = sleep(IDLE), if none => return,
             }
@@ -314,7 +307,7 @@
         self: Rc<Self>,
         asked: Asked,
         node: NodeNo,
-        until: Duration,
+        came: Duration,
         extra: f64,
         crowded: bool,
         waiter: Waiter,
@@ -326,7 +319,8 @@
         let held = self.memory.borrow_mut().touch(asked.key);
         let work = extra + if held { whole } else { whole * boxes.miss_work };
         let Asked { request, write, .. } = asked;
-        let arrived = Seen::Arrived { at: self.number, node, request, write, work, running: 0, until };
+        let until = came + asked.wait;
+        let arrived = Seen::Arrived { at: self.number, node, request, write, work, running: 0, came, until };
         self.fleet.witness.saw(arrived);
         self.press(work);
         let busy = || (resp::error("BUSY"), How::Busy);
--- a/crates/world/src/observe.rs
+++ b/crates/world/src/observe.rs
@@ -176,8 +176,10 @@
         /// At the origin: calls of this node that are carried out or wait there, those included that it has given up
         /// or that an earlier life of it has left behind; 0 at boxes.
         running: u32,
-        /// Until when it is waited for by what it tells, counted from the beginning: the time that it tells, from the
-        /// earliest moment at which it may have come.
+        /// When that byte reached the machine, counted from the beginning. One that is busy with an answer before it may read it
+        /// long after.
+        came: Duration,
+        /// Until when it is waited for by what it tells, counted from the beginning: the time that it tells, from when it came.
         until: Duration,
     },
     /// The connection on which an attempt was out ended before its answer.
--- a/crates/world/src/origin.rs
+++ b/crates/world/src/origin.rs
@@ -130,8 +130,9 @@
         };
         let saw = |seen| self.fleet.witness.saw(seen);
         let running = Running::begin(&self, node);
-        let until = self.fleet.witness.elapsed() + wait;
-        saw(Seen::Arrived { at: self.number, node, request: id, write, work, running: running.1, until });
+        let came = self.fleet.witness.elapsed();
+        let (at, beside, until) = (self.number, running.1, came + wait);
+        saw(Seen::Arrived { at, node, request: id, write, work, running: beside, came, until });
         let mut out = Out { origin: self.clone(), node, request: id, ended: false };
         let ended = |out: &mut Out, how| {
             out.ended = true;
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -412,8 +412,9 @@
                     self.unanswered(now, *request, "no answer before its client left");
                 }
             }
-            Seen::Arrived { at, node, request, work, until, .. } => {
+            Seen::Arrived { at, node, request, work, came, until, .. } => {
                 self.tells(now, *at, *request, *until);
+                self.sent_on(*came, now, *at, *request);
                 self.arrived(now, *at, *node, *request, *work);
             }
             Seen::Ended { at, node, request, how } => {
@@ -687,6 +688,20 @@
         }
     }
 
+    /// Judges whether an attempt that came then was written for a request that was over. Its server may read it later, behind an
+    /// answer that is taken slowly: what has been written whole can't be taken back.
+    fn sent_on(&mut self, came: Duration, now: Duration, at: BoxNo, id: RequestNo) {
+        // What was written to a cache server that could not be reached comes when it can.
+        let mended = self.mended.get(&at).is_some_and(|m| now < *m + SLACK);
+        let ended = self.requests.get(&id).and_then(|r| r.ended);
+        let late = ended.map(|end| came.saturating_sub(end));
+        let most = OVER + SLACK + self.late_ways;
+        if let Some(late) = late.filter(|late| *late > most && !mended && !self.away.contains_key(&at)) {
+            let what = format!("request {id:x} was sent on {late:?} after it was over");
+            self.broken(now, Rule::Over, what);
+        }
+    }
+
     fn arrived(&mut self, now: Duration, at: BoxNo, node: NodeNo, id: RequestNo, work: f64) {
         let grace = Duration::from_millis(self.rules.drain_grace_ms) + SLACK;
         let away = self.away.contains_key(&at);
@@ -730,14 +745,6 @@
             && !self.bound[class].contains(&(at % self.zones));
         let ran = r.attempts.iter().find(|a| a.fate != Fate::NotRun).map(|a| (a.at, a.arrived));
         let count = r.attempts.len() + 1;
-        // What was written to a cache server that could not be reached comes when it can.
-        let most = OVER + SLACK + self.late_ways;
-        let late = r.ended.map(|end| now.saturating_sub(end)).filter(|late| *late > most);
-        if let Some(late) = late.filter(|_| !mended && !away) {
-            let what = format!("request {id:x} was sent on {late:?} after it was over");
-            self.broken(now, Rule::Over, what);
-        }
-        let Some(r) = self.requests.get_mut(&id) else { return };
         r.attempts.push(Attempt { at, arrived: now, fate: Fate::Out, unheard: away });
         if outside {
             self.broken(now, Rule::BoundToZones, format!("request {id:x}, bound to zones, reached box {at}"));
--- a/crates/world/tests/crowds.rs
+++ b/crates/world/tests/crowds.rs
@@ -21,3 +21,10 @@
 fn the_wait_for_a_process_is_taken_off_the_time_told() {
     keeps_the_rules(8813983);
 }
+
+/// A cache server read a command only after it had passed on the large value before it: its request was over by then, and had
+/// not been when the command came.
+#[test]
+fn a_command_read_late_behind_a_large_value_was_not_sent_late() {
+    keeps_the_rules(9800120);
+}
--- a/crates/world/tests/hard_cases.rs
+++ b/crates/world/tests/hard_cases.rs
@@ -197,7 +197,19 @@
         // The aim is 400 ms: over at 500 ms from when it was asked, at 750 ms from shortly before it was sent.
         let (patience, until) = (ms(900), ms(1_000));
         saw(100, Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience });
-        saw(400, Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0, until });
+        saw(
+            400,
+            Seen::Arrived {
+                at: 2,
+                node: 0,
+                request: 1,
+                write: false,
+                work: 5.0,
+                running: 0,
+                came: ms(400),
+                until,
+            },
+        );
         saw(405, Seen::Ended { at: 2, node: 0, request: 1, how: How::Miss });
         saw(700, Seen::Answered { request: 1, reply: Reply::Busy(20), slow: false });
         assert_eq!(checker.violations().first().map(|v| v.rule), broken, "crowd: {crowd}");
@@ -210,7 +222,16 @@
     let (origin, ms) = (90, Duration::from_millis);
     let (patience, until) = (ms(900), ms(1_000));
     let asked = Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience };
-    let arrived = Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0, until };
+    let arrived = Seen::Arrived {
+        at: 2,
+        node: 0,
+        request: 1,
+        write: false,
+        work: 5.0,
+        running: 0,
+        came: ms(200),
+        until,
+    };
     let cut = Seen::Cut { request: 1 };
     let silent = Seen::Ended { at: 2, node: 0, request: 1, how: How::Silent { begun: true } };
     let whole = Seen::Ended { at: 2, node: 0, request: 1, how: How::Value };
@@ -265,10 +286,45 @@
         }
         saw(asked, Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience });
         for (at, until) in [ms(700), ms(800)].into_iter().zip(until) {
-            saw(at, Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0, until });
+            saw(
+                at,
+                Seen::Arrived {
+                    at: 2,
+                    node: 0,
+                    request: 1,
+                    write: false,
+                    work: 5.0,
+                    running: 0,
+                    came: at,
+                    until,
+                },
+            );
             saw(at + ms(5), Seen::Ended { at: 2, node: 0, request: 1, how: How::Miss });
         }
         let rules: Vec<Rule> = checker.violations().iter().map(|v| v.rule).collect();
         assert_eq!(rules, vec![Rule::TimeLeft; broken], "crowd {crowd}, away {away}, {until:?}");
     }
 }
+
+/// An attempt that its server reads late, behind an answer that is taken slowly, was sent in time; one that was written for a
+/// request that was over breaks a rule.
+#[test]
+fn an_attempt_counts_as_sent_when_it_reached_the_machine() {
+    let scenario = scenario("crowded");
+    let ms = Duration::from_millis;
+    for (came, broken) in [(150, vec![]), (350, vec![]), (351, vec![Rule::Over]), (469, vec![Rule::Over])] {
+        let mut checker = Checker::new(&scenario, 90);
+        let mut saw = |at, seen| checker.saw(&Observation { at: ms(at), seen });
+        saw(0, Seen::NodeUp { node: 0 });
+        let (patience, until) = (ms(900), ms(1_000));
+        saw(100, Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience });
+        saw(200, Seen::Answered { request: 1, reply: Reply::Failed, slow: false });
+        let came = ms(came);
+        saw(
+            469,
+            Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0, came, until },
+        );
+        let rules: Vec<Rule> = checker.violations().iter().map(|v| v.rule).collect();
+        assert_eq!(rules, broken, "came at {came:?}");
+    }
+}
