Handover: the old process gives up what it holds in vain while clients crowd in

Cause: for as long as an old process lives beside a new one, the new one gets what is left of the node's descriptors. The old one took no connections any more, and so let none give way: of 21 connections of clients 10 were still those of the crowd, which finish no command, 1.2 s later, and it kept all idle connections to servers. The new one had 8 places for clients and 8 for servers for 2.6 s (of 24 and 24), all taken, while requests waited in the queue. Mend: where half of its places were taken as a new process came, the old one lets those connections go each 0.1 s that have begun nothing for 0.3 s or stopped writing for 1 s, as a listener at its limit does; once resting connections have been closed it keeps no idle ones to servers either.

--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -198,6 +198,8 @@
                 }
                 _ => continue,
             };
+            // Where clients crowd in here, those that only hold a place keep others out at the new process.
+            let crowded = self.clients.crowded();
             // What it holds it keeps, and gets little more.
             let held = self.clients.count().max(LEAST);
             let reserve = self.share((held, self.budget.servers / 2)).await;
@@ -215,6 +217,9 @@
                     // It has nothing more to say: this is its end.
                     _ = link.inbox.recv() => told = false,
                     () = sleep(WORD) => {
+                        if crowded {
+                            self.clients.evict_stalled();
+                        }
                         let Some(state) = self.ask(false).await else { return };
                         if state.revision != revision {
                             let Some(mut news) = self.ask(true).await else { return };
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -51,6 +51,9 @@
     },
     /// Another process of this node hears its peers from now on.
     LeavePeers,
+    /// Another process of this node does its work from now on and needs the descriptors: connections to servers are closed as
+    /// soon as they carry nothing.
+    CloseIdle,
     /// Recording goes on or off.
     Record(bool),
     /// The node ends in order: all that was taken is answered.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -175,6 +175,8 @@
     members: BTreeMap<String, Member>,
     /// When the accord has something to do by itself.
     accord_at: Option<Instant>,
+    /// Connections to servers that carry nothing are not kept.
+    closes_idle: bool,
 }
 
 impl<H: Host> Node<H> {
@@ -202,6 +204,7 @@
             revision: 0,
             members: BTreeMap::new(),
             accord_at: None,
+            closes_idle: false,
         }
     }
 
@@ -389,7 +392,14 @@
             Input::Sharing(processes) => self.events.push_back(Event::Sharing(processes)),
             Input::Inherit(left) => self.events.push_back(Event::Legacy(left)),
             Input::Descriptors(most) => self.parts.servers.set_descriptors(for_cache_servers(most)),
+            Input::CloseIdle => {
+                self.closes_idle = true;
+                self.close_idle();
+            }
             Input::Known { whole, reply } => {
+                if self.closes_idle {
+                    self.close_idle();
+                }
                 let _ = reply.send(self.known(whole));
             }
             Input::LeavePeers => {
@@ -463,6 +473,12 @@
         }
     }
 
+    /// Closes the connections to servers that carry nothing.
+    fn close_idle(&mut self) {
+        self.parts.servers.close_all_idle();
+        self.parts.origins.close_all_idle();
+    }
+
     /// What another process of this node would go on from.
     fn known(&self, whole: bool) -> State {
         let (servers, origins) = (self.parts.servers.open(), self.parts.origins.open());
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -275,6 +275,11 @@
             pool.idle.borrow_mut().clear();
         }
     }
+
+    /// Closes the connections to all origins that carry nothing.
+    pub fn close_all_idle(&self) {
+        self.pools.values().for_each(|pool| pool.idle.borrow_mut().clear());
+    }
 }
 
 async fn exchange<H: Host>(
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -549,9 +549,14 @@
     /// Closes the connections to a server that carry nothing.
     pub fn close_idle(&mut self, server: ServerId) {
         if let Some(pool) = self.pools.get_mut(&server) {
-            pool.connections.retain(|c| !c.up() || c.load() > 0);
+            pool.close_idle();
         }
     }
+
+    /// Closes the connections to all servers that carry nothing.
+    pub fn close_all_idle(&mut self) {
+        self.pools.values_mut().for_each(Pool::close_idle);
+    }
 }
 
 impl Pool {
@@ -587,6 +592,10 @@
         self.connections.push(Connection { number, shared, task, used, retired: false, all });
     }
 
+    fn close_idle(&mut self) {
+        self.connections.retain(|c| !c.up() || c.load() > 0);
+    }
+
     /// Puts an attempt behind others on the connection with the fewest that is not held up.
     fn append(&mut self, command: Command, multiplex: usize) -> bool {
         let line = |c: &Connection| {
--- a/crates/node/src/service/ending.rs
+++ b/crates/node/src/service/ending.rs
@@ -33,6 +33,7 @@
             self.retiring.end_listening(Listening::LeaveRest);
             let _ = self.events.send(Input::LeavePeers).await;
             sleep_until(plan.close_resting()).await;
+            let _ = self.events.send(Input::CloseIdle).await;
         } else {
             sleep_until(now + KEEP_ACCEPTING).await;
             self.retiring.end_listening(Listening::TakeRest);
--- a/crates/world/tests/crowds.rs
+++ b/crates/world/tests/crowds.rs
@@ -28,3 +28,10 @@
 fn a_command_read_late_behind_a_large_value_was_not_sent_late() {
     keeps_the_rules(9800120);
 }
+
+/// A crowd's connections at the old process of an upgrade kept so many descriptors that requests found no place at the new one
+/// before their clients left, or were refused most of a second late.
+#[test]
+fn a_crowd_at_the_old_process_leaves_clients_places_at_the_new_one() {
+    [8812979, 8814172, 8814442].into_iter().for_each(keeps_the_rules);
+}
