Discovery: an answer that crosses the end of its call is taken

What a node is told counts from when it is written. Cause: a call that had waited for its longest was given up with its connection, and an answer written in that moment, a way of 6 to 10 ms before, was lost with it. The next call asked from the revision before and was answered 3 s later. Evidence: in the trace discovery wrote revision 5 (box 0 drains) to node 1 at 4.025 s, and the node gave the watch up as silent at 4.031 s. Mend: the answer of the call that was given up last is waited for beside the next call, until that is answered or discovery moves. Where a late one comes it is taken, and the watch goes on from it. Same class elsewhere: the first call of a watch, given up after its turn at a service, had the same fault and is mended with it. Answers of servers and of the origin belong to an attempt that is over and change nothing.

--- a/crates/mothpier/tests/crossings_more.rs
+++ b/crates/mothpier/tests/crossings_more.rs
@@ -340,6 +340,38 @@
     }
 }
 
+/// A watch has been given up for its silence, and its answer was under way: what it tells counts as told, so that it holds
+/// although the watch that was opened in its place brings nothing yet.
+#[test]
+fn an_answer_of_a_watch_that_was_given_up_holds_until_a_newer_one_comes() {
+    let [old, late, new] = ["old", "late", "new"].map(|name| serve(command, move |_| array(name)));
+    let one = |server| member("s-1", server, "m", "ready");
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (node, _) = spawn_node("late-watch", agent.local_addr().unwrap(), &[]);
+    let mut silent = BufReader::new(agent.accept().unwrap().0);
+    call(&mut silent).unwrap();
+    silent.get_mut().write_all(&list(900, &one(old))).unwrap();
+    assert!(call(&mut silent).unwrap()[0].contains("after=900&"));
+    let mut opened = BufReader::new(agent.accept().unwrap().0);
+    assert!(call(&mut opened).unwrap()[0].contains("after=900&"));
+    silent.get_mut().write_all(&list(901, &one(late))).unwrap();
+    let mut client = node.client();
+    let mut asked = 0;
+    let answered_by = |name| {
+        move |client: &mut Client, asked: &mut u32| {
+            *asked += 1;
+            client.ask(&["CACHE.GET", "k", &format!("i-{asked}"), "c=read,t=acme,d=9000"]) == name
+        }
+    };
+    let since = Instant::now();
+    while !answered_by("$late")(&mut client, &mut asked) {
+        assert!(since.elapsed() < HUNG, "the late answer is not taken");
+    }
+    opened.get_mut().write_all(&list(902, &one(new))).unwrap();
+    assert!(call(&mut opened).unwrap()[0].contains("after=902&"));
+    assert!(answered_by("$new")(&mut client, &mut asked));
+}
+
 /// The origin answers in the moment at which the time of the attempt is over: its client gets one answer, the value or an
 /// error; nothing stays open, and the next call gets its own answer.
 #[test]
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 use brassrouter::settings::Site;
@@ -197,10 +198,33 @@
     Goes,
 }
 
+/// The answer of a call, whatever it is.
+type Answer = Pin<Box<dyn Future<Output = Result<Bytes, String>>>>;
+
+/// A call that nobody waits for any more. Its answer may have been written in that moment; what it tells counts as told then.
+struct LateAnswer {
+    answer: Answer,
+    _connection: Connection,
+}
+
+impl LateAnswer {
+    /// Waits for the list; for ever where none comes.
+    async fn list(late: &mut Option<LateAnswer>) -> List {
+        if let Some(LateAnswer { answer, .. }) = late {
+            let answer = answer.await;
+            *late = None;
+            if let Some(list) = answer.ok().and_then(|body| read(&body).ok()) {
+                return list;
+            }
+        }
+        std::future::pending().await
+    }
+}
+
 /// Why a call brought no list.
 enum Failure {
     /// Nothing came: where the watch had gone on before, it has fallen silent.
-    Silent,
+    Silent(LateAnswer),
     /// It was answered otherwise, or broke.
     Failed(String),
     /// This machine could not make the connection, which tells nothing of discovery.
@@ -210,7 +234,7 @@
 impl std::fmt::Display for Failure {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Failure::Silent => f.write_str("no answer"),
+            Failure::Silent(_) => f.write_str("no answer"),
             Failure::Failed(why) => f.write_str(why),
             Failure::Local(error) => write!(f, "this machine can't connect: {error}"),
         }
@@ -236,6 +260,8 @@
     let mut first = teller == Teller::Agent;
     let mut moved = false;
     let mut stage = Stage::Opens;
+    // The call that was given up last.
+    let mut late: Option<LateAnswer> = None;
     loop {
         let now = *wanted.borrow_and_update();
         if addresses.has_changed().unwrap_or(false) {
@@ -246,6 +272,7 @@
             // Another service: its revisions have nothing to do with the old ones, so the whole list is asked for,
             // and what the old one has still to say is not waited for.
             (connection, revision, failing, stage) = (None, None, false, Stage::Opens);
+            late = None;
         }
         let watch = now.watch || goes_on;
         if !watch && now.calls == calls && !moved {
@@ -253,18 +280,40 @@
                 biased;
                 changed = wanted.changed() => if changed.is_err() { return },
                 Ok(()) = addresses.changed() => moved = true,
+                list = LateAnswer::list(&mut late) => {
+                    // It is taken for the answer to a watch.
+                    goes_on = true;
+                    revision = Some(list.revision);
+                    if events.send(Input::Discovery(Heard::List(list))).await.is_err() {
+                        return;
+                    }
+                }
             }
             continue;
         }
         let whole = first || !watch;
-        let answer = tokio::select! {
-            biased;
-            Ok(()) = addresses.changed() => {
-                moved = true;
-                continue;
+        let after = revision.filter(|_| !whole);
+        let answer = {
+            let mut call = pin!(call(&host, teller.patience(stage), &mut connection, address, after));
+            loop {
+                tokio::select! {
+                    biased;
+                    Ok(()) = addresses.changed() => {
+                        moved = true;
+                        break None;
+                    }
+                    answer = &mut call => break Some(answer),
+                    list = LateAnswer::list(&mut late) => {
+                        // What the call under way brings is newer, or the same again.
+                        revision = Some(list.revision);
+                        if events.send(Input::Discovery(Heard::List(list))).await.is_err() {
+                            return;
+                        }
+                    }
+                }
             }
-            answer = call(&host, teller.patience(stage), &mut connection, address, revision.filter(|_| !whole)) => answer,
         };
+        let Some(answer) = answer else { continue };
         if let Err(Failure::Local(error)) = answer {
             // Discovery has not been asked: the same call is made again, and nobody is told of a failure of discovery's.
             if !failing_locally {
@@ -282,14 +331,15 @@
         let heard = match answer {
             Ok(list) => {
                 (first, failing, stage, failing_locally) = (false, false, Stage::Goes, false);
+                late = None;
                 goes_on = opened;
                 revision = Some(list.revision);
                 Heard::List(list)
             }
             // It has to be opened anew at once: what it misses counts as told soon, and there is no pause in that time.
-            Err(Failure::Silent) if stage == Stage::Goes => {
+            Err(Failure::Silent(answer)) if stage == Stage::Goes => {
                 host.log(format_args!("discovery: the watch has fallen silent; opening it anew"));
-                (connection, stage) = (None, Stage::Opens);
+                (late, stage) = (Some(answer), Stage::Opens);
                 continue;
             }
             Err(e) => {
@@ -299,6 +349,9 @@
                     host.log(format_args!("discovery: {e}; trying again until it answers"));
                 }
                 failing = true;
+                if let Failure::Silent(answer) = e {
+                    late = Some(answer);
+                }
                 Heard::Failed
             }
         };
@@ -334,22 +387,35 @@
     if open.as_ref().is_none_or(|c| !c.sender.is_ready()) {
         *open = Some(http::connect(host, address, late).await.map_err(not_connected)?);
     }
-    let Some(connection) = open else { return Err(failed("no connection".into())) };
+    let Some(mut connection) = open.take() else { return Err(failed("no connection".into())) };
     let request =
         hyper::Request::get(path).header("Host", address.to_string()).body(Full::<Bytes>::default());
     let request = request.map_err(|e| failed(e.to_string()))?;
     // No call for a whole list waits at the other side: a longer one would take up the time in which a move must be done.
     let within = if after.is_some() { wait + late } else { late };
-    let answer = timeout(within, async {
-        let response = connection.sender.send_request(request).await.map_err(|e| e.to_string())?;
+    let response = connection.sender.send_request(request);
+    let mut answer: Answer = Box::pin(async {
+        let response = response.await.map_err(|e| e.to_string())?;
         if response.status() != 200 {
             return Err(format!("answered {}", response.status()));
         }
         http::body(response.into_body(), MAX_LIST, None).await
     });
-    let body = answer.await.map_err(|_| Failure::Silent)?.map_err(failed)?;
+    let Ok(body) = timeout(within, &mut answer).await else {
+        return Err(Failure::Silent(LateAnswer { answer, _connection: connection }));
+    };
+    let body = body.map_err(failed)?;
     let _ = tokio::time::timeout(PAUSE, connection.sender.ready()).await;
-    serde_json::from_slice(&body).map_err(|e| failed(format!("unreadable list: {e}")))
+    *open = Some(connection);
+    read(&body).map_err(failed)
+}
+
+/// Reads the body of an answer.
+///
+/// # Errors
+/// It is no list; in words.
+fn read(body: &[u8]) -> Result<List, String> {
+    serde_json::from_slice(body).map_err(|e| format!("unreadable list: {e}"))
 }
 
 #[cfg(test)]
