World: the count of calls at the origin does not drift after a kill

Cause: the checker's. A call counts when it arrives, and left the count only if its request had been asked in the life that its node is in. Where the new one of two processes is killed, the world begins another life while the old process goes on: each request from before that called the origin afterwards raised the count for good. Evidence: in the trace every arrival of node 2 at the origin has its end, the origin itself had 4 calls of the node running at the moment of the break, and the node's life had begun anew at 1.495 s. Change: an arrival is kept with the life in which it was counted and leaves that count. The bound is as it was; a call is counted once, as before.

--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -132,6 +132,8 @@
     fate: Fate,
     /// Its answer may never have reached the node, which waits for it then.
     unheard: bool,
+    /// The life of its node in which it arrived: its counters are of that life.
+    life: u64,
 }
 
 struct Request {
@@ -745,7 +747,8 @@
             && !self.bound[class].contains(&(at % self.zones));
         let ran = r.attempts.iter().find(|a| a.fate != Fate::NotRun).map(|a| (a.at, a.arrived));
         let count = r.attempts.len() + 1;
-        r.attempts.push(Attempt { at, arrived: now, fate: Fate::Out, unheard: away });
+        let life = self.nodes[node].life;
+        r.attempts.push(Attempt { at, arrived: now, fate: Fate::Out, unheard: away, life });
         if outside {
             self.broken(now, Rule::BoundToZones, format!("request {id:x}, bound to zones, reached box {at}"));
         }
@@ -813,8 +816,11 @@
     }
 
     fn settle(&mut self, now: Duration, at: BoxNo, node: NodeNo, id: RequestNo, fate: Fate, unheard: bool) {
-        // Calls of an earlier life of a node went with its counters.
-        let same = self.requests.get(&id).is_none_or(|r| self.nodes[node].life == r.life);
+        // Calls that arrived in an earlier life of a node went with its counters.
+        let life = self.nodes[node].life;
+        let is_it = |a: &Attempt| a.at == at && a.fate == Fate::Out;
+        let same =
+            self.requests.get(&id).is_none_or(|r| r.attempts.iter().any(|a| is_it(a) && a.life == life));
         if at == self.origin && same {
             let cap = self.cap;
             let n = &mut self.nodes[node];
@@ -825,7 +831,7 @@
         }
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.stirred = now;
-        if let Some(a) = r.attempts.iter_mut().find(|a| a.at == at && a.fate == Fate::Out) {
+        if let Some(a) = r.attempts.iter_mut().find(|a| is_it(a)) {
             (a.fate, a.unheard) = (fate, a.unheard || unheard);
         }
     }
--- a/crates/world/tests/hard_cases.rs
+++ b/crates/world/tests/hard_cases.rs
@@ -328,3 +328,37 @@
         assert_eq!(rules, broken, "came at {came:?}");
     }
 }
+
+/// A call that arrives after the process beside its own was killed is counted once, and its end is too: the counter does not
+/// drift upwards by requests that the killed process left open at the other.
+#[test]
+fn calls_of_requests_from_before_a_kill_leave_the_count_again() {
+    let scenario = scenario("small");
+    let (origin, ms) = (scenario.boxes.count, Duration::from_millis);
+    let mut checker = Checker::new(&scenario, origin);
+    let mut saw = |at, seen| checker.saw(&Observation { at: ms(at), seen });
+    let (patience, until) = (ms(30_000), ms(30_000));
+    saw(0, Seen::NodeUp { node: 0 });
+    let requests = 1..200;
+    for request in requests.clone() {
+        saw(10, Seen::Asked { request, first: request, node: 0, class: 0, tenant: 0, patience });
+    }
+    saw(20, Seen::NodeDown { node: 0, planned: false });
+    saw(20, Seen::NodeUp { node: 0 });
+    for request in requests {
+        let at = 1_000 + request * 100;
+        let arrived = Seen::Arrived {
+            at: origin,
+            node: 0,
+            request,
+            write: false,
+            work: 5.0,
+            running: 0,
+            came: ms(at),
+            until,
+        };
+        saw(at, arrived);
+        saw(at + 5, Seen::Ended { at: origin, node: 0, request, how: How::Value });
+    }
+    assert!(checker.violations().is_empty(), "{}", checker.violations()[0]);
+}
