Node: a retry after a reset does not take another forgotten connection

Cause: a read whose connection is reset is sent to its server once more, since the server may be well. The second attempt took the next idle connection, which a server that has restarted or forgets idle ones has forgotten as well; lost twice, the server counts as tried, and with no other the read was refused. Mend: the attempt that follows a reset at the same server closes the idle connections there first and gets a new one; the same at the origin. Tests: a_read_that_met_a_forgotten_connection... fails before and passes; the test of a held-up node is new and passes before, too. Each test process has a folder of its own for its files, in all test files that start processes. closed_port() gave a port that a test beside it could take (a_hedge_that_fails_at_once... saw no refused connect once in a run of all tests, not traced further): the port is held now, bound and not listening.

--- a/crates/chalksill/tests/capacity.rs
+++ b/crates/chalksill/tests/capacity.rs
@@ -16,7 +16,8 @@
 }
 
 fn folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let folder =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("process-{}", std::process::id())).join(name);
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(folder.join("runs")).unwrap();
     folder
--- a/crates/chalksill/tests/command.rs
+++ b/crates/chalksill/tests/command.rs
@@ -15,7 +15,8 @@
 
 /// A folder of one test, empty at its start.
 fn folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let folder =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("process-{}", std::process::id())).join(name);
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
     folder
--- a/crates/chalksill/tests/known_red.rs
+++ b/crates/chalksill/tests/known_red.rs
@@ -6,7 +6,7 @@
 
 /// What the script makes of a file: whether it went well, its arguments, and what it says.
 fn passes_over(name: &str, text: Option<&str>) -> (bool, Vec<String>, String) {
-    let file = format!("{}/known-red-{name}.txt", env!("CARGO_TARGET_TMPDIR"));
+    let file = format!("{}/known-red-{name}-{}.txt", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     let _ = std::fs::remove_file(&file);
     if let Some(text) = text {
         std::fs::write(&file, text).unwrap();
--- a/crates/chalksill/tests/scale.rs
+++ b/crates/chalksill/tests/scale.rs
@@ -19,9 +19,16 @@
     String::from_utf8_lossy(&output.stderr).into_owned()
 }
 
+/// Where a file or folder of a test goes: runs of the same tests side by side must not share any.
+fn scratch(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("process-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder.join(name)
+}
+
 #[test]
 fn a_small_scenario_is_run_as_often_as_it_says_and_its_record_reads_back() {
-    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join("scale-small.json");
+    let file = scratch("scale-small.json");
     let run = chalksill(&["scale", "run", "scale/small.toml", "--out", file.to_str().unwrap(), "--json"]);
     assert_eq!(run.status.code(), Some(0), "{}", said(&run));
     let record: RunRecord = serde_json::from_slice(&run.stdout).unwrap();
@@ -39,7 +46,7 @@
 
 #[test]
 fn bad_scenarios_end_with_code_2_and_the_place_and_start_nothing() {
-    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join("scale-bad.toml");
+    let file = scratch("scale-bad.toml");
     let good = std::fs::read_to_string(root().join("scale/small.toml")).unwrap();
     let no_memory = "[bounds]\nmemory_part = 0.01\n[[size]]\nnodes = 10000\ncache_servers = 2000\n";
     for (from, to, expected) in [
--- a/crates/chalksill/tests/trials.rs
+++ b/crates/chalksill/tests/trials.rs
@@ -61,6 +61,13 @@
     assert_eq!(output.status.code(), Some(1));
 }
 
+/// Where a file or folder of a test goes: runs of the same tests side by side must not share any.
+fn scratch(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("process-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder.join(name)
+}
+
 #[test]
 fn every_request_has_one_end_whatever_becomes_of_processes() {
     holds("processes", &[]);
@@ -185,7 +192,7 @@
 
 #[test]
 fn an_interrupted_trial_ends_all_that_it_started() {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("interrupted");
+    let folder = scratch("interrupted");
     let _ = std::fs::remove_dir_all(&folder);
     let mut command = command(&["trials/processes.toml", "--keep", folder.to_str().unwrap()]);
     let mut running = Ended(command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap());
@@ -222,7 +229,7 @@
 
 #[test]
 fn a_trial_that_makes_no_sense_is_refused_with_its_place_and_nothing_is_started() {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("nonsense");
+    let folder = scratch("nonsense");
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
     let file = folder.join("bad.toml");
@@ -258,7 +265,7 @@
 
 #[test]
 fn a_zone_kept_out_by_hand_stays_out_whoever_dies_and_staff_see_what_each_node_acts_on() {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("held-out");
+    let folder = scratch("held-out");
     let _ = std::fs::remove_dir_all(&folder);
     let keep = ["--json", "--keep", folder.to_str().unwrap()];
     let mut trial = command(&[&["trials/held-out.toml"], &keep[..], &AGREED].concat());
--- a/crates/mothpier/tests/beyond_servers.rs
+++ b/crates/mothpier/tests/beyond_servers.rs
@@ -8,7 +8,7 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Barrier, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -138,6 +138,28 @@
     }
 }
 
+/// A node that is held up finds the reset of its idle connection and the next request at once. It costs no request, however
+/// often it happens in a row at the only server.
+#[test]
+fn a_reset_that_a_held_up_node_finds_together_with_the_next_request_costs_no_request() {
+    let server = ForgetfulServer::start(Forgets::Resets);
+    let discovery = Discovery::start(&member("s-1", server.address, "m", "ready"));
+    let node = node("forgotten-held-up", &discovery, &[THROUGH]);
+    let mut client = node.client();
+    for i in 0..20 {
+        let id = format!("i{i}");
+        node.signal("STOP");
+        if i > 0 {
+            server.end.send(()).unwrap();
+            server.ended.recv_timeout(HUNG).unwrap();
+        }
+        client.send(&["CACHE.GET", "k", &id, "c=read,t=acme,d=9000"]);
+        node.signal("CONT");
+        assert_eq!(client.answer(), format!("${id}"));
+        assert_eq!(server.seen.recv_timeout(HUNG).unwrap(), id);
+    }
+}
+
 /// Nothing tells of it before a request has been written whole: a safe read is sent again, a write that may not run twice
 /// gets its error.
 #[test]
@@ -156,6 +178,33 @@
     assert_eq!(seen, ["r1", "r2", "r2", "w1", "r3"]);
 }
 
+/// A server that has forgotten all its idle connections, and says so only when something comes: a read that met one of them
+/// is sent again on a new connection, not on another that is forgotten too.
+#[test]
+fn a_read_that_met_a_forgotten_connection_is_not_sent_again_on_another_one() {
+    let both = Arc::new(Barrier::new(2));
+    let address = each_connection(listener(), move |stream| {
+        let mut stream = BufReader::new(stream);
+        let Some(first) = command(&mut stream) else { return };
+        if first[2].starts_with("pair") {
+            both.wait();
+        }
+        stream.get_mut().write_all(&bytes_of(array(&first[2]))).unwrap();
+        let _ = command(&mut stream);
+        reset_connection(stream.get_ref());
+    });
+    let discovery = Discovery::start(&member("s-1", address, "m", "ready"));
+    let node = node("forgotten-all", &discovery, &[THROUGH]);
+    let mut clients = [node.client(), node.client()];
+    for (client, id) in clients.iter_mut().zip(["pair-1", "pair-2"]) {
+        client.send(&["CACHE.GET", "k", id, "c=read,t=acme,d=9000"]);
+    }
+    for (client, id) in clients.iter_mut().zip(["pair-1", "pair-2"]) {
+        assert_eq!(client.answer(), format!("${id}"));
+    }
+    assert_eq!(clients[0].ask(&["CACHE.GET", "k", "alone", "c=read,t=acme,d=9000"]), "$alone");
+}
+
 /// All cache servers and the origin hang, and go on to hang, when the process is told to end: every request that it reads
 /// has its final answer before SIGKILL may come, and the process has ended by then.
 #[test]
@@ -246,9 +295,13 @@
     }
 }
 
-/// Where nothing listens any more.
+/// A port at which connections are refused. It is kept until the process ends, for tests beside this one take free ports.
 fn closed_port() -> SocketAddr {
-    listener().local_addr().unwrap()
+    let held = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    held.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).unwrap();
+    let address = held.local_addr().unwrap().as_socket().unwrap();
+    std::mem::forget(held);
+    address
 }
 
 /// A hedge that is refused at once takes nothing from the first attempt, which is answered later.
@@ -465,7 +518,7 @@
 fn of_configurations_in_quick_succession_the_last_one_holds_and_nothing_is_lost() {
     let (held_server, commands, go) = held(|asked| asked[2].clone());
     let first = Discovery::start(&member("s-1", held_server, "m", "ready"));
-    let path = format!("{}/quick-reloads.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch("quick-reloads.json");
     let mut started = node_command("quick-reloads", first.address, 1024, "");
     started.env("ROUTER_DISCOVERY", first.address.to_string());
     let node = Node::run(started, &first);
--- a/crates/mothpier/tests/crossings.rs
+++ b/crates/mothpier/tests/crossings.rs
@@ -296,7 +296,7 @@
             _ => Reaction::Silence,
         }
     });
-    let path = format!("{}/falls-silent-crossing.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch("falls-silent-crossing.json");
     let text = config("falls-silent", discovery, 1024)
         .replace(r#""settings""#, r#""known":{"revision":7,"complete":true,"members":[]},"settings""#)
         .replace(r#""discovery":"push""#, r#""discovery":"ask""#)
@@ -319,7 +319,7 @@
     let (server, commands, go) = held(|asked| asked[2].clone());
     let origin = serve(call, |_| http("200 OK", "receipt"));
     let away = TcpListener::bind("127.0.0.1:0").unwrap();
-    let path = format!("{}/filled-crossing.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch("filled-crossing.json");
     let known = format!(
         r#""known":{{"revision":1,"complete":true,"members":[{}]}},"settings""#,
         member("s-1", server, "m", "ready")
--- a/crates/mothpier/tests/crossings_more.rs
+++ b/crates/mothpier/tests/crossings_more.rs
@@ -23,7 +23,7 @@
 
 /// A node with a second address, and settings of which some are others; it may not have a list yet.
 fn spawn_node(name: &str, discovery: SocketAddr, changed: &[(&str, &str)]) -> (Node, String) {
-    let path = format!("{}/{name}-more.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch(&format!("{name}-more.json"));
     let mut text = config(name, discovery, 1024);
     for (from, to) in changed {
         assert!(text.contains(from), "{from} is not in the settings");
--- a/crates/mothpier/tests/datagrams.rs
+++ b/crates/mothpier/tests/datagrams.rs
@@ -11,11 +11,11 @@
 use std::time::Duration;
 
 use interposed::let_calls_fail;
-use world::{Discovery, Node, array, command, config, member, node_command, serve};
+use world::{Discovery, Node, array, command, config, member, node_command, scratch, serve};
 
 /// A node that hears its peers at an address, and in which calls fail by these rules.
 fn node(name: &str, discovery: &Discovery, peers: SocketAddr, rules: &str) -> Node {
-    let path = format!("{}/{name}-datagrams.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch(&format!("{name}-datagrams.json"));
     let addresses = format!(r#""peer_listen":"{peers}","peers":["{peers}"],"limits""#);
     let text = config(name, discovery.address, 1024).replacen(r#""limits""#, &addresses, 1);
     std::fs::write(&path, text).unwrap();
--- a/crates/mothpier/tests/interpose/mod.rs
+++ b/crates/mothpier/tests/interpose/mod.rs
@@ -28,9 +28,11 @@
     })
 }
 
-/// A file in the folder that Cargo keeps for tests.
+/// A file in a folder of this process' own: runs of the same tests side by side must not share any.
 pub fn temporary(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("process-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder.join(name)
 }
 
 /// Which sockets a failure is of.
--- a/crates/mothpier/tests/node.rs
+++ b/crates/mothpier/tests/node.rs
@@ -245,7 +245,7 @@
 
 /// A node that must ask one discovery for all nodes, at an address, and was given a list of revision 7.
 fn asking(name: &str, discovery: std::net::SocketAddr, known: &str) -> Node {
-    let path = format!("{}/{name}-asks.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch(&format!("{name}-asks.json"));
     let list = format!(r#""known":{{"revision":7,"complete":true,"members":[{known}]}},"settings""#);
     let config = config(name, discovery, 1024)
         .replace(r#""settings""#, &list)
@@ -282,7 +282,7 @@
     for (number, known) in
         ["{}", "[]", "7", r#"{"revision":-1,"complete":true,"members":[]}"#].iter().enumerate()
     {
-        let path = format!("{}/unreadable-{number}.json", env!("CARGO_TARGET_TMPDIR"));
+        let path = scratch(&format!("unreadable-{number}.json"));
         let text = config("unreadable", discovery.address, 1024);
         std::fs::write(&path, text.replace(r#""settings""#, &format!(r#""known":{known},"settings""#)))
             .unwrap();
@@ -325,7 +325,7 @@
     let (busy, calls) = answers_in_turn(3, &member("s-1", server, "m", "ready"));
     let first = serve(call, |_| Reaction::Silence);
     let node = asking("moved-in-turn", first, "");
-    let path = format!("{}/moved-in-turn-asks.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch("moved-in-turn-asks.json");
     let config = std::fs::read_to_string(&path).unwrap();
     std::fs::write(&path, config.replace(&first.to_string(), &busy.to_string())).unwrap();
     node.signal("HUP");
@@ -377,7 +377,7 @@
     let text = config("peers", discovery.address, 1024).replace("\"balancers\":1", "\"balancers\":2");
     let own =
         format!(r#""peer_listen":"127.0.0.1:0","peers":["127.0.0.1:1","{}"],"#, peer.local_addr().unwrap());
-    let path = format!("{}/peers.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch("peers.json");
     std::fs::write(path, text.replacen('{', &format!("{{{own}"), 1)).unwrap();
     command.stdin(Stdio::null());
     let node = Node::run(command, &discovery);
@@ -435,7 +435,7 @@
     let mut ask = |id: &str| client.ask(&["CACHE.GET", "k", id, "c=read,t=acme,d=9000"]);
     assert_eq!(ask("i1"), "$old");
 
-    let path = format!("{}/reload.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch("reload.json");
     std::fs::write(&path, "{\"discovery\":").unwrap();
     node.signal("HUP");
     node.logged("stays as it was");
--- a/crates/mothpier/tests/off.rs
+++ b/crates/mothpier/tests/off.rs
@@ -35,13 +35,13 @@
     let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
     let mut command = node_command(name, discovery.address, 1024, "");
     // One zone, which this node is in: what is switched on must find what it asks of the settings.
-    let path = format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch(&format!("{name}.json"));
     let text =
         std::fs::read_to_string(&path).unwrap().replace(r#""zones":["a"],"#, r#""zones":["a"],"zone":0,"#);
     std::fs::write(&path, text).unwrap();
     command.env_remove("ROUTER_OPERATOR");
     if let Some(text) = operator {
-        let file = format!("{}/{name}.toml", env!("CARGO_TARGET_TMPDIR"));
+        let file = scratch(&format!("{name}.toml"));
         std::fs::write(&file, text).unwrap();
         command.env("ROUTER_OPERATOR", file);
     }
@@ -86,7 +86,7 @@
     ];
     for (number, (text, told)) in cases.into_iter().enumerate() {
         let name = format!("off-bad-{number}");
-        let file = format!("{}/{name}.toml", env!("CARGO_TARGET_TMPDIR"));
+        let file = scratch(&format!("{name}.toml"));
         std::fs::write(&file, text).unwrap();
         let mut command = node_command(&name, "127.0.0.1:9".parse().unwrap(), 1024, "");
         let output = command.env("ROUTER_OPERATOR", &file).output().unwrap();
--- a/crates/mothpier/tests/opening.rs
+++ b/crates/mothpier/tests/opening.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use interposed::let_calls_fail;
-use world::{Discovery, Node, array, command, config, member, node_command, serve};
+use world::{Discovery, Node, array, command, config, member, node_command, scratch, serve};
 
 /// Nine starts in ten are ready within this time.
 const READY: Duration = Duration::from_secs(6);
@@ -31,14 +31,13 @@
 /// A command that starts a node which opens all four addresses: for clients, for staff, for its peers and for the
 /// agreement.
 fn start_of_four_addresses(name: &str, discovery: &Discovery, listen: SocketAddr) -> Command {
-    let folder = env!("CARGO_TARGET_TMPDIR");
     let (peers, agreement) = (free_datagram_address(), free_datagram_address());
-    let operator = format!("{folder}/{name}-opening.toml");
+    let operator = scratch(&format!("{name}-opening.toml"));
     let text = format!(
         "[places]\non = true\n[accord]\non = true\nvoters = [0]\nlisten = \"{agreement}\"\nmembers = [\"{agreement}\"]\n"
     );
     std::fs::write(&operator, text).unwrap();
-    let path = format!("{folder}/{name}-opening.json");
+    let path = scratch(&format!("{name}-opening.json"));
     let addresses = format!(r#""peer_listen":"{peers}","peers":["{peers}"],"limits""#);
     let text = config(name, discovery.address, 1024);
     let text = text.replacen(r#""limits""#, &addresses, 1).replace("127.0.0.1:0", &listen.to_string());
--- a/crates/mothpier/tests/retirement.rs
+++ b/crates/mothpier/tests/retirement.rs
@@ -237,7 +237,7 @@
 #[test]
 fn connections_that_wait_in_the_queue_of_a_full_node_go_in_time_as_well() {
     let discovery = Discovery::start(&member("s-1", server().0, "m", "ready"));
-    let path = format!("{}/full-drain.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch("full-drain.json");
     std::fs::write(&path, config("full-drain", discovery.address, 64)).unwrap();
     let mut command = node_command("full-drain", discovery.address, 64, "");
     command.env("ROUTER_OPS", "127.0.0.1:0").env("ROUTER_CONFIG", path);
--- a/crates/mothpier/tests/turned_away.rs
+++ b/crates/mothpier/tests/turned_away.rs
@@ -7,7 +7,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use world::{Discovery, HUNG, Node, Reaction, command, member, node_command, serve};
+use world::{Discovery, HUNG, Node, Reaction, command, member, node_command, scratch, serve};
 
 /// One connection is accepted a second.
 const ADMISSION: &str =
@@ -24,7 +24,7 @@
 /// A node that accepts few connections.
 fn node(name: &str, discovery: &Discovery) -> Node {
     let mut command = node_command(name, discovery.address, 1024, "");
-    let file = format!("{}/{name}.toml", env!("CARGO_TARGET_TMPDIR"));
+    let file = scratch(&format!("{name}.toml"));
     std::fs::write(&file, ADMISSION).unwrap();
     command.env("ROUTER_OPERATOR", file);
     Node::run(command, discovery)
--- a/crates/mothpier/tests/upgrade.rs
+++ b/crates/mothpier/tests/upgrade.rs
@@ -21,7 +21,7 @@
 
 impl Platform {
     fn new(name: &'static str) -> Self {
-        let folder = format!("{}/{name}", env!("CARGO_TARGET_TMPDIR"));
+        let folder = scratch(name);
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir(&folder).unwrap();
         Platform { name, listener: TcpListener::bind("127.0.0.1:0").unwrap(), folder, sockets: 1024 }
@@ -150,7 +150,7 @@
     let duty = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let (here, there) = (duty.to_string(), peer.local_addr().unwrap().to_string());
     let start = || {
-        let path = format!("{}/duty-peers.json", env!("CARGO_TARGET_TMPDIR"));
+        let path = scratch("duty-peers.json");
         let config = config(platform.name, discovery.address, 1024);
         let peers = format!(r#""peer_listen":"{here}","peers":["{here}","{there}"],"settings""#);
         let config = config.replace(r#""settings""#, &peers).replace(r#""balancers":1"#, r#""balancers":2"#);
@@ -391,13 +391,13 @@
     let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
     let platform = Platform::new("accord");
     let own = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let file = format!("{}/accord-operator.toml", env!("CARGO_TARGET_TMPDIR"));
+    let file = scratch("accord-operator.toml");
     let accord_on = format!("[accord]\non = true\nvoters = [0]\nlisten = \"{own}\"\nmembers = [\"{own}\"]");
     std::fs::write(&file, format!("[places]\non = true\n{accord_on}")).unwrap();
     let start = || {
         let mut command = platform.command(&discovery);
         // One zone, which this node is in.
-        let path = format!("{}/accord.json", env!("CARGO_TARGET_TMPDIR"));
+        let path = scratch("accord.json");
         let text = std::fs::read_to_string(&path).unwrap();
         std::fs::write(&path, text.replace(r#""zones":["a"],"#, r#""zones":["a"],"zone":0,"#)).unwrap();
         let node = Node::spawn({
--- a/crates/mothpier/tests/world/mod.rs
+++ b/crates/mothpier/tests/world/mod.rs
@@ -25,6 +25,13 @@
  "connectTimeoutUs":5000000,"maxOpen":1000,"maxRetryAfterUs":600000,"peers":true},
  "guarantees":{"coldUs":10000000,"drainGraceUs":500000},"periodUs":1000}"#;
 
+/// Where a file or folder of a test goes: runs of the same tests side by side must not share any.
+pub fn scratch(name: &str) -> String {
+    let folder = format!("{}/process-{}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::create_dir_all(&folder).unwrap();
+    format!("{folder}/{name}")
+}
+
 /// What a server does with a command or call.
 pub enum Reaction {
     Answer(Vec<u8>),
@@ -225,7 +232,7 @@
 
 /// A configuration file in the folder that Cargo keeps for tests, and a command that starts a node with it.
 pub fn node_command(name: &str, discovery: SocketAddr, sockets: usize, before: &str) -> Command {
-    let path = format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch(&format!("{name}.json"));
     std::fs::write(&path, config(name, discovery, sockets)).unwrap();
     let mut command = Command::new("/bin/sh");
     command.arg("-c").arg(format!("{before} exec \"$0\"")).arg(env!("CARGO_BIN_EXE_mothpier"));
@@ -424,7 +431,7 @@
 
 /// A node with a second address, and settings of which some are others.
 pub fn node(name: &str, discovery: &Discovery, changed: &[(&str, &str)]) -> Node {
-    let path = format!("{}/{name}-crossing.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = scratch(&format!("{name}-crossing.json"));
     let mut text = config(name, discovery.address, 1024);
     for (from, to) in changed {
         assert!(text.contains(from), "{from} is not in the settings");
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -87,6 +87,8 @@
     out: Vec<AttemptId>,
     /// How the last one ended, of those that have.
     last_status: Option<Status>,
+    /// Where its last attempt was lost with its connection, if it was.
+    reset_by: Option<ServerId>,
     /// What the detector knows it by; 0 without one.
     fingerprint: u64,
 }
@@ -424,6 +426,7 @@
                     local_failures: 0,
                     out: Vec::new(),
                     last_status: None,
+                    reset_by: None,
                     fingerprint,
                 };
                 self.open.insert(request.id, open);
@@ -473,6 +476,15 @@
         }
     }
 
+    /// Closes the connections to a server that carry nothing.
+    fn close_idle_of(&mut self, server: ServerId) {
+        if self.origin_ids.contains(&server) {
+            self.parts.origins.close_idle(server);
+        } else {
+            self.parts.servers.close_idle(server);
+        }
+    }
+
     /// Closes the connections to servers that carry nothing.
     fn close_idle(&mut self) {
         self.parts.servers.close_all_idle();
@@ -594,10 +606,7 @@
             }),
             Action::FetchList => self.parts.wanted.send_modify(|w| w.calls += 1),
             Action::Probe(server) => self.probe(server),
-            Action::CloseIdle(server) if self.origin_ids.contains(&server) => {
-                self.parts.origins.close_idle(server)
-            }
-            Action::CloseIdle(server) => self.parts.servers.close_idle(server),
+            Action::CloseIdle(server) => self.close_idle_of(server),
             Action::Tell { to, mut bytes } => {
                 if let Some(weather) = &self.parts.weather {
                     bytes = weather.tell(bytes);
@@ -693,7 +702,7 @@
         let retry =
             if open.out.is_empty() { open.last_status.map(retry_reason) } else { Some(RetryReason::Hedge) };
         open.out.push(id);
-        let command = open.command.clone();
+        let (command, was_reset) = (open.command.clone(), open.reset_by == Some(server));
         let attempt_ends = match give_up_after {
             0 => open.ends,
             after => open.ends.min(sent + Duration::from_micros(after)),
@@ -705,6 +714,10 @@
         if u32::from(made) >= self.site.decisions.max_attempts || attempt_ends <= sent {
             return self.end(id, Status::NotSent, Note::None, Load::default(), None);
         }
+        if was_reset {
+            // What reset one may have forgotten the others that were idle beside it: this attempt gets a new one.
+            self.close_idle_of(server);
+        }
         let extras = command.attempt_extras(attempt_ends);
         let out = if self.origin_ids.contains(&server) {
             let call = self.parts.origins.call(server, id, &command, extras);
@@ -833,6 +846,7 @@
         if let Some(open) = self.open.get_mut(&request) {
             open.out.retain(|out| *out != id);
             open.last_status = Some(status);
+            open.reset_by = (status == Status::Reset).then_some(server);
             let failures = u16::from(status == Status::LocalFailure);
             open.local_failures = open.local_failures.saturating_add(failures);
         }
--- a/crates/scale/tests/real_sockets.rs
+++ b/crates/scale/tests/real_sockets.rs
@@ -60,8 +60,8 @@
 /// Starts the command on a plan.
 fn start(plan: &RealSocketsPlan) -> Started {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
-    let (file, record) =
-        (folder.join(format!("{}.toml", plan.name)), folder.join(format!("{}.json", plan.name)));
+    let own = |ending| folder.join(format!("{}-{}.{ending}", plan.name, std::process::id()));
+    let (file, record) = (own("toml"), own("json"));
     let _ = std::fs::remove_file(&record);
     std::fs::write(&file, toml::to_string(plan).unwrap()).unwrap();
     program("mothpier");
--- a/crates/scale/tests/records.rs
+++ b/crates/scale/tests/records.rs
@@ -9,7 +9,8 @@
 use chalksill_scale::records::{check_one_kind, read, read_folder};
 
 fn folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let folder =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("process-{}", std::process::id())).join(name);
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
     folder
