Clients: the log counts the requests and answers of a connection alike

What staff saw: requests=4 answers=6 on a connection that was closed. Refused requests and answers to PING counted as answers and not as requests; a large value that was passed on counted as none. Change: both count requests of a known class, refused and rejected ones among them, and the answers to these that were written whole.

--- a/crates/node/src/clients/answers.rs
+++ b/crates/node/src/clients/answers.rs
@@ -4,10 +4,10 @@
 
 use bytes::{Bytes, BytesMut};
 use mothpier_host::{Host, Reading};
-use mothpier_ops::{CloseReason, End};
+use mothpier_ops::{CloseReason, End, Ticket};
 use mothpier_resp::{self as resp, Malformed};
 use tokio::io::AsyncWriteExt;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::ClientWriting;
 use super::grammar::Rejected;
@@ -73,6 +73,7 @@
             && (whole.is_ok() || taken.is_ok())
         {
             // One that the client stopped reading was abandoned.
+            self.answers += u64::from(whole.is_ok());
             ticket.end(if whole.is_ok() { End::Served } else { End::Failed });
         }
         whole
@@ -90,10 +91,10 @@
         for slot in self.pending.drain(..ready) {
             // What could not be written was abandoned: that is no end.
             if let Some((ticket, end)) = slot.ticket.filter(|_| taken.is_ok()) {
+                self.answers += 1;
                 ticket.end(end);
             }
         }
-        self.answers += ready as u64;
         taken
     }
 
@@ -187,9 +188,15 @@
         all.freeze()
     }
 
+    /// Counts a request of a class, whatever becomes of it.
+    pub(super) fn take_request(&mut self, class: usize) -> Ticket {
+        self.requests += 1;
+        self.clients.desk.figures.taken(class)
+    }
+
     /// Answers a command with an error.
     pub(super) fn reject(&mut self, rejected: Rejected) {
-        let ticket = rejected.class.map(|class| (self.clients.desk.figures.taken(class), End::Failed));
+        let ticket = rejected.class.map(|class| (self.take_request(class), End::Failed));
         let wait = Wait::Ready(resp::error(&format!("ERR {}", rejected.told)));
         self.pending.push_back(Slot { wait, memory: None, ticket });
     }
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -121,7 +121,7 @@
             ),
         );
         let wait = Wait::Ready(resp::error(&format!("BUSY {RETRY_MS}")));
-        let ticket = Some((clients.desk.figures.taken(class), End::Refused));
+        let ticket = Some((self.take_request(class), End::Refused));
         self.pending.push_back(Slot { wait, memory: None, ticket });
     }
 
@@ -140,7 +140,7 @@
         if let Some(reserved) = reserved {
             memory.merge(reserved);
         }
-        let ticket = self.clients.desk.figures.taken(request.class);
+        let ticket = self.take_request(request.class);
         let (answer, receiver) = oneshot::channel();
         let id = request.id;
         let asked = Asked::Request { request, connection: self.number, command, answer };
@@ -148,7 +148,6 @@
             return self.answer(resp::error("ERR stopping"));
         }
         self.asked += 1;
-        self.requests += 1;
         let ticket = Some((ticket, End::Failed));
         self.pending.push_back(Slot { wait: Wait::Node(id, receiver), memory: Some(memory), ticket });
     }
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -41,7 +41,7 @@
     pub(super) state: State,
     /// Why its commands are read no more, once they are not.
     pub(super) finished_by: Option<CloseReason>,
-    /// Requests that went on, and answers that were written, since it began.
+    /// Requests of a known class, and those of them whose answers were written whole, since it began. Refused ones are among both.
     pub(super) requests: u64,
     pub(super) answers: u64,
 }
