Clients: a close is noticed behind a protocol error and behind what is read ahead

What callers' servers saw: while a large answer to a client stood still, an attempt for its next request began 0.5 s after the client had closed (0.1 s is allowed), where the client had sent something malformed or more than 16 KB behind its requests. Cause: what comes meanwhile is read so that a close is seen, but not once commands are read no more, nor beyond 16 KB. Evidence: client_gone.rs with "!" behind the requests, and with 48 KB of further ones once the answer has begun: GET /behind at the origin 0.50 s after the close, on the code before. Mend: behind a malformed command the rest is read and dropped there as elsewhere, up to the bound that there is; behind 16 KB the machine is asked every 40 ms whether the other side has ended its sending, which epoll tells whatever lies unread. Same class elsewhere: connections to servers are read all the time; those that are turned away have 0.2 s. Tests: both fail before and pass (4 of 4 in client_gone.rs).

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -88,6 +88,9 @@
 
     /// How long ago the last bytes of the other side arrived at this machine, read or not; `None` where it doesn't tell.
     fn since_last_arrival(&self) -> Option<Duration>;
+
+    /// Whether the other side is known to have ended its sending, though there may be something left to read.
+    fn other_side_has_ended(&self) -> bool;
 }
 
 /// A TCP socket that waits for connections.
--- a/crates/host/src/sockets.rs
+++ b/crates/host/src/sockets.rs
@@ -11,12 +11,12 @@
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
-use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use bytes::BytesMut;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::yield_now;
@@ -111,6 +111,12 @@
         let stream: &TcpStream = self.half.as_ref();
         tcp_info::since_last_data(stream.as_fd())
     }
+
+    fn other_side_has_ended(&self) -> bool {
+        let mut ready = pin!(self.half.ready(Interest::READABLE));
+        let mut context = Context::from_waker(Waker::noop());
+        matches!(ready.as_mut().poll(&mut context), Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
 }
 
 impl AsyncRead for MachineStream {
--- a/crates/mothpier/tests/client_gone.rs
+++ b/crates/mothpier/tests/client_gone.rs
@@ -60,10 +60,24 @@
     })
 }
 
+/// What a client sends behind its two requests.
+enum More<'a> {
+    Nothing,
+    /// Together with them.
+    AtOnce(&'a str),
+    /// Once the large answer has begun: it is not taken up before that has ended.
+    Later(&'a str),
+}
+
 /// A client closes (or, for comparison, stays) while a large answer to it stands still; a server then ends
 /// the attempt of the request behind that in a way that calls for another. Gives the attempts that began too
 /// late, as time after the close and words.
-fn attempts_after_close(name: &str, react: fn() -> Reaction, close: bool) -> Vec<(Duration, Vec<String>)> {
+fn attempts_after_close(
+    name: &str,
+    react: fn() -> Reaction,
+    close: bool,
+    more: More<'_>,
+) -> Vec<(Duration, Vec<String>)> {
     let (seen, asked) = channel();
     let (go, wait) = channel();
     let wait = Arc::new(Mutex::new(wait));
@@ -82,11 +96,17 @@
     let mut client = node.client();
     // Both at once: what comes behind a large answer that is on its way is taken up after it.
     let begun = Instant::now();
-    client.write(get("large-") + &get("behind"));
+    let (at_once, later) = match more {
+        More::Nothing => ("", ""),
+        More::AtOnce(more) => (more, ""),
+        More::Later(more) => ("", more),
+    };
+    client.write(get("large-") + &get("behind") + at_once);
     client.take(PART);
     // Its first attempt has begun.
     while !asked.recv_timeout(HUNG).expect("no command for the request behind").1.contains(&"behind".into()) {
     }
+    client.write(later);
     let closed = Instant::now();
     let _stays = (!close).then_some(client);
     // The servers react only once no attempt may begin any more.
@@ -107,15 +127,32 @@
 #[test]
 fn no_origin_is_asked_after_a_miss_that_comes_when_the_client_has_gone() {
     // For a client that stays the miss does lead to a call.
-    assert!(!attempts_after_close("miss-stays", miss, false).is_empty(), "no call though the client stays");
-    assert_eq!(attempts_after_close("miss-gone", miss, true), []);
+    assert!(
+        !attempts_after_close("miss-stays", miss, false, More::Nothing).is_empty(),
+        "no call though the client stays"
+    );
+    assert_eq!(attempts_after_close("miss-gone", miss, true, More::Nothing), []);
 }
 
 #[test]
 fn no_retry_begins_after_a_reset_that_comes_when_the_client_has_gone() {
     assert!(
-        !attempts_after_close("reset-stays", reset, false).is_empty(),
+        !attempts_after_close("reset-stays", reset, false, More::Nothing).is_empty(),
         "no retry though the client stays"
     );
-    assert_eq!(attempts_after_close("reset-gone", reset, true), []);
+    assert_eq!(attempts_after_close("reset-gone", reset, true, More::Nothing), []);
+}
+
+/// Nothing more of such a client is read as a command, and its close was not noticed either.
+#[test]
+fn no_origin_is_asked_for_a_client_that_has_gone_behind_a_protocol_error() {
+    assert_eq!(attempts_after_close("miss-gone-malformed", miss, true, More::AtOnce("!\r\n")), []);
+}
+
+/// While an answer stands still no more than 16 KB are read ahead, and a close behind them is not noticed.
+#[test]
+fn no_origin_is_asked_for_a_client_that_has_gone_behind_more_than_is_read_ahead() {
+    let much: String = (0..1000).map(|number| get(&format!("ahead-{number}"))).collect();
+    assert!(much.len() > 3 * 16 * 1024);
+    assert_eq!(attempts_after_close("miss-gone-ahead", miss, true, More::Later(&much)), []);
 }
--- a/crates/node/src/clients/answers.rs
+++ b/crates/node/src/clients/answers.rs
@@ -24,6 +24,9 @@
 /// takes no answers may make the node hold.
 const AHEAD: usize = 16 * 1024;
 
+/// While no more is read, so often it is looked whether the client has gone: its attempts may begin for 0.1 s after that.
+const LOOK_FOR_END: Duration = Duration::from_millis(40);
+
 /// What is being written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Written {
@@ -129,7 +132,7 @@
         let mut shown = false;
         loop {
             let full = inbox.buffer.len() >= AHEAD;
-            let ahead = self.state.awaits_commands() && !full;
+            let ahead = self.state.takes_bytes() && !full;
             if !ahead {
                 inbox.stops_reading();
             }
@@ -144,6 +147,16 @@
                         self.state.hang_up();
                         self.abandon_requests().await;
                     }
+                    if !self.state.reads_commands() {
+                        self.state.discard_bytes(inbox.buffer.len());
+                        inbox.buffer.clear();
+                    }
+                }
+                () = sleep(LOOK_FOR_END), if full && self.state.awaits_commands() => {
+                    if inbox.reading.other_side_has_ended() {
+                        self.state.hang_up();
+                        self.abandon_requests().await;
+                    }
                 }
                 () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => return None,
                 () = clients.retiring.changed.notified() => {}
--- a/crates/node/tests/unit/client_inbox.rs
+++ b/crates/node/tests/unit/client_inbox.rs
@@ -25,6 +25,10 @@
     fn since_last_arrival(&self) -> Option<Duration> {
         self.for_so_long
     }
+
+    fn other_side_has_ended(&self) -> bool {
+        false
+    }
 }
 
 const COMMAND: &[u8] = b"*1\r\n$4\r\nPING\r\n";
--- a/crates/scale/src/real_sockets/counting.rs
+++ b/crates/scale/src/real_sockets/counting.rs
@@ -347,6 +347,10 @@
     fn since_last_arrival(&self) -> Option<Duration> {
         self.reading.since_last_arrival()
     }
+
+    fn other_side_has_ended(&self) -> bool {
+        self.reading.other_side_has_ended()
+    }
 }
 
 impl<H: Host> AsyncRead for CountingStream<H> {
--- a/crates/simnet/src/socket.rs
+++ b/crates/simnet/src/socket.rs
@@ -327,6 +327,12 @@
         let state = self.0.net.state.borrow();
         Some(state.conns.get(&self.0.id)?.ends[self.0.side].arrived.elapsed())
     }
+
+    fn other_side_has_ended(&self) -> bool {
+        let state = self.0.net.state.borrow();
+        let end = state.conns.get(&self.0.id).map(|connection| &connection.ends[self.0.side]);
+        end.is_none_or(|end| end.ended || end.error.is_some())
+    }
 }
 
 /// A TCP socket that waits for connections.
--- a/crates/world/src/failing_host.rs
+++ b/crates/world/src/failing_host.rs
@@ -186,6 +186,10 @@
     fn since_last_arrival(&self) -> Option<Duration> {
         self.reading.since_last_arrival()
     }
+
+    fn other_side_has_ended(&self) -> bool {
+        self.reading.other_side_has_ended()
+    }
 }
 
 impl AsyncRead for FailingStream {
--- a/crates/world/src/mutant.rs
+++ b/crates/world/src/mutant.rs
@@ -351,6 +351,10 @@
     fn since_last_arrival(&self) -> Option<Duration> {
         self.reading.as_ref()?.since_last_arrival()
     }
+
+    fn other_side_has_ended(&self) -> bool {
+        !self.deaf && self.reading.as_ref().is_some_and(Reading::other_side_has_ended)
+    }
 }
 
 impl Drop for MutantReading {
