Host: a connection that epoll has no place for is kept and tried again

Cause: tokio's listener accepts and registers in one step, and drops the connection where the second part fails; its TcpStream::from_std does the same. Mend: accepting and watching are two steps. The listener is an AsyncFd, accept4(2) is called by the host, and where the connection can't be registered AsyncFd gives it back: it is tried again every 10 ms for 3 s at most, then closed. Not done: no -BUSY is written to a connection that was given up after 3 s, and one that waits so while a stopping process takes the rest of its queue is closed with it.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! Spans are measured with tokio's clock ([`tokio::time`]), which a simulation pauses; it is no part of the trait.
 
+mod accepted;
 pub mod failure;
 pub mod inherited;
 mod interrupted;
