--- a/crates/brassrouter/tests/policy.rs
+++ b/crates/brassrouter/tests/policy.rs
@@ -148,6 +148,21 @@
     assert_eq!(sends(&node.request(write(5, 1))), 0, "the cap is of all kinds");
 }
 
+/// Calls that were out for 50 ms, as long as their clients waited, tell nothing of the origin's load.
+#[test]
+fn calls_that_end_with_their_clients_time_do_not_lower_the_gate() {
+    let tenants = vec![Tenant { quota_per_s: 200.0 }];
+    let mut node = Node::new(Settings { max_attempts: 1, tenants, ..settings() }, 3);
+    for id in 1..=24 {
+        node.request(Request { time_left: 50 * MS, ..write(id, 1) });
+        node.pass(50 * MS);
+        node.outcome(id, 0, ORIGIN, Status::TimedOut);
+    }
+    node.pass(SECOND);
+    let lowered = |a: &Action| matches!(a, Action::Log(line) if line.contains("gate lowered"));
+    assert!(!node.actions.iter().any(lowered), "lowered by clients that left");
+}
+
 #[test]
 fn an_origin_that_refuses_lowers_the_gate_and_good_answers_restore_it() {
     let lowered = || {
--- a/crates/mothpier/tests/beyond_servers.rs
+++ b/crates/mothpier/tests/beyond_servers.rs
@@ -205,6 +205,24 @@
     assert_eq!(clients[0].ask(&["CACHE.GET", "k", "alone", "c=read,t=acme,d=9000"]), "$alone");
 }
 
+/// A server answers a command twice, the second time behind the next one: that must not be taken for the next one's answer.
+#[test]
+fn a_late_second_answer_behind_the_next_command_is_not_taken_for_its_own() {
+    let address = each_connection(listener(), |stream| {
+        let mut stream = BufReader::new(stream);
+        let Some(first) = command(&mut stream) else { return };
+        let first = bytes_of(array(&first[2]));
+        stream.get_mut().write_all(&first).unwrap();
+        let Some(next) = command(&mut stream) else { return };
+        let _ = stream.get_mut().write_all(&[first, bytes_of(array(&next[2]))].concat());
+    });
+    let discovery = Discovery::start(&member("s-1", address, "m", "ready"));
+    let node = node("second-answer", &discovery, &[THROUGH]);
+    let mut client = node.client();
+    assert_eq!(client.ask(&["CACHE.GET", "k1", "i1", "c=read,t=acme,d=9000"]), "$i1");
+    assert_ne!(client.ask(&["CACHE.GET", "k2", "i2", "c=read,t=acme,d=9000"]), "$i1");
+}
+
 /// All cache servers and the origin hang, and go on to hang, when the process is told to end: every request that it reads
 /// has its final answer before SIGKILL may come, and the process has ended by then.
 #[test]
