Tests: one scene starts a node with its clients for drains, ends and their crossings

Cause: drain.rs and retirement.rs started a node and its clients in three places alike, and hard_cases.rs wrote the same observation four times. Change: Scene in habits/mod.rs has what they shared, with every wait and assertion as it was; arrived() in hard_cases.rs.

--- a/crates/mothpier/tests/drain.rs
+++ b/crates/mothpier/tests/drain.rs
@@ -4,12 +4,10 @@
 mod habits;
 mod world;
 
-use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use habits::{Client, EARLIEST_KILL, HELD_AT_MOST, Habit, server, wait_until};
-use world::*;
+use habits::{Habit, Scene, wait_until};
 
 /// Habits with the kinds of keys that they are seen with. Each group has a node and a cache server of its own, for an answer that
 /// is slow to come holds up those behind it on a server's connection.
@@ -52,30 +50,14 @@
     habits: &[(Habit, &'static str)],
     late: &[(Habit, &'static str)],
 ) -> Vec<String> {
-    let (server, forwarded) = server();
-    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
-    let node = node(name, &discovery, &[]);
-    let told = Arc::new(Mutex::new(None));
-    let start = |(number, (habit, kind)): (usize, &(Habit, &'static str))| {
-        Client::start(node.address, number, *habit, kind, told.clone())
-    };
-    let mut clients: Vec<Client> = habits.iter().enumerate().map(start).collect();
-    thread::sleep(ms(300));
-    let began = Instant::now();
-    *told.lock().unwrap() = Some(began);
-    assert_eq!(node.status("PUT /drain"), 200);
+    let mut scene = Scene::new(name, habits);
+    let began = scene.drain();
     // The front sends new connections for 0.2 s more.
     wait_until(began, ms(150));
-    clients.extend(late.iter().enumerate().map(|(number, late)| start((habits.len() + number, late))));
-    wait_until(began, HELD_AT_MOST);
-    let held = clients.iter().filter_map(|client| client.held(began)).map(|held| format!("held: {held}"));
-    let wrong = clients
-        .iter()
-        .filter_map(|client| client.ended_wrongly(&forwarded))
-        .map(|wrong| format!("ended wrongly: {wrong}"));
-    let all = held.chain(wrong).collect();
-    clients.iter().for_each(|client| println!("{}", client.told(began)));
-    all
+    scene.start(late);
+    let wrong = scene.held(began);
+    scene.print(began);
+    wrong
 }
 
 #[test]
@@ -91,33 +73,14 @@
 
 /// Lets clients of some habits use a node, ends it with SIGTERM and SIGKILL, and gives what was wrong with their connections.
 fn ended_under(name: &str, habits: &[(Habit, &'static str)], late: &[(Habit, &'static str)]) -> Vec<String> {
-    let (server, forwarded) = server();
-    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
-    let mut node = node(name, &discovery, &[]);
-    let told = Arc::new(Mutex::new(None));
-    let start = |(number, (habit, kind)): (usize, &(Habit, &'static str))| {
-        Client::start(node.address, number, *habit, kind, told.clone())
-    };
-    let mut clients: Vec<Client> = habits.iter().enumerate().map(start).collect();
-    thread::sleep(ms(300));
-    let began = Instant::now();
-    *told.lock().unwrap() = Some(began);
-    node.signal("TERM");
+    let mut scene = Scene::new(name, habits);
+    let began = scene.begin();
+    scene.node.signal("TERM");
     // New connections come for 0.4 s at most.
     wait_until(began, ms(350));
-    clients.extend(late.iter().enumerate().map(|(number, late)| start((habits.len() + number, late))));
-    wait_until(began, EARLIEST_KILL);
-    let ended = node.child.try_wait().unwrap();
-    let _ = node.child.kill();
-    node.ended();
-    // All see the end of their connections now.
-    wait_until(began, EARLIEST_KILL + ms(200));
-    let mut wrong: Vec<String> =
-        clients.iter().filter_map(|client| client.ended_wrongly(&forwarded)).collect();
-    if !ended.is_some_and(|status| status.success()) {
-        wrong.push(format!("{name}: the process has not ended in order by itself: {ended:?}"));
-    }
-    clients.iter().for_each(|client| println!("{}", client.told(began)));
+    scene.start(late);
+    let wrong = scene.ended(name, began);
+    scene.print(began);
     wrong
 }
 
--- a/crates/mothpier/tests/habits/mod.rs
+++ b/crates/mothpier/tests/habits/mod.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::world::{self, Reaction, array, serve};
+use crate::world::{self, Discovery, Node, Reaction, array, member, node, serve};
 
 /// After a drain was told, a client's connection must not be held idle from here on, nor with a request that came less than
 /// [`RECENT`] ago.
@@ -55,6 +55,86 @@
     thread::sleep((began + age).saturating_duration_since(Instant::now()));
 }
 
+/// A node with clients at work.
+pub struct Scene {
+    pub node: Node,
+    pub clients: Vec<Client>,
+    pub forwarded: Forwarded,
+    _discovery: Discovery,
+    /// When it was first told to drain or to end.
+    pub told: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Scene {
+    /// Starts a node and clients of these habits, each with the kind of its keys, and lets them work for a moment.
+    pub fn new(name: &str, habits: &[(Habit, &'static str)]) -> Scene {
+        let (server, forwarded) = server();
+        let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+        let node = node(name, &discovery, &[]);
+        let told = Arc::new(Mutex::new(None));
+        let mut scene = Scene { node, clients: Vec::new(), forwarded, _discovery: discovery, told };
+        scene.start(habits);
+        thread::sleep(Duration::from_millis(300));
+        scene
+    }
+
+    /// Starts more clients.
+    pub fn start(&mut self, habits: &[(Habit, &'static str)]) {
+        let first = self.clients.len();
+        let start = |(number, (habit, kind)): (usize, &(Habit, &'static str))| {
+            Client::start(self.node.address, first + number, *habit, kind, self.told.clone())
+        };
+        let started: Vec<Client> = habits.iter().enumerate().map(start).collect();
+        self.clients.extend(started);
+    }
+
+    /// Notes that the node is told to drain or to end now, and gives when that is.
+    pub fn begin(&self) -> Instant {
+        let began = Instant::now();
+        self.told.lock().unwrap().get_or_insert(began);
+        began
+    }
+
+    /// Tells the node to drain, and gives when that was.
+    pub fn drain(&self) -> Instant {
+        let began = self.begin();
+        assert_eq!(self.node.status("PUT /drain"), 200);
+        began
+    }
+
+    /// What is wrong with the connections once the drain is four seconds old.
+    pub fn held(&self, began: Instant) -> Vec<String> {
+        wait_until(began, HELD_AT_MOST);
+        let held = self.clients.iter().filter_map(|client| client.held(began));
+        held.map(|held| format!("held: {held}")).chain(self.ended_wrongly()).collect()
+    }
+
+    /// What is wrong once the process may be killed that was told to end at a time.
+    pub fn ended(&mut self, name: &str, terminated: Instant) -> Vec<String> {
+        wait_until(terminated, EARLIEST_KILL);
+        let status = self.node.child.try_wait().unwrap();
+        let _ = self.node.child.kill();
+        self.node.ended();
+        // All see the end of their connections now.
+        wait_until(terminated, EARLIEST_KILL + Duration::from_millis(200));
+        let mut wrong: Vec<String> = self.ended_wrongly().collect();
+        if !status.is_some_and(|status| status.success()) {
+            wrong.push(format!("{name}: the process has not ended in order by itself: {status:?}"));
+        }
+        wrong
+    }
+
+    fn ended_wrongly(&self) -> impl Iterator<Item = String> {
+        let wrong = self.clients.iter().filter_map(|client| client.ended_wrongly(&self.forwarded));
+        wrong.map(|wrong| format!("ended wrongly: {wrong}"))
+    }
+
+    /// Prints what became of each client.
+    pub fn print(&self, began: Instant) {
+        self.clients.iter().for_each(|client| println!("{}", client.told(began)));
+    }
+}
+
 /// What a client does on its connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Habit {
--- a/crates/mothpier/tests/retirement.rs
+++ b/crates/mothpier/tests/retirement.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use habits::{Client, EARLIEST_KILL, Forwarded, HELD_AT_MOST, Habit, server, wait_until};
+use habits::{Client, HELD_AT_MOST, Habit, Scene, server, wait_until};
 use world::*;
 
 const fn ms(milliseconds: u64) -> Duration {
@@ -31,60 +31,6 @@
     (Habit::Uploads, "fast"),
 ];
 
-/// A node with clients at work.
-struct Scene {
-    node: Node,
-    clients: Vec<Client>,
-    forwarded: Forwarded,
-    _discovery: Discovery,
-    told: Arc<Mutex<Option<Instant>>>,
-}
-
-impl Scene {
-    fn new(name: &str) -> Scene {
-        let (server, forwarded) = server();
-        let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
-        let node = node(name, &discovery, &[]);
-        let told = Arc::new(Mutex::new(None));
-        let start = |(number, (habit, kind)): (usize, &(Habit, &'static str))| {
-            Client::start(node.address, number, *habit, kind, told.clone())
-        };
-        let clients = HABITS.iter().enumerate().map(start).collect();
-        thread::sleep(ms(300));
-        Scene { node, clients, forwarded, _discovery: discovery, told }
-    }
-
-    /// Tells the node to drain, and gives when that was.
-    fn drain(&self) -> Instant {
-        let began = Instant::now();
-        self.told.lock().unwrap().get_or_insert(began);
-        assert_eq!(self.node.status("PUT /drain"), 200);
-        began
-    }
-
-    /// What is wrong with the connections once the drain is four seconds old.
-    fn held(&self, began: Instant) -> Vec<String> {
-        wait_until(began, HELD_AT_MOST);
-        let held = self.clients.iter().filter_map(|client| client.held(began));
-        held.chain(self.clients.iter().filter_map(|client| client.ended_wrongly(&self.forwarded))).collect()
-    }
-
-    /// What is wrong once the process may be killed that was told to end at a time.
-    fn ended(&mut self, name: &str, terminated: Instant) -> Vec<String> {
-        wait_until(terminated, EARLIEST_KILL);
-        let status = self.node.child.try_wait().unwrap();
-        let _ = self.node.child.kill();
-        self.node.ended();
-        wait_until(terminated, EARLIEST_KILL + ms(200));
-        let mut wrong: Vec<String> =
-            self.clients.iter().filter_map(|client| client.ended_wrongly(&self.forwarded)).collect();
-        if !status.is_some_and(|status| status.success()) {
-            wrong.push(format!("{name}: the process has not ended in order by itself: {status:?}"));
-        }
-        wrong
-    }
-}
-
 /// Runs cases side by side; none may find anything wrong.
 fn none_is_wrong(cases: Vec<thread::JoinHandle<Vec<String>>>) {
     let wrong: Vec<String> = cases.into_iter().flat_map(|case| case.join().unwrap()).collect();
@@ -99,7 +45,7 @@
             .map(|apart| {
                 thread::spawn(move || {
                     let name = format!("sigterm-in-drain-{}", apart.as_millis());
-                    let mut scene = Scene::new(&name);
+                    let mut scene = Scene::new(&name, &HABITS);
                     let drained = scene.drain();
                     wait_until(drained, apart);
                     let terminated = Instant::now();
@@ -119,7 +65,7 @@
             .map(|apart| {
                 thread::spawn(move || {
                     let name = format!("drain-in-sigterm-{}", apart.as_millis());
-                    let mut scene = Scene::new(&name);
+                    let mut scene = Scene::new(&name, &HABITS);
                     let terminated = Instant::now();
                     scene.told.lock().unwrap().get_or_insert(terminated);
                     scene.node.signal("TERM");
@@ -143,7 +89,7 @@
             .into_iter()
             .map(|apart| {
                 thread::spawn(move || {
-                    let scene = Scene::new(&format!("series-{}", apart.as_millis()));
+                    let scene = Scene::new(&format!("series-{}", apart.as_millis()), &HABITS);
                     for _ in 0..2 {
                         scene.drain();
                         thread::sleep(apart);
@@ -161,7 +107,7 @@
 
 #[test]
 fn an_undrain_keeps_what_has_not_been_told_to_go() {
-    let scene = Scene::new("undrain-keeps");
+    let scene = Scene::new("undrain-keeps", &HABITS);
     let mut resting = scene.node.client();
     assert_eq!(resting.ask(&["PING"]), "+PONG");
     scene.drain();
@@ -179,7 +125,7 @@
 
 #[test]
 fn a_reload_within_a_drain_leaves_it_as_it_is() {
-    let scene = Scene::new("reload-in-drain");
+    let scene = Scene::new("reload-in-drain", &HABITS);
     let began = scene.drain();
     for age in [ms(100), ms(900), ms(1900)] {
         wait_until(began, age);
@@ -197,7 +143,7 @@
             .enumerate()
             .map(|(number, steps)| {
                 thread::spawn(move || {
-                    let scene = Scene::new(&format!("held-up-{number}"));
+                    let scene = Scene::new(&format!("held-up-{number}"), &HABITS);
                     let began = scene.drain();
                     for step in steps {
                         wait_until(began, ms(step));
@@ -256,7 +202,7 @@
 
 #[test]
 fn a_drain_can_be_read_in_the_log_and_in_the_figures() {
-    let scene = Scene::new("drain-log");
+    let scene = Scene::new("drain-log", &HABITS);
     let began = scene.drain();
     let held = scene.held(began);
     assert!(held.is_empty(), "{held:?}");
--- a/crates/world/tests/hard_cases.rs
+++ b/crates/world/tests/hard_cases.rs
@@ -12,6 +12,11 @@
 use chalksill_world::scenario::Effect;
 use common::{kept, play, scenario};
 
+/// An attempt of request 1 that came from node 0 to cache server 2 at a time.
+fn arrived(came: Duration, until: Duration) -> Seen {
+    Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0, came, until }
+}
+
 /// A box is declared gone (or draining) at the very moment at which a request is sent to it: at every packet of the
 /// whole exchange, of every box.
 #[test]
@@ -197,19 +202,7 @@
         // The aim is 400 ms: over at 500 ms from when it was asked, at 750 ms from shortly before it was sent.
         let (patience, until) = (ms(900), ms(1_000));
         saw(100, Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience });
-        saw(
-            400,
-            Seen::Arrived {
-                at: 2,
-                node: 0,
-                request: 1,
-                write: false,
-                work: 5.0,
-                running: 0,
-                came: ms(400),
-                until,
-            },
-        );
+        saw(400, arrived(ms(400), until));
         saw(405, Seen::Ended { at: 2, node: 0, request: 1, how: How::Miss });
         saw(700, Seen::Answered { request: 1, reply: Reply::Busy(20), slow: false });
         assert_eq!(checker.violations().first().map(|v| v.rule), broken, "crowd: {crowd}");
@@ -222,16 +215,7 @@
     let (origin, ms) = (90, Duration::from_millis);
     let (patience, until) = (ms(900), ms(1_000));
     let asked = Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience };
-    let arrived = Seen::Arrived {
-        at: 2,
-        node: 0,
-        request: 1,
-        write: false,
-        work: 5.0,
-        running: 0,
-        came: ms(200),
-        until,
-    };
+    let arrived = arrived(ms(200), until);
     let cut = Seen::Cut { request: 1 };
     let silent = Seen::Ended { at: 2, node: 0, request: 1, how: How::Silent { begun: true } };
     let whole = Seen::Ended { at: 2, node: 0, request: 1, how: How::Value };
@@ -286,19 +270,7 @@
         }
         saw(asked, Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience });
         for (at, until) in [ms(700), ms(800)].into_iter().zip(until) {
-            saw(
-                at,
-                Seen::Arrived {
-                    at: 2,
-                    node: 0,
-                    request: 1,
-                    write: false,
-                    work: 5.0,
-                    running: 0,
-                    came: at,
-                    until,
-                },
-            );
+            saw(at, arrived(at, until));
             saw(at + ms(5), Seen::Ended { at: 2, node: 0, request: 1, how: How::Miss });
         }
         let rules: Vec<Rule> = checker.violations().iter().map(|v| v.rule).collect();
@@ -320,10 +292,7 @@
         saw(100, Seen::Asked { request: 1, first: 1, node: 0, class: 0, tenant: 0, patience });
         saw(200, Seen::Answered { request: 1, reply: Reply::Failed, slow: false });
         let came = ms(came);
-        saw(
-            469,
-            Seen::Arrived { at: 2, node: 0, request: 1, write: false, work: 5.0, running: 0, came, until },
-        );
+        saw(469, arrived(came, until));
         let rules: Vec<Rule> = checker.violations().iter().map(|v| v.rule).collect();
         assert_eq!(rules, broken, "came at {came:?}");
     }
