--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! Spans are measured with tokio's clock ([`tokio::time`]), which a simulation pauses; it is no part of the trait.
 
+mod accepted;
 pub mod failure;
 pub mod inherited;
 mod interrupted;
@@ -88,6 +89,9 @@
 
     /// How long ago the last bytes of the other side arrived at this machine, read or not; `None` where it doesn't tell.
     fn since_last_arrival(&self) -> Option<Duration>;
+
+    /// Whether the other side is known to have ended its sending, though there may be something left to read.
+    fn other_side_has_ended(&self) -> bool;
 }
 
 /// A TCP socket that waits for connections.
--- a/crates/node/src/clients/answers.rs
+++ b/crates/node/src/clients/answers.rs
@@ -4,10 +4,10 @@
 
 use bytes::{Bytes, BytesMut};
 use mothpier_host::{Host, Reading};
-use mothpier_ops::{CloseReason, End};
+use mothpier_ops::{CloseReason, End, Ticket};
 use mothpier_resp::{self as resp, Malformed};
 use tokio::io::AsyncWriteExt;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::ClientWriting;
 use super::grammar::Rejected;
@@ -24,6 +24,9 @@
 /// takes no answers may make the node hold.
 const AHEAD: usize = 16 * 1024;
 
+/// While no more is read, so often it is looked whether the client has gone: its attempts may begin for 0.1 s after that.
+const LOOK_FOR_END: Duration = Duration::from_millis(40);
+
 /// What is being written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Written {
@@ -73,6 +76,7 @@
             && (whole.is_ok() || taken.is_ok())
         {
             // One that the client stopped reading was abandoned.
+            self.answers += u64::from(whole.is_ok());
             ticket.end(if whole.is_ok() { End::Served } else { End::Failed });
         }
         whole
@@ -90,10 +94,10 @@
         for slot in self.pending.drain(..ready) {
             // What could not be written was abandoned: that is no end.
             if let Some((ticket, end)) = slot.ticket.filter(|_| taken.is_ok()) {
+                self.answers += 1;
                 ticket.end(end);
             }
         }
-        self.answers += ready as u64;
         taken
     }
 
@@ -128,7 +132,7 @@
         let mut shown = false;
         loop {
             let full = inbox.buffer.len() >= AHEAD;
-            let ahead = self.state.awaits_commands() && !full;
+            let ahead = self.state.takes_bytes() && !full;
             if !ahead {
                 inbox.stops_reading();
             }
@@ -143,6 +147,16 @@
                         self.state.hang_up();
                         self.abandon_requests().await;
                     }
+                    if !self.state.reads_commands() {
+                        self.state.discard_bytes(inbox.buffer.len());
+                        inbox.buffer.clear();
+                    }
+                }
+                () = sleep(LOOK_FOR_END), if full && self.state.awaits_commands() => {
+                    if inbox.reading.other_side_has_ended() {
+                        self.state.hang_up();
+                        self.abandon_requests().await;
+                    }
                 }
                 () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => return None,
                 () = clients.retiring.changed.notified() => {}
@@ -187,9 +201,15 @@
         all.freeze()
     }
 
+    /// Counts a request of a class, whatever becomes of it.
+    pub(super) fn take_request(&mut self, class: usize) -> Ticket {
+        self.requests += 1;
+        self.clients.desk.figures.taken(class)
+    }
+
     /// Answers a command with an error.
     pub(super) fn reject(&mut self, rejected: Rejected) {
-        let ticket = rejected.class.map(|class| (self.clients.desk.figures.taken(class), End::Failed));
+        let ticket = rejected.class.map(|class| (self.take_request(class), End::Failed));
         let wait = Wait::Ready(resp::error(&format!("ERR {}", rejected.told)));
         self.pending.push_back(Slot { wait, memory: None, ticket });
     }
