Node: a later request no longer takes the connection that an earlier one waits for

Callers: of two requests for a server within about 0.1 ms one waited for the other's answer, behind a hung one until its deadline, then -BUSY.

Cause: a connection's task marks it as up before the node hears of it. A request that came between took it as free, though an earlier one was waiting for it; that one was then put behind, with no connection more.

The new test of Servers forces that order: 1 connection for 2 attempts.

Change: send gives free connections to those that wait before it looks for one; pump shares that step. The origin's calls have no such queue.

--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -396,6 +396,8 @@
         let pool = self.pools.get_mut(&server).filter(|p| p.ready).ok_or(SendError::NoConnection)?;
         let fresh = self.limits.idle_close.mul_f64(FRESH);
         pool.connections.retain(|c| c.load() > 0 || !c.up() || c.used.elapsed() < fresh);
+        // One may be up of which the node has not heard yet: it belongs to who waits for it.
+        pool.assign_free_connections();
         if let Some(idle) = pool.connections.iter_mut().find(|c| c.free()) {
             idle.push(command);
             return Ok(());
@@ -621,18 +623,26 @@
         room
     }
 
+    /// Gives waiting attempts the connections that are free, in the order in which they came.
+    fn assign_free_connections(&mut self) {
+        while !self.waiting.is_empty() {
+            let Some(free) = self.connections.iter_mut().find(|c| c.free()) else { return };
+            let Some(command) = self.waiting.pop_front() else { return };
+            free.push(command);
+        }
+    }
+
     /// Gives waiting attempts the connections that have become free; once none is being made any more those
     /// left go behind others. Returns those that have found no connection.
     fn pump(&mut self, multiplex: usize) -> Vec<AttemptId> {
+        self.assign_free_connections();
         let mut unplaced = Vec::new();
+        if self.connections.iter().any(|c| !c.up() && !c.retired) {
+            return unplaced;
+        }
         while let Some(command) = self.waiting.pop_front() {
             let attempt = command.attempt;
-            if let Some(c) = self.connections.iter_mut().find(|c| c.free()) {
-                c.push(command);
-            } else if self.connections.iter().any(|c| !c.up() && !c.retired) {
-                self.waiting.push_front(command);
-                break;
-            } else if !self.append(command, multiplex) {
+            if !self.append(command, multiplex) {
                 unplaced.push(attempt);
             }
         }
--- a/crates/node/tests/unit/servers.rs
+++ b/crates/node/tests/unit/servers.rs
@@ -51,6 +51,28 @@
     });
 }
 
+/// A connection that is up, and of which the node has not heard yet, belongs to the attempt for which it was made: one that
+/// comes now gets a connection of its own, and neither waits behind the other.
+#[test]
+fn a_later_attempt_does_not_take_the_connection_that_an_earlier_one_waits_for() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let (mut servers, mut inputs) = servers(1, 8);
+        assert!(servers.listed(7, Some(address), true).is_empty());
+        assert!(servers.send(7, probe(1)).is_ok());
+        assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
+        assert!(servers.send(7, probe(2)).is_ok());
+        assert!(servers.event(7, 1, Event::Up).is_empty());
+        assert_eq!(servers.pools[&7].connections.len(), 2, "one behind the other");
+        assert!(matches!(inputs.recv().await, Some(Input::Server { number: 2, event: Event::Up, .. })));
+        assert!(servers.event(7, 2, Event::Up).is_empty());
+        let loads: Vec<usize> = servers.pools[&7].connections.iter().map(Connection::load).collect();
+        assert_eq!(loads, [1, 1]);
+    });
+}
+
 /// A rule of drains: what still waits for its connection when the notice comes is never written.
 #[test]
 fn what_waits_for_a_connection_is_not_sent_after_the_notice_of_a_drain() {
