Node: a large value that stands still no longer holds up the reads behind it

Callers: a read with 9 s left got -BUSY when they were over, because another client did not take its large value, or its server had stopped in the middle of it.

Cause: a command written behind one whose answer turns out to be a large value waits until that has passed, up to 10 s of standstill at a time; and the connection counted among the node's part for that server.

--- a/crates/mothpier/tests/beyond_servers.rs
+++ b/crates/mothpier/tests/beyond_servers.rs
@@ -205,6 +205,59 @@
     assert_eq!(clients[0].ask(&["CACHE.GET", "k", "alone", "c=read,t=acme,d=9000"]), "$alone");
 }
 
+/// Where a large value stands still.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum StandsStill {
+    /// Its server writes no more of it.
+    AtServer,
+    /// Its client takes no more of it.
+    AtClient,
+}
+
+/// A cache server that answers two commands of its first connection with a large value and what stands behind it, and those
+/// of all other connections at once.
+fn large_value_ahead(stands_still: StandsStill, value: String) -> SocketAddr {
+    let first = Mutex::new(true);
+    each_connection(listener(), move |stream| {
+        let is_first = std::mem::replace(&mut *first.lock().unwrap(), false);
+        let mut stream = BufReader::new(stream);
+        while let Some(asked) = command(&mut stream) {
+            if !is_first {
+                stream.get_mut().write_all(&bytes_of(array(&asked[2]))).unwrap();
+                continue;
+            }
+            let Some(behind) = command(&mut stream) else { return };
+            let mut answer = bytes_of(array(&value));
+            match stands_still {
+                StandsStill::AtServer => answer.truncate(value.len() / 2),
+                StandsStill::AtClient => answer.extend(bytes_of(array(&behind[2]))),
+            }
+            let _ = stream.get_mut().write_all(&answer);
+        }
+    })
+}
+
+/// A read that was written behind one whose answer turns out to be a large value is not held up by it, whether its server
+/// stops or its client takes nothing.
+#[test]
+fn a_read_behind_a_large_value_that_stands_still_is_answered() {
+    // As long as a value may be, and more than the buffers on its way hold.
+    let value = pattern(4 << 20);
+    for stands_still in [StandsStill::AtClient, StandsStill::AtServer] {
+        let server = large_value_ahead(stands_still, value.clone());
+        let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+        // As one of 64 nodes it has one connection to the server.
+        let node = node("behind-large", &discovery, &[THROUGH, (r#""balancers":1"#, r#""balancers":64"#)]);
+        let mut takes_nothing = small_client(&node);
+        takes_nothing.send(&["CACHE.GET", "large", "i1", "c=read,t=acme,d=9000"]);
+        node.figure_becomes("edge_router_in_flight", 1);
+        let asked = Instant::now();
+        let answer = node.client().ask(&["CACHE.GET", "k", "i2", "c=read,t=acme,d=9000"]);
+        assert_eq!(answer, "$i2", "{stands_still:?} after {:?}", asked.elapsed());
+        assert!(asked.elapsed() < Duration::from_secs(5), "{stands_still:?}: {:?}", asked.elapsed());
+    }
+}
+
 /// A server answers a command twice, the second time behind the next one: that must not be taken for the next one's answer.
 #[test]
 fn a_late_second_answer_behind_the_next_command_is_not_taken_for_its_own() {
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -83,6 +83,8 @@
     Began(AttemptId, LargeValue),
     /// What came for this attempt can't be its answer; the end of the connection follows.
     Spoilt(AttemptId),
+    /// The large value that is passing stands still, at its server or at its client.
+    HeldUp,
     /// The connection is no more; the attempts written whole, and those not.
     Down {
         end: ConnectionEnd,
@@ -133,6 +135,14 @@
         }
     }
 
+    fn kind(&self) -> Kind {
+        match self {
+            Payload::Request { command, .. } if command.write => Kind::Write,
+            Payload::Request { .. } => Kind::Read,
+            Payload::Probe => Kind::Probe,
+        }
+    }
+
     /// The bytes to be written now; `None` where the attempt has no time left.
     fn encode_now(&self) -> Option<Bytes> {
         match self {
@@ -142,10 +152,21 @@
     }
 }
 
+/// What may be done with a command that has been written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// Asks for the load only.
+    Probe,
+    /// May run twice.
+    Read,
+    /// May not run twice unless the decision module says so.
+    Write,
+}
+
 /// A command that was written whole.
 struct Sent {
     attempt: AttemptId,
-    probe: bool,
+    kind: Kind,
     /// The node waits for it no longer.
     given_up: bool,
     /// Until when its server was told to answer; `None` for a probe.
@@ -183,6 +204,8 @@
     ending: bool,
     /// A large value is passing: how long that takes is up to its client.
     streaming: bool,
+    /// The large value that is passing has stood still.
+    held_up: bool,
     unsent: VecDeque<Command>,
     writing: Writing,
     /// In order.
@@ -205,6 +228,29 @@
         self.sent.iter().any(|s| s.given_up)
     }
 
+    /// Whether what is written now would be answered without waiting for something that stands still.
+    fn moves(&self) -> bool {
+        !self.stalled() && !self.held_up && self.writing != Writing::Abandoned
+    }
+
+    /// Whether an answer is waited for behind the one that comes now.
+    fn others_wait(&self) -> bool {
+        let writes = !self.unsent.is_empty() || matches!(self.writing, Writing::Begun(_));
+        writes || self.sent.iter().skip(1).any(|s| !s.given_up)
+    }
+
+    /// Stops waiting for the reads that are written behind the large value, and returns them. Writes wait on, for they may
+    /// run.
+    fn release_reads(&mut self) -> Vec<AttemptId> {
+        let behind = self.sent.iter_mut().skip(1).filter(|s| s.kind == Kind::Read && !s.given_up);
+        behind
+            .map(|sent| {
+                sent.given_up = true;
+                sent.attempt
+            })
+            .collect()
+    }
+
     /// Whether a command ahead may be dropped without a word: the answer to one behind it would be taken for its own.
     fn may_skip_an_answer(&self) -> bool {
         self.sent.iter().any(Sent::may_be_dropped)
@@ -406,8 +452,7 @@
         let part = part.min((self.limits.descriptors / self.ready.max(1)).max(1));
         let open = pool.connections.iter().filter(|c| !c.retired).count();
         // A connection that is held up by what was given up does not count: it may never move again.
-        let moves = |line: &Line| !line.stalled() && line.writing != Writing::Abandoned;
-        let moving = pool.connections.iter().filter(|c| moves(&c.shared.line.borrow()) && !c.retired).count();
+        let moving = pool.connections.iter().filter(|c| c.shared.line.borrow().moves() && !c.retired).count();
         let may_open = (moving == 0 || Instant::now() >= pool.alone_until) && open < 2 * part;
         let wants_new = moving < part && may_open && self.all.get() < self.limits.descriptors;
         let too_early = wants_new && !self.local_failures.may_connect();
@@ -487,6 +532,12 @@
             }
             Event::Began(attempt, value) => ended.push((attempt, Ended::Began(value))),
             Event::Spoilt(attempt) => ended.push((attempt, Ended::Spoilt)),
+            Event::HeldUp => {
+                if let Some(pool) = self.pools.get_mut(&server) {
+                    let released = pool.release_behind_large_value(number).into_iter();
+                    ended.extend(released.map(|id| (id, Ended::Reset)));
+                }
+            }
             Event::Down { end, written, unwritten } => {
                 unplaced = self.connection_ended(server, end);
                 ended.extend(written.into_iter().map(|id| (id, Ended::Reset)));
@@ -594,6 +645,24 @@
         self.connections.push(Connection { number, shared, task, used, retired: false, all });
     }
 
+    /// Lets what waits behind a large value that stands still be answered on other connections: what has not been written
+    /// goes to another, and reads that have been written are returned, to be sent again.
+    fn release_behind_large_value(&mut self, number: u64) -> Vec<AttemptId> {
+        let Some(connection) = self.connections.iter().find(|c| c.number == number) else {
+            return Vec::new();
+        };
+        let mut line = connection.shared.line.borrow_mut();
+        // It may have gone on since this was told.
+        if !line.streaming {
+            return Vec::new();
+        }
+        line.held_up = true;
+        while let Some(command) = line.unsent.pop_back() {
+            self.waiting.push_front(command);
+        }
+        line.release_reads()
+    }
+
     fn close_idle(&mut self) {
         self.connections.retain(|c| !c.up() || c.load() > 0);
     }
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
-use super::{Command, ConnectionEnd, Event, Payload, Sent, Shared, Writing};
+use super::{Command, ConnectionEnd, Event, Kind, Sent, Shared, Writing};
 use crate::command::{AttemptId, PIECE, STANDSTILL, Stream as LargeValue};
 use crate::input::Input;
 use crate::shortage::Outlasting;
@@ -30,7 +30,7 @@
 /// A command of which the first byte has been written.
 struct Begun {
     attempt: AttemptId,
-    probe: bool,
+    kind: Kind,
     ends: Option<Instant>,
     bytes: Bytes,
     /// How many of the bytes have been written.
@@ -117,7 +117,9 @@
             }
             let Some(sent) = shared.line.borrow_mut().sent.pop_front() else { return };
             let (event, good) = match taken {
-                Ok(Some(frame)) if fits(&frame, sent.probe) => (Event::Answer(sent.attempt, frame), true),
+                Ok(Some(frame)) if fits(&frame, sent.kind == Kind::Probe) => {
+                    (Event::Answer(sent.attempt, frame), true)
+                }
                 _ => (Event::Spoilt(sent.attempt), false),
             };
             // Before the node hears of it, which may have something more to write.
@@ -133,8 +135,7 @@
         loop {
             // Once round the runtime: a close that has come in is read before anything more is written.
             tokio::task::yield_now().await;
-            let Begun { attempt, probe, ends, bytes, written } = match begin_next(&mut writing, shared).await
-            {
+            let Begun { attempt, kind, ends, bytes, written } = match begin_next(&mut writing, shared).await {
                 Ok(Some(begun)) => begun,
                 Ok(None) => {
                     shared.wake.notified().await;
@@ -157,10 +158,10 @@
             // No await since the last byte was written: it is on record before an answer can be read.
             let mut line = shared.line.borrow_mut();
             line.writing = Writing::Nothing;
-            if !probe {
+            if kind != Kind::Probe {
                 shared.figures.attempt();
             }
-            line.sent.push_back(Sent { attempt, probe, given_up: false, ends });
+            line.sent.push_back(Sent { attempt, kind, given_up: false, ends });
         }
     };
     // The reader first: a close by the server is noticed before anything more is written to it.
@@ -200,8 +201,8 @@
             return Poll::Ready(Ok(None));
         };
         line.writing = Writing::Begun(attempt);
-        let (probe, ends) = (matches!(payload, Payload::Probe), payload.ends());
-        Poll::Ready(Ok(Some(Begun { attempt, probe, ends, bytes, written })))
+        let (kind, ends) = (payload.kind(), payload.ends());
+        Poll::Ready(Ok(Some(Begun { attempt, kind, ends, bytes, written })))
     })
     .await
 }
@@ -226,7 +227,9 @@
     shared: &Shared,
     tell: impl Fn(Event) -> T,
 ) -> bool {
-    let Some(attempt) = shared.line.borrow().sent.front().filter(|s| !s.probe).map(|s| s.attempt) else {
+    let Some(attempt) =
+        shared.line.borrow().sent.front().filter(|s| s.kind != Kind::Probe).map(|s| s.attempt)
+    else {
         return false;
     };
     let (into, value) = LargeValue::new(large.length);
@@ -240,15 +243,16 @@
     while left > 0 {
         if buffer.is_empty() {
             *buffer = BytesMut::new();
-            if more_within(reading, buffer, PIECE, STANDSTILL).await.is_err() {
+            let more = more_within(reading, buffer, PIECE, STANDSTILL);
+            if tell_if_held_up(more, shared, &tell).await.is_err() {
                 return false;
             }
         }
         let piece = buffer.split_to(buffer.len().min(left).min(PIECE)).freeze();
         left -= piece.len();
-        wanted = wanted && into.send(piece).await.is_ok();
+        wanted = wanted && tell_if_held_up(into.send(piece), shared, &tell).await.is_ok();
         // Its client has gone. The rest is read for the sake of those behind it alone.
-        if !wanted && shared.line.borrow().load() <= 1 {
+        if !wanted && !shared.line.borrow().others_wait() {
             return false;
         }
     }
@@ -264,7 +268,8 @@
         match taken {
             Ok(true) => behind += 1,
             Ok(false) => {
-                if more_within(reading, buffer, READ, STANDSTILL).await.is_err() {
+                let more = more_within(reading, buffer, READ, STANDSTILL);
+                if tell_if_held_up(more, shared, &tell).await.is_err() {
                     return false;
                 }
             }
@@ -273,6 +278,27 @@
     }
     let mut line = shared.line.borrow_mut();
     line.sent.pop_front();
-    line.streaming = false;
+    (line.streaming, line.held_up) = (false, false);
     true
 }
+
+/// Waits for a large value to go on. Where it stands still longer than an answer may, the node is told once, so that nothing
+/// else waits for it.
+async fn tell_if_held_up<T, Told>(
+    going_on: impl Future<Output = T>,
+    shared: &Shared,
+    tell: &impl Fn(Event) -> Told,
+) -> T
+where
+    Told: Future<Output = Result<(), mpsc::error::SendError<Input>>>,
+{
+    let mut going_on = std::pin::pin!(going_on);
+    if let Ok(done) = timeout(BEGUN, going_on.as_mut()).await {
+        return done;
+    }
+    if !shared.line.borrow().held_up {
+        // Where the node is gone, this task ends with it.
+        let _ = tell(Event::HeldUp).await;
+    }
+    going_on.await
+}
--- a/crates/world/tests/crowds.rs
+++ b/crates/world/tests/crowds.rs
@@ -35,3 +35,10 @@
 fn a_crowd_at_the_old_process_leaves_clients_places_at_the_new_one() {
     [8812979, 8814172, 8814442].into_iter().for_each(keeps_the_rules);
 }
+
+/// A read was written behind one whose answer turned out to be a large value, and that value stood still for longer than the
+/// read had time.
+#[test]
+fn a_read_behind_a_large_value_that_stands_still_is_sent_elsewhere() {
+    keeps_the_rules(10101323);
+}
