Handover: a process that takes over after a dead one leaves it its part of the caps

The origin saw, callers did not: a new version dies, the next one starts within the longest deadline, and the node's calls could be 1.5 times its caps.

Cause: the process that goes on keeps to its half until the dead one's calls must be over, but the next process was told of its own calls only and took the other half at once.

Change: the end of a sharer is told to the node, and the state handed over counts as many calls as the dead one may have had out, until they are over. The module counts them as it does all that it inherits.

The module is unchanged.

--- a/crates/mothpier/tests/upgrade.rs
+++ b/crates/mothpier/tests/upgrade.rs
@@ -6,6 +6,7 @@
 use std::net::{TcpListener, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::process::{Command, Stdio};
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
 use world::*;
@@ -17,18 +18,33 @@
     folder: String,
     /// Descriptors of both processes together.
     sockets: usize,
+    /// Settings that are others.
+    changed: &'static [(&'static str, &'static str)],
 }
 
+/// The longest deadline of [`SHORT_DEADLINES`].
+const SHORT_DEADLINE: Duration = Duration::from_secs(2);
+const SHORT_DEADLINES: [(&str, &str); 1] = [(r#""deadlineUs":20000000"#, r#""deadlineUs":2000000"#)];
+
 impl Platform {
     fn new(name: &'static str) -> Self {
         let folder = scratch(name);
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir(&folder).unwrap();
-        Platform { name, listener: TcpListener::bind("127.0.0.1:0").unwrap(), folder, sockets: 1024 }
+        Platform {
+            name,
+            listener: TcpListener::bind("127.0.0.1:0").unwrap(),
+            folder,
+            sockets: 1024,
+            changed: &[],
+        }
     }
 
     fn command(&self, discovery: &Discovery) -> Command {
         let command = node_command(self.name, discovery.address, self.sockets, "exec 4<&0 0</dev/null;");
+        let mut text = config(self.name, discovery.address, self.sockets);
+        self.changed.iter().for_each(|(from, to)| text = text.replace(from, to));
+        std::fs::write(scratch(&format!("{}.json", self.name)), text).unwrap();
         let mut command = inheriting(command, &self.listener, "4");
         command.env("TMPDIR", &self.folder);
         command
@@ -270,6 +286,48 @@
     assert!(client.join().unwrap() > 50);
 }
 
+/// Calls of a process that died may run at the origin for as long as a deadline is: one that takes over meanwhile leaves them
+/// their half of the caps, and has its own when they are over.
+#[test]
+fn a_process_that_takes_over_after_a_dead_one_calls_the_origin_once_that_ones_calls_are_over() {
+    let server = serve(command, |_| miss());
+    let (told, calls) = channel();
+    let told = report(told);
+    let origin = serve(call, move |asked| {
+        told(asked);
+        http("200 OK", "v")
+    });
+    let members = [member("s-1", server, "m", "ready"), member("o-1", origin, "origin", "ready")];
+    let discovery = Discovery::start(&members.join(","));
+    let platform = Platform { changed: &SHORT_DEADLINES, ..Platform::new("caps-of-dead") };
+    let old = platform.start(&discovery);
+    drop(platform.start(&discovery));
+    let ended = Instant::now();
+    old.logged("this one goes on");
+    let _new = platform.start(&discovery);
+    old.logged("a new process takes over");
+    // Clients come to the new one alone.
+    old.signal("STOP");
+    let mut next = 0;
+    loop {
+        next += 1;
+        // Time for a call, and none to wait until the caps have room.
+        let id = format!("i{next}");
+        let answer = Client::connect(old.address).ask(&["CACHE.GET", &id, &id, "c=read,t=acme,d=300"]);
+        if answer == "$v" {
+            break;
+        }
+        assert!(answer.starts_with("-BUSY"), "{answer}");
+        assert!(ended.elapsed() < SHORT_DEADLINE + HUNG, "no call at the origin");
+    }
+    assert!(
+        ended.elapsed() > SHORT_DEADLINE - Duration::from_millis(200),
+        "called after {:?}",
+        ended.elapsed()
+    );
+    assert_eq!(calls.try_iter().count(), 1);
+}
+
 /// The socket at which processes of a node find each other.
 fn socket(platform: &Platform) -> String {
     format!("{}/mothpier-handover.sock", platform.folder)
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -234,6 +234,8 @@
             self.successor.borrow_mut().take();
             self.hold_alone(reserve).await;
             calls_over = Some(Instant::now() + self.longest_deadline);
+            // Nor does one that takes over meanwhile: it is told of them.
+            self.tell(Input::SharerEnded { calls_over_in: self.longest_deadline }).await;
             self.host.log(format_args!("the new process has ended; this one goes on"));
         }
     }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -1,5 +1,7 @@
 //! What comes to the node from its other parts. They know this module, not the node nor each other.
 
+use std::time::Duration;
+
 use brassrouter::{Legacy, Request, RequestId, ServerId};
 use mothpier_accord::{MemberId, Message};
 use mothpier_handover::State;
@@ -44,6 +46,10 @@
     Told(List),
     /// What another process of this node has left behind.
     Inherit(Legacy),
+    /// A process that shared the caps has ended; what it had out at the origin is over after this time at the latest.
+    SharerEnded {
+        calls_over_in: Duration,
+    },
     /// What would be left behind, and with `whole` all that is known.
     Known {
         whole: bool,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -170,6 +170,8 @@
     actions: Vec<Action>,
     counters: Counters,
     log: EventLog<H>,
+    /// Until when calls at the origin may run of a process that shared the caps and has ended.
+    sharer_calls_until: Micros,
     /// When discovery last answered.
     listed: Option<Instant>,
     /// The list as discovery has it, where another process may ask for it.
@@ -202,6 +204,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             counters: Counters::default(),
+            sharer_calls_until: 0,
             listed: None,
             revision: 0,
             members: BTreeMap::new(),
@@ -392,6 +395,10 @@
             Input::Told(list) if list.revision > self.revision => self.list(list, ListKind::Cached),
             Input::Told(_) => {}
             Input::Sharing(processes) => self.events.push_back(Event::Sharing(processes)),
+            Input::SharerEnded { calls_over_in } => {
+                self.sharer_calls_until =
+                    self.clock.now().saturating_add(calls_over_in.as_micros() as Micros);
+            }
             Input::Inherit(left) => self.events.push_back(Event::Legacy(left)),
             Input::Descriptors(most) => self.parts.servers.set_descriptors(for_cache_servers(most)),
             Input::CloseIdle => {
@@ -494,10 +501,11 @@
     /// What another process of this node would go on from.
     fn known(&self, whole: bool) -> State {
         let (servers, origins) = (self.parts.servers.open(), self.parts.origins.open());
-        let left = Left { legacy: self.policy.legacy(), descriptors: (servers + origins) as u32 };
+        let mut left = Left { legacy: self.policy.legacy(), descriptors: (servers + origins) as u32 };
         if !whole {
             return State { revision: self.revision, left, ..State::default() };
         }
+        self.add_calls_of_ended_sharer(&mut left.legacy);
         let members: Vec<&Member> = self.members.values().collect();
         State {
             revision: self.revision,
@@ -507,6 +515,17 @@
         }
     }
 
+    /// Adds the calls that a process which shared the caps may have left at the origin. Nobody knows them: it had half of the
+    /// limit at most, and of what is told here the next process counts half.
+    fn add_calls_of_ended_sharer(&self, legacy: &mut Legacy) {
+        let until = self.sharer_calls_until;
+        if until <= self.clock.now() {
+            return;
+        }
+        let most = legacy.limit.ceil() as usize;
+        legacy.calls.extend(std::iter::repeat_n((true, until), most));
+    }
+
     /// Starts that the process before this one knew keep their times, as the module's state has them.
     fn inherit_start_times(&mut self, known: &List) {
         let now = self.clock.now();
