Node: figures of the configuration that are taken as others are named in the log

Operators: a negative deadline, a multiplex of 0 or 1e30 us of idle time was taken as the nearest possible figure without a word.

Cause: settings are read saturating, and only unknown keys were told.

Change: clamped.rs names the path, the figure and what it is taken as; the start goes on as it did. config.rs uses its bounds of memory.

Measured: the new test failed to find the lines before, and passes.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -9,6 +9,7 @@
 use serde::de::IgnoredAny;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::clamped;
 use crate::discovery::List;
 use crate::keys::Keys;
 use crate::operator::Operator;
@@ -143,6 +144,8 @@
         return Err(format!("limits.sockets: {} are too few to work with", file.limits.sockets));
     }
     let mut notes = unknown_keys(text);
+    notes.extend(clamped::settings(&file.settings));
+    notes.extend(clamped::memory(file.limits.memory_mb));
     // Discovery has it anyhow: what can't be read of it must not keep the node from its start.
     let known = file.known.and_then(|known| {
         let list = serde_json::from_value(known);
@@ -157,6 +160,7 @@
     if ops.is_none() {
         notes.push("ops: no second address is given, so that staff can't drain this node".into());
     }
+    let (least_mb, most_mb) = clamped::MEMORY_MB;
     Ok(Config {
         notes,
         name: env.name.or(file.name).unwrap_or_else(|| "mothpier".into()),
@@ -164,7 +168,7 @@
         discovery: address("discovery", discovery)?,
         seed,
         sockets: file.limits.sockets,
-        memory: (file.limits.memory_mb.clamp(16.0, 1e6) * 1048576.0) as usize,
+        memory: (file.limits.memory_mb.clamp(least_mb, most_mb) * 1048576.0) as usize,
         ops,
         peer_listen: optional("peer_listen", file.peer_listen)?,
         peers: file.peers.into_iter().map(|p| address("peers", Some(p))).collect::<Result<_, _>>()?,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod accepting;
 mod accord;
+mod clamped;
 mod clients;
 mod command;
 pub mod config;
--- a/crates/node/tests/unit/config.rs
+++ b/crates/node/tests/unit/config.rs
@@ -27,3 +27,27 @@
         ]
     );
 }
+
+/// Figures out of range were taken as others without a word.
+#[test]
+fn figures_that_are_taken_as_others_are_told() {
+    let changed = [
+        (r#""limits":{}"#, r#""limits":{"memory_mb":-1}"#),
+        (r#""deadlineUs":1"#, r#""deadlineUs":-5"#),
+        (r#""realms":[]"#, r#""limits":{"multiplex":0,"idleCloseUs":1e30},"guarantees":{"coldUs":-1}"#),
+    ];
+    let text = changed.iter().fold(WHOLE.to_owned(), |text, (from, to)| {
+        assert!(text.contains(from), "{from}");
+        text.replacen(from, to, 1)
+    });
+    assert_eq!(
+        notes(&text),
+        [
+            "limits.idleCloseUs: 1000000000000000000000000000000 is out of range, and is taken as 1000000000000000",
+            "limits.multiplex: 0 is out of range, and is taken as 1",
+            "guarantees.coldUs: -1 is out of range, and is taken as 0",
+            "classes[0].deadlineUs: -5 is out of range, and is taken as 0",
+            "limits.memory_mb: -1 is out of range, and is taken as 16",
+        ]
+    );
+}
