Node: a read behind a request that its server dropped no longer waits for its deadline

Callers: a read with 9 s left got -BUSY when they were over, where its only server had dropped the request before it without a word.

Cause: a request that is given up keeps its place among the answers in order; reads written behind it stayed there to their end.

Change: 250 ms after an attempt timed out with others behind it and no answer since, Servers releases them as it does behind a large value. Cancelled attempts start no such clock. Elsewhere: a write that is sent right behind a reset is not lost where the reset has arrived; a test holds the node up, waits for that in the kernel's table, and shows it.

--- a/crates/mothpier/tests/beyond_servers.rs
+++ b/crates/mothpier/tests/beyond_servers.rs
@@ -73,19 +73,20 @@
     seen: Receiver<String>,
     /// Lets the connection that answered last end.
     end: Sender<()>,
-    /// Told when it has ended.
-    ended: Receiver<()>,
+    /// Told when it has ended: the node's address on it.
+    ended: Receiver<SocketAddr>,
 }
 
 impl ForgetfulServer {
     fn start(forgets: Forgets) -> Self {
         let (told, seen) = channel::<String>();
         let (end, may_end) = channel::<()>();
-        let (has_ended, ended) = channel::<()>();
+        let (has_ended, ended) = channel::<SocketAddr>();
         let shared = Mutex::new((told, has_ended));
         let may_end = Mutex::new(may_end);
         let address = each_connection(listener(), move |stream| {
             let (told, has_ended) = shared.lock().unwrap().clone();
+            let other_side = stream.peer_addr().unwrap();
             let mut stream = BufReader::new(stream);
             let Some(first) = command(&mut stream) else { return };
             told.send(first[2].clone()).unwrap();
@@ -104,7 +105,7 @@
                 reset_connection(stream.get_ref());
             }
             drop(stream);
-            let _ = has_ended.send(());
+            let _ = has_ended.send(other_side);
         });
         ForgetfulServer { address, seen, end, ended }
     }
@@ -138,6 +139,24 @@
     }
 }
 
+/// Waits until the reset of a connection has reached its other side, at an address: the kernel's table of connections has it
+/// no longer then.
+fn wait_for_reset(server: SocketAddr, other_side: SocketAddr) {
+    let port = |of: SocketAddr| format!(":{:04X}", of.port());
+    let is_listed = || {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        table.lines().any(|line| {
+            // A number, the local address, the remote one, and more.
+            let mut fields = line.split_whitespace().skip(1);
+            let (local, remote) = (fields.next().unwrap(), fields.next().unwrap());
+            local.ends_with(&port(other_side)) && remote.ends_with(&port(server))
+        })
+    };
+    while is_listed() {
+        thread::yield_now();
+    }
+}
+
 /// A node that is held up finds the reset of its idle connection and the next request at once. It costs no request, however
 /// often it happens in a row at the only server.
 #[test]
@@ -160,6 +179,27 @@
     }
 }
 
+/// The same for writes, which may not be sent twice: a connection of which the reset has come is not written to.
+#[test]
+fn a_reset_that_a_held_up_node_finds_together_with_the_next_write_costs_no_write() {
+    let server = ForgetfulServer::start(Forgets::Resets);
+    let discovery = Discovery::start(&member("s-1", server.address, "m", "ready"));
+    let node = node("forgotten-before-write", &discovery, &[THROUGH]);
+    let mut client = node.client();
+    for i in 0..20 {
+        let id = format!("i{i}");
+        node.signal("STOP");
+        if i > 0 {
+            server.end.send(()).unwrap();
+            wait_for_reset(server.address, server.ended.recv_timeout(HUNG).unwrap());
+        }
+        client.send(&["CACHE.SET", "k", &id, "c=once,t=acme,d=9000", "value"]);
+        node.signal("CONT");
+        assert_eq!(client.answer(), format!("${id}"));
+        assert_eq!(server.seen.recv_timeout(HUNG).unwrap(), id);
+    }
+}
+
 /// Nothing tells of it before a request has been written whole: a safe read is sent again, a write that may not run twice
 /// gets its error.
 #[test]
@@ -366,6 +406,23 @@
     }
 }
 
+/// A server that answers nothing more on a connection on which it has dropped a request without a word holds up what was
+/// written behind that: a read goes to another connection soon after the dropped one is given up.
+#[test]
+fn a_read_behind_a_request_that_was_dropped_without_a_word_does_not_wait_for_its_deadline() {
+    let server = drops_without_a_word(500);
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    // As one of 64 nodes it has one connection to the server.
+    let node = node("behind-dropped", &discovery, &[THROUGH, (r#""balancers":1"#, r#""balancers":64"#)]);
+    let mut dropped = node.client();
+    dropped.send(&["CACHE.GET", "k", "little", "c=read,t=acme,d=400"]);
+    node.figure_becomes("edge_router_in_flight", 1);
+    let asked = Instant::now();
+    let answer = node.client().ask(&["CACHE.GET", "k", "behind", "c=read,t=acme,d=9000"]);
+    assert_eq!(answer, "$behind", "after {:?}", asked.elapsed());
+    assert!(asked.elapsed() < Duration::from_secs(5), "{:?}", asked.elapsed());
+}
+
 /// A port at which connections are refused. It is kept until the process ends, for tests beside this one take free ports.
 fn closed_port() -> SocketAddr {
     let held = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,7 +28,7 @@
 use crate::near::Nearby;
 use crate::origin::Origins;
 use crate::peers::Peers;
-use crate::servers::{Ended, SendError, Servers};
+use crate::servers::{Ended, LONGEST_SILENCE, SendError, Servers};
 use crate::start_times::StartTimes;
 use crate::weather::{LOOK, Weather};
 use crate::{origin, servers};
@@ -114,6 +114,8 @@
 enum Due {
     Timer(u32),
     GiveUp(AttemptId),
+    /// An answer that was given up, and behind which others wait, has had its time to come.
+    Overdue(ServerId, AttemptId),
     Report,
     Look,
     Gauges,
@@ -269,7 +271,11 @@
         while self.due.peek().is_some_and(|Reverse((time, _))| *time <= now) {
             match self.due.pop() {
                 Some(Reverse((_, Due::Timer(token)))) => self.events.push_back(Event::Timer(token)),
-                Some(Reverse((_, Due::GiveUp(id)))) => self.give_up(id, Status::TimedOut),
+                Some(Reverse((_, Due::GiveUp(id)))) => self.time_out(id),
+                Some(Reverse((_, Due::Overdue(server, id)))) => {
+                    let ended = self.parts.servers.release_behind(server, id);
+                    ended.into_iter().for_each(|(other, how)| self.server_ended(other, how));
+                }
                 Some(Reverse((_, Due::Report))) => {
                     self.counters.connects = self.parts.servers.connects();
                     let age = self.listed.map(|at| at.elapsed());
@@ -774,6 +780,16 @@
         }
     }
 
+    /// Gives up an attempt of which the time is over. Its server may have dropped it without a word, and others may wait
+    /// behind it.
+    fn time_out(&mut self, id: AttemptId) {
+        let Some(server) = self.flights.get(&id).map(|flight| flight.server) else { return };
+        self.give_up(id, Status::TimedOut);
+        if self.parts.servers.holds_up_others(server, id) {
+            self.wake(LONGEST_SILENCE, Due::Overdue(server, id));
+        }
+    }
+
     /// Stops waiting for an attempt. One that was never written whole can't have run.
     fn give_up(&mut self, id: AttemptId, status: Status) {
         let Some(flight) = self.flights.get_mut(&id) else { return };
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -38,6 +38,10 @@
 /// After a refused connection none beside those that work is opened for this long.
 const REFUSED_PAUSE: Duration = Duration::from_secs(2);
 
+/// An answer that has begun goes on within this time, however small its pieces are, and one that is overdue comes within it.
+/// What waits behind one that does not waits in vain.
+pub const LONGEST_SILENCE: Duration = Duration::from_millis(250);
+
 /// How an attempt at a cache server ended.
 pub enum Ended {
     /// A frame of the agreed form came back for it.
@@ -239,8 +243,13 @@
         writes || self.sent.iter().skip(1).any(|s| !s.given_up)
     }
 
-    /// Stops waiting for the reads that are written behind the large value, and returns them. Writes wait on, for they may
-    /// run.
+    /// Whether the answer that comes next is that of an attempt that was given up, and others wait behind it.
+    fn is_held_up_by(&self, attempt: AttemptId) -> bool {
+        self.sent.front().is_some_and(|s| s.attempt == attempt && s.given_up) && self.others_wait()
+    }
+
+    /// Stops waiting for the reads that are written behind the answer that comes next, and returns them. Writes wait on,
+    /// for they may run.
     fn release_reads(&mut self) -> Vec<AttemptId> {
         let behind = self.sent.iter_mut().skip(1).filter(|s| s.kind == Kind::Read && !s.given_up);
         behind
@@ -599,6 +608,26 @@
         withdrawn
     }
 
+    /// Whether a connection has no answer for an attempt that was given up, and others wait behind it.
+    pub fn holds_up_others(&self, server: ServerId, attempt: AttemptId) -> bool {
+        let connections = self.pools.get(&server).map_or(&[][..], |pool| &pool.connections);
+        connections.iter().any(|c| c.shared.line.borrow().is_held_up_by(attempt))
+    }
+
+    /// Lets what waits behind an attempt that was given up be answered on other connections, where its own has brought no
+    /// answer since. Returns the attempts that this ends.
+    pub fn release_behind(&mut self, server: ServerId, attempt: AttemptId) -> Vec<(AttemptId, Ended)> {
+        let Some(pool) = self.pools.get_mut(&server) else { return Vec::new() };
+        let held_up = |c: &&Connection| c.shared.line.borrow().is_held_up_by(attempt);
+        let Some(number) = pool.connections.iter().find(held_up).map(|c| c.number) else { return Vec::new() };
+        let released = pool.release_behind_first(number);
+        pool.connections.retain(|c| c.number != number || !c.shared.line.borrow().in_vain());
+        let mut ended: Vec<_> = released.into_iter().map(|id| (id, Ended::Reset)).collect();
+        ended.extend(pool.pump(self.limits.multiplex).into_iter().map(|id| (id, Ended::NotConnected)));
+        self.tidy(server);
+        ended
+    }
+
     /// Closes the connections to a server that carry nothing.
     pub fn close_idle(&mut self, server: ServerId) {
         if let Some(pool) = self.pools.get_mut(&server) {
@@ -645,8 +674,8 @@
         self.connections.push(Connection { number, shared, task, used, retired: false, all });
     }
 
-    /// Lets what waits behind a large value that stands still be answered on other connections: what has not been written
-    /// goes to another, and reads that have been written are returned, to be sent again.
+    /// Lets what waits behind a large value that stands still be answered on other connections; see
+    /// [`release_behind_first`](Self::release_behind_first).
     fn release_behind_large_value(&mut self, number: u64) -> Vec<AttemptId> {
         let Some(connection) = self.connections.iter().find(|c| c.number == number) else {
             return Vec::new();
@@ -657,6 +686,17 @@
             return Vec::new();
         }
         line.held_up = true;
+        drop(line);
+        self.release_behind_first(number)
+    }
+
+    /// Takes from a connection what waits behind the answer that comes next: what has not been written waits for another
+    /// connection, and reads that have been written are returned, to be sent again.
+    fn release_behind_first(&mut self, number: u64) -> Vec<AttemptId> {
+        let Some(connection) = self.connections.iter().find(|c| c.number == number) else {
+            return Vec::new();
+        };
+        let mut line = connection.shared.line.borrow_mut();
         while let Some(command) = line.unsent.pop_back() {
             self.waiting.push_front(command);
         }
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -17,16 +17,12 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
-use super::{Command, ConnectionEnd, Event, Kind, Sent, Shared, Writing};
+use super::{Command, ConnectionEnd, Event, Kind, LONGEST_SILENCE, Sent, Shared, Writing};
 use crate::command::{AttemptId, PIECE, STANDSTILL, Stream as LargeValue};
 use crate::input::Input;
 use crate::shortage::Outlasting;
 use crate::stream::{READ, more};
 
-/// An answer that has begun goes on within this time, however small its pieces are. One that does not is spoilt, and
-/// what waits behind it waits in vain.
-const BEGUN: Duration = Duration::from_millis(250);
-
 /// A command of which the first byte has been written.
 struct Begun {
     attempt: AttemptId,
@@ -106,7 +102,7 @@
                 }
                 let begun = !buffer.is_empty();
                 let read = match begun {
-                    true => more_within(&reading, &mut buffer, READ, BEGUN).await,
+                    true => more_within(&reading, &mut buffer, READ, LONGEST_SILENCE).await,
                     false => more(&reading, &mut buffer, READ).await,
                 };
                 match read {
@@ -293,7 +289,7 @@
     Told: Future<Output = Result<(), mpsc::error::SendError<Input>>>,
 {
     let mut going_on = std::pin::pin!(going_on);
-    if let Ok(done) = timeout(BEGUN, going_on.as_mut()).await {
+    if let Ok(done) = timeout(LONGEST_SILENCE, going_on.as_mut()).await {
         return done;
     }
     if !shared.line.borrow().held_up {
