Servers: a common value is believed for the keys that had it, not for every key

Callers got a value that other keys have, and the reads behind it each other's, when a cache server that had repeated nothing so far repeated that value behind the command for a key with another.

Cause: what asking again shows was kept for the value alone. Once true for a second key, it was believed for any at that server (Findings::wants_check), and a server's first repeat gives no other sign.

Change: pairs of key and common value are remembered for the node (4096); a common value for a key that is not known to have it is asked for again. Such checks take at most half of the allowance that there was, one in 100 answers later on, and count what is sent again with their connection; they end no connection with a write or with a command that was sent again before.

Why it works: a shift now needs a key that is known to have the value which comes for it, so that it ends at the first key that is not.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod http;
 mod input;
 pub mod keys;
+mod known_values;
 mod local_failures;
 mod near;
 mod node;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -791,7 +791,7 @@
                 near.sent(id, server);
             }
             let payload = servers::Payload::Request { command, extras, may_run_twice };
-            self.parts.servers.send(server, servers::Command { attempt: id, payload })
+            self.parts.servers.send(server, servers::Command::new(id, payload))
         };
         match out {
             Ok(()) => self.due.push(Reverse((attempt_ends, Due::GiveUp(id)))),
@@ -804,7 +804,7 @@
         let (id, sent) = (self.last_attempt, Instant::now());
         let origin = self.origin_ids.contains(&server);
         let call = if origin { self.parts.origins.probe(server, id) } else { None };
-        let command = servers::Command { attempt: id, payload: servers::Payload::Probe };
+        let command = servers::Command::new(id, servers::Payload::Probe);
         let out = match (origin, &call) {
             (true, Some(_)) => Ok(()),
             (true, None) => Err(SendError::NoConnection),
--- a/crates/node/src/repeats.rs
+++ b/crates/node/src/repeats.rs
@@ -28,6 +28,10 @@
 /// what many keys with few values would cost otherwise.
 const ANSWERS_FOR_A_CHECK: u32 = 50;
 const CHECKS_IN_A_ROW: u32 = 32;
+/// Of these, common values get so many in a row, and one in so many answers: where many keys are new and have few values,
+/// each wants one, and some have to be left for other values.
+const COMMON_CHECKS_IN_A_ROW: u32 = CHECKS_IN_A_ROW / 2;
+const ANSWERS_FOR_A_COMMON_CHECK: u32 = 2 * ANSWERS_FOR_A_CHECK;
 /// The same of connections that are made lest a command meets a repeat.
 const CONNECTIONS_IN_A_ROW: u32 = 8;
 /// So many values that turned out to be others, and none that turned out to be true, show that a server repeats.
@@ -61,6 +65,11 @@
     pub(crate) fn of_value(value: &[u8]) -> Fingerprint {
         Fingerprint { length: value.len(), hash: xxh3_64(value) }
     }
+
+    /// A number that stands for it, to hash something else with.
+    pub(crate) fn as_seed(self) -> u64 {
+        self.hash ^ self.length as u64
+    }
 }
 
 /// Makes the fingerprint of a large value while it passes: from its length and its first bytes.
@@ -212,31 +221,45 @@
     Compared,
 }
 
-/// What may be spent on one cause: so many at once, and one more with each [`ANSWERS_FOR_A_CHECK`] answers.
+/// What may be spent on one cause: so many at once, and one more with so many answers.
 #[derive(Clone, Copy, Debug)]
 struct Allowance {
     left: u32,
     most: u32,
+    /// What was taken beyond what was left, and is paid back first.
+    owed: u32,
     answers: u32,
+    answers_for_one: u32,
 }
 
 impl Allowance {
-    fn of(most: u32) -> Self {
-        Allowance { left: most, most, answers: 0 }
+    fn of(most: u32, answers_for_one: u32) -> Self {
+        Allowance { left: most, most, owed: 0, answers: 0, answers_for_one }
     }
 
     fn answered(&mut self) {
         self.answers += 1;
-        if self.answers >= ANSWERS_FOR_A_CHECK {
+        if self.answers >= self.answers_for_one {
             self.answers = 0;
-            self.left = self.most.min(self.left + 1);
+            match self.owed {
+                0 => self.left = self.most.min(self.left + 1),
+                owed => self.owed = owed - 1,
+            }
         }
     }
 
     /// Takes one, where there is one.
     fn take(&mut self) -> bool {
+        self.take_many(1)
+    }
+
+    /// Takes so many, where there is one: what is lacking is owed.
+    fn take_many(&mut self, cost: u32) -> bool {
         let is_granted = self.left > 0;
-        self.left = self.left.saturating_sub(1);
+        if is_granted {
+            self.owed += cost.saturating_sub(self.left);
+            self.left = self.left.saturating_sub(cost);
+        }
         is_granted
     }
 }
@@ -252,9 +275,10 @@
     repeated_at: Option<Instant>,
     /// Values that turned out to be others since one turned out to be true.
     refuted: u32,
-    /// Checks of values that came before, of values behind a refusal or a miss that came before, and connections
-    /// for commands that must not meet a repeat.
+    /// Checks of values that came before, and the part of them that common values may take; checks of values behind a
+    /// refusal or a miss that came before; and connections for commands that must not meet a repeat.
     value_checks: Allowance,
+    common_checks: Allowance,
     step_checks: Allowance,
     connections: Allowance,
 }
@@ -267,9 +291,10 @@
             receipts: Receipts::Unknown,
             repeated_at: None,
             refuted: 0,
-            value_checks: Allowance::of(CHECKS_IN_A_ROW),
-            step_checks: Allowance::of(CHECKS_IN_A_ROW),
-            connections: Allowance::of(CONNECTIONS_IN_A_ROW),
+            value_checks: Allowance::of(CHECKS_IN_A_ROW, ANSWERS_FOR_A_CHECK),
+            common_checks: Allowance::of(COMMON_CHECKS_IN_A_ROW, ANSWERS_FOR_A_COMMON_CHECK),
+            step_checks: Allowance::of(CHECKS_IN_A_ROW, ANSWERS_FOR_A_CHECK),
+            connections: Allowance::of(CONNECTIONS_IN_A_ROW, ANSWERS_FOR_A_CHECK),
         }
     }
 }
@@ -283,6 +308,7 @@
     /// An answer was taken.
     pub(crate) fn answered(&mut self) {
         self.value_checks.answered();
+        self.common_checks.answered();
         self.step_checks.answered();
         self.connections.answered();
     }
@@ -292,11 +318,33 @@
         self.connections.take()
     }
 
-    /// Whether an answer has to be asked for again.
+    /// Whether several keys are known to have a value.
+    pub(crate) fn is_common(&self, value: Fingerprint) -> bool {
+        self.common.contains(&value)
+    }
+
+    /// Whether the value of a read has to be asked for again. One that other keys have is believed for this key alone:
+    /// at a server that has repeated nothing so far, a repeat of it would be believed for any other key.
+    /// `in_flight` is the number of commands that are sent again with the check, for their connection ends.
+    pub(crate) fn wants_check_of_read(
+        &mut self,
+        doubt: Doubt,
+        is_believed_for_key: bool,
+        in_flight: u32,
+    ) -> bool {
+        let is_new_to_key =
+            doubt.cause == Cause::OtherKey && self.is_common(doubt.value) && !is_believed_for_key;
+        if is_new_to_key && !self.is_distrusted() {
+            return self.common_checks.take_many(in_flight) && self.value_checks.take();
+        }
+        self.wants_check(doubt)
+    }
+
+    /// Whether an answer has to be asked for again, where a value that several keys have is believed for every key.
     pub(crate) fn wants_check(&mut self, doubt: Doubt) -> bool {
         let is_known = match doubt.cause {
             Cause::SameKey => self.has_stable_values,
-            Cause::OtherKey => !self.is_distrusted() && self.common.contains(&doubt.value),
+            Cause::OtherKey => !self.is_distrusted() && self.is_common(doubt.value),
             Cause::BehindRepeat => false,
         };
         if is_known {
@@ -318,10 +366,13 @@
             return None;
         }
         let is_true = doubt.value == value;
+        // One that several keys have may change for all of them at once.
+        let proves_nothing =
+            doubt.cause == Cause::OtherKey && self.is_common(doubt.value) && !self.is_distrusted();
         if is_true {
             self.refuted = 0;
             self.confirmed(doubt);
-        } else {
+        } else if !proves_nothing {
             // One alone may be a value that has changed since.
             self.refuted += 1;
             if self.refuted >= REFUTED_TO_DISTRUST {
@@ -341,7 +392,7 @@
     }
 
     fn add_common(&mut self, value: Fingerprint) {
-        if self.common.contains(&value) {
+        if self.is_common(value) {
             return;
         }
         if self.common.len() == COMMON_VALUES {
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -206,22 +206,38 @@
     let sent = line.sent.front()?;
     let Payload::Request { command, .. } = &sent.command.payload else { return None };
     let mut findings = shared.findings.borrow_mut();
+    let mut known_values = shared.known_values.borrow_mut();
     findings.answered();
     let value = value?;
     let settled = settled.filter(|(attempt, _)| *attempt == sent.attempt());
     match settled.and_then(|(_, doubt)| findings.settle(doubt, value)) {
-        Some(true) => shared.figures.doubt_confirmed(),
+        Some(true) => {
+            shared.figures.doubt_confirmed();
+            known_values.insert(&command.key, value);
+        }
         Some(false) => shared.figures.doubt_refuted(),
         None => {}
     }
     let doubt = line.recent.doubt(&command.key, sent.written, value);
-    let doubt = doubt.filter(|doubt| findings.wants_check(*doubt));
+    let is_undoubted = doubt.is_none();
+    let may_end_for_check = line.may_end_for_check();
+    let in_flight = u32::try_from(line.sent.len()).unwrap_or(u32::MAX);
+    let doubt = doubt.filter(|doubt| match command.write {
+        // A write can't be asked again.
+        true => findings.wants_check(*doubt),
+        false => {
+            let is_believed = known_values.contains(&command.key, value) || !may_end_for_check;
+            findings.wants_check_of_read(*doubt, is_believed, in_flight)
+        }
+    });
     if doubt.is_some() {
         shared.figures.answer_doubted();
         return doubt;
     }
     if command.write {
         findings.receipt(value, line.recent.is_empty());
+    } else if is_undoubted && findings.is_common(value) {
+        known_values.insert(&command.key, value);
     }
     line.recent.push(&command.key, value);
     None
--- a/crates/node/tests/unit/repeats.rs
+++ b/crates/node/tests/unit/repeats.rs
@@ -61,6 +61,78 @@
     assert!(findings.wants_check(doubt), "taken for true at a server that repeats");
 }
 
+/// That several keys have a value says nothing of the next one: at a server that has not repeated yet, a repeat would be
+/// believed for any key.
+#[test]
+fn a_common_value_is_believed_for_the_keys_alone_that_are_known_to_have_it() {
+    let doubt = doubt_about("0");
+    let mut findings = Findings::default();
+    assert!(findings.wants_check_of_read(doubt, true, 1), "not known to be common");
+    findings.confirmed(doubt);
+    assert!(findings.wants_check_of_read(doubt, false, 1));
+    assert!(!findings.wants_check_of_read(doubt, true, 1));
+    findings.repeated();
+    assert!(findings.wants_check_of_read(doubt, true, 1), "taken for true at a server that repeats");
+}
+
+/// Keys that are new and have few values want a check each: values that only one key has must find some left.
+#[test]
+fn checks_of_common_values_leave_some_for_others() {
+    let doubt = doubt_about("0");
+    let mut findings = Findings::default();
+    findings.confirmed(doubt);
+    let checks = |findings: &mut Findings, answers: u32| -> u32 {
+        let wants = |_| {
+            findings.answered();
+            u32::from(findings.wants_check_of_read(doubt, false, 1))
+        };
+        (0..answers).map(wants).sum()
+    };
+    let first = checks(&mut findings, 1_000);
+    assert_eq!(first, COMMON_CHECKS_IN_A_ROW + 1_000 / ANSWERS_FOR_A_COMMON_CHECK);
+    let for_others = CHECKS_IN_A_ROW - COMMON_CHECKS_IN_A_ROW;
+    for number in 0..for_others {
+        assert!(findings.wants_check_of_read(doubt_about(&format!("rare {number}")), false, 1));
+    }
+}
+
+/// A check ends its connection, and what is in flight there is sent again: that counts, too.
+#[test]
+fn a_check_of_a_common_value_costs_what_is_in_flight_on_its_connection() {
+    const IN_FLIGHT: u32 = 5;
+    let doubt = doubt_about("0");
+    let mut findings = Findings::default();
+    findings.confirmed(doubt);
+    let mut sent_again = 0;
+    for _ in 0..1_000 {
+        findings.answered();
+        if findings.wants_check_of_read(doubt, false, IN_FLIGHT) {
+            sent_again += IN_FLIGHT;
+        }
+    }
+    let most = COMMON_CHECKS_IN_A_ROW + 1_000 / ANSWERS_FOR_A_COMMON_CHECK + IN_FLIGHT;
+    assert!((COMMON_CHECKS_IN_A_ROW..=most).contains(&sent_again), "{sent_again}");
+}
+
+/// A value that all keys have may change for all of them at once, again and again.
+#[test]
+fn a_common_value_that_turns_out_to_be_another_is_no_proof_of_a_repeat() {
+    let doubt = doubt_about("0");
+    let mut findings = Findings::default();
+    findings.confirmed(doubt);
+    for number in 0..2 * REFUTED_TO_DISTRUST {
+        assert_eq!(findings.settle(doubt, value(&number.to_string())), Some(number == 0));
+    }
+    assert!(!findings.is_distrusted());
+    findings.repeated();
+    findings.repeated_at = findings.repeated_at.and_then(|at| at.checked_sub(DISTRUST / 2));
+    for _ in 0..REFUTED_TO_DISTRUST {
+        assert_eq!(findings.settle(doubt, value("other")), Some(false));
+    }
+    let since = findings.repeated_at.map(|at| at.elapsed());
+    assert!(since < Some(DISTRUST / 2), "at a server that repeats it is one more");
+}
+
 /// Few values for many keys must not cost an attempt for each answer; a server that repeats is checked each time.
 #[test]
 fn checks_are_bounded_at_a_server_that_has_not_repeated() {
--- a/crates/node/tests/unit/servers.rs
+++ b/crates/node/tests/unit/servers.rs
@@ -41,7 +41,7 @@
             let (mut servers, _inputs) = servers(balancers, descriptors);
             assert!(servers.listed(7, Some(address), true).is_empty());
             for attempt in 1..=20 {
-                assert!(servers.send(7, Command { attempt, payload: Payload::Probe }).is_ok());
+                assert!(servers.send(7, Command::new(attempt, Payload::Probe)).is_ok());
             }
             assert_eq!(servers.pools[&7].connections.len(), connections);
             assert_eq!(
@@ -83,7 +83,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let (mut servers, mut inputs) = servers(1, 8);
-        let ping = |attempt| Command { attempt, payload: Payload::Probe };
+        let ping = |attempt| Command::new(attempt, Payload::Probe);
         assert!(servers.listed(7, Some(address), true).is_empty());
         assert!(servers.send(7, ping(1)).is_ok());
         assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
@@ -108,7 +108,7 @@
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let (mut servers, mut inputs) = servers(1, 8);
             assert!(servers.listed(7, Some(address), true).is_empty());
-            assert!(servers.send(7, Command { attempt: 1, payload: Payload::Probe }).is_ok());
+            assert!(servers.send(7, Command::new(1, Payload::Probe)).is_ok());
             assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
             assert!(servers.event(7, 1, Event::Up).is_empty());
             let (mut stream, _) = listener.accept().unwrap();
@@ -143,7 +143,7 @@
         _claim: Claim::of(&Ids::default(), &id).unwrap(),
     };
     let extras = command.attempt_extras(attempt_ends);
-    Command { attempt, payload: Payload::Request { command: command.into(), extras, may_run_twice: true } }
+    Command::new(attempt, Payload::Request { command: command.into(), extras, may_run_twice: true })
 }
 
 /// Runs a test of a node that may have one connection to the server 7, which the test serves by hand.
@@ -165,7 +165,7 @@
 fn an_attempt_without_time_left_is_not_written() {
     with_one_connection(async |listener, mut servers, mut inputs| {
         assert!(servers.send(7, read_until(1, Instant::now())).is_ok());
-        assert!(servers.send(7, Command { attempt: 2, payload: Payload::Probe }).is_ok());
+        assert!(servers.send(7, Command::new(2, Payload::Probe)).is_ok());
         assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
         assert!(servers.event(7, 1, Event::Up).is_empty());
         let (mut stream, _) = listener.accept().unwrap();
@@ -188,7 +188,7 @@
 #[test]
 fn a_connection_is_closed_when_the_last_that_waits_on_it_is_taken_back_unwritten() {
     with_one_connection(async |listener, mut servers, mut inputs| {
-        assert!(servers.send(7, Command { attempt: 1, payload: Payload::Probe }).is_ok());
+        assert!(servers.send(7, Command::new(1, Payload::Probe)).is_ok());
         assert!(matches!(inputs.recv().await, Some(Input::Server { event: Event::Up, .. })));
         assert!(servers.event(7, 1, Event::Up).is_empty());
         let (stream, _) = listener.accept().unwrap();
@@ -239,7 +239,7 @@
 }
 
 fn probe(attempt: AttemptId) -> Command {
-    Command { attempt, payload: Payload::Probe }
+    Command::new(attempt, Payload::Probe)
 }
 
 /// Takes the next event of a connection to a server, and returns the attempts that it ends.
