Servers: a value that may be another's and may not be asked for again is held back

Cause: a value behind two equal answers without a value may be that of the command before. Such doubts are asked again 32 times in a row and once in 50 answers; beyond that the value was believed.

Change: where a doubt of this cause may not be asked again, the value is held back for 250 ms at most, and nothing new is written on its connection. One answer more than commands wait proves the shift: the connection ends, the server counts as one that repeats, and what was written is sent again. Otherwise the value is handed on. A figure counts what is held back.

Why it works: a shifted connection brings one answer more than it was asked for as soon as the last command written on it is answered; with nothing new written that one can't be taken for another's. It costs time alone, no attempt and no connection.

--- a/crates/mothpier/tests/second_answer_orders.rs
+++ b/crates/mothpier/tests/second_answer_orders.rs
@@ -1209,17 +1209,64 @@
     let discovery = Discovery::start(&members.join(","));
     let node = node("misses-use-up", &discovery, &[ONE_CONNECTION]);
     let mut clients: Vec<Client> = (0..3).map(|_| node.client()).collect();
-    for round in 0..60 {
-        let keys = [format!("miss-a{round}"), format!("miss-b{round}"), format!("value{round}")];
-        clients.iter_mut().zip(&keys).for_each(|(client, key)| send_read(client, key));
-        clients.iter_mut().zip(&keys).for_each(|(client, key)| assert_own(&client.answer(), key));
-    }
+    use_up_checks_behind_misses(&mut clients);
     thread::sleep(Duration::from_millis(400));
     assert_own(&read(&mut clients[0], "before"), "before");
     let answer = read(&mut clients[0], "last");
     assert_own_or_unserved(&answer, "last");
 }
 
+/// Misses of two keys and a value behind them, again and again on one connection that brings nothing twice: each such value
+/// may be the answer to the command before, until all that may be asked again for that has been.
+fn use_up_checks_behind_misses(clients: &mut [Client]) {
+    const ROUNDS: usize = 60;
+    for round in 0..ROUNDS {
+        let keys = [format!("miss-a{round}"), format!("miss-b{round}"), format!("value{round}")];
+        clients.iter_mut().zip(&keys).for_each(|(client, key)| send_read(client, key));
+        clients.iter_mut().zip(&keys).for_each(|(client, key)| assert_own(&client.answer(), key));
+    }
+}
+
+/// Guards against a repeated miss that is taken for an answer where nothing may be asked again any more: the true answer comes
+/// behind the next command.
+#[test]
+fn a_value_behind_a_repeated_miss_reaches_no_other_key_where_all_checks_are_used_up() {
+    let makes: Makes = |asked| match asked[1].as_str() {
+        key if key.starts_with("miss") => Some(bytes_of(miss())),
+        _ => makes_for_key(asked),
+    };
+    let server = StandIn::start(command, makes, |line, _| {
+        while line.next() {
+            if line.word(1) != "miss-last" {
+                line.answer();
+                continue;
+            }
+            // Both come in one piece, so that no time passes between the miss and its repeat.
+            line.next();
+            line.answer_with(bytes_of(miss()).repeat(2));
+            // The true answer to the second command comes behind the third.
+            line.next_within();
+            return;
+        }
+    });
+    let origin = serve(call, |asked| Reaction::Answer(origin_makes(asked).unwrap()));
+    let members = [member("s-1", server.address, "m", "ready"), member("o-1", origin, "origin", "ready")];
+    let discovery = Discovery::start(&members.join(","));
+    let node = node("checks-used-up", &discovery, &[ONE_CONNECTION]);
+    let mut clients: Vec<Client> = (0..3).map(|_| node.client()).collect();
+    use_up_checks_behind_misses(&mut clients);
+    let keys = ["miss-last", "value-x", "value-y"];
+    for (client, key) in clients.iter_mut().zip(keys).take(2) {
+        send_read(client, key);
+        server.saw(key);
+    }
+    assert_own(&clients[1].answer(), "value-x");
+    send_read(&mut clients[2], "value-y");
+    assert_own(&clients[0].answer(), "miss-last");
+    assert_own(&clients[2].answer(), "value-y");
+    assert_each_own_or_unserved(&mut clients[0], &["k1", "k2"]);
+}
+
 /// Guards against values of several keys that change with time: that another comes when one is asked for
 /// again proves no repeat.
 #[test]
--- a/crates/node/src/repeats.rs
+++ b/crates/node/src/repeats.rs
@@ -175,6 +175,11 @@
         self.doubtful_since.is_some_and(|since| written < since + LATEST_TRUE_ANSWER)
     }
 
+    /// It was waited for an answer that nobody asked for, and none came: no repeat was taken for an answer.
+    pub(crate) fn found_in_step(&mut self) {
+        self.doubtful_since = None;
+    }
+
     /// Whether none has come yet: the next one can't be a repeat.
     pub(crate) fn is_empty(&self) -> bool {
         self.last.is_none()
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -27,6 +27,7 @@
 
 mod connection;
 mod driver;
+mod judging;
 mod line;
 mod payload;
 mod pool;
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -18,8 +18,9 @@
 use tokio::time::{Instant, timeout};
 
 use super::connection::Shared;
+use super::judging::{Verdict, brings_surplus, judge, keep};
 use super::line::{Sent, Writing};
-use super::payload::{Command, Kind, Payload};
+use super::payload::{Command, Kind};
 use super::{ConnectionEnd, Event, LONGEST_SILENCE};
 use crate::command::{PIECE, STANDSTILL, Stream as LargeValue};
 use crate::input::Input;
@@ -169,9 +170,16 @@
         let mut may_repeat = false;
         if let Ok(Some(frame)) = &taken {
             let value = Fingerprint::of_answer(frame);
-            if let Some(doubt) = judge(value, shared) {
-                return ConnectionEnd::OutOfStep(Some(doubt));
+            match judge(value, shared) {
+                Verdict::Believe => {}
+                Verdict::AskAgain(doubt) => return ConnectionEnd::OutOfStep(Some(doubt)),
+                Verdict::HoldBack => match brings_surplus(reading, &mut buffer, shared).await {
+                    Ok(false) => {}
+                    Ok(true) => return ConnectionEnd::OutOfStep(None),
+                    Err(_) => return ConnectionEnd::Broken,
+                },
             }
+            keep(value, shared);
             // Load reports are equal as often as loads are.
             may_repeat = value.is_none()
                 && !matches!(frame, BytesFrame::BulkString(_))
@@ -198,51 +206,6 @@
     }
 }
 
-/// Compares an answer's value, if it has one, with those that came before it on the same connection, and keeps it. A doubt
-/// where it may be the repeat of one of them: it is not to be taken then.
-fn judge(value: Option<Fingerprint>, shared: &Shared) -> Option<Doubt> {
-    let line = &mut *shared.line.borrow_mut();
-    let settled = line.settles.take();
-    let sent = line.sent.front()?;
-    let Payload::Request { command, .. } = &sent.command.payload else { return None };
-    let mut findings = shared.findings.borrow_mut();
-    let mut known_values = shared.known_values.borrow_mut();
-    findings.answered();
-    let value = value?;
-    let settled = settled.filter(|(attempt, _)| *attempt == sent.attempt());
-    match settled.and_then(|(_, doubt)| findings.settle(doubt, value)) {
-        Some(true) => {
-            shared.figures.doubt_confirmed();
-            known_values.insert(&command.key, value);
-        }
-        Some(false) => shared.figures.doubt_refuted(),
-        None => {}
-    }
-    let doubt = line.recent.doubt(&command.key, sent.written, value);
-    let is_undoubted = doubt.is_none();
-    let may_end_for_check = line.may_end_for_check();
-    let in_flight = u32::try_from(line.sent.len()).unwrap_or(u32::MAX);
-    let doubt = doubt.filter(|doubt| match command.write {
-        // A write can't be asked again.
-        true => findings.wants_check(*doubt),
-        false => {
-            let is_believed = known_values.contains(&command.key, value) || !may_end_for_check;
-            findings.wants_check_of_read(*doubt, is_believed, in_flight)
-        }
-    });
-    if doubt.is_some() {
-        shared.figures.answer_doubted();
-        return doubt;
-    }
-    if command.write {
-        findings.receipt(value, line.recent.is_empty());
-    } else if is_undoubted && findings.is_common(value) {
-        known_values.insert(&command.key, value);
-    }
-    line.recent.push(&command.key, value);
-    None
-}
-
 /// Reads why a connection was not made.
 fn not_made(error: std::io::Error) -> ConnectionEnd {
     match ConnectFailure::of(&error) {
@@ -263,6 +226,9 @@
     poll_fn(|context| {
         let next = {
             let line = shared.line.borrow();
+            if line.is_paused {
+                return Poll::Ready(Ok(None));
+            }
             line.unsent.iter().enumerate().find_map(|(index, c)| Some((index, c.payload.encode_now()?)))
         };
         let Some((index, bytes)) = next else { return Poll::Ready(Ok(None)) };
@@ -324,9 +290,11 @@
             }
         }
         let value = fingerprint.take().and_then(|mut f| f.update(&buffer[large.head..]));
-        if let Some(doubt) = judge(value, shared) {
+        // What passes piece by piece can't be held back.
+        if let Verdict::AskAgain(doubt) = judge(value, shared) {
             return Passed::Doubted(doubt);
         }
+        keep(value, shared);
     }
     let (into, value) = LargeValue::new(large.length);
     shared.line.borrow_mut().streaming = true;
@@ -349,6 +317,7 @@
         if let Some(value) = fingerprint.as_mut().and_then(|f| f.update(&piece)) {
             // Of a length that none had before it: it can't be doubted.
             judge(Some(value), shared);
+            keep(Some(value), shared);
         }
         wanted = wanted && tell_if_held_up(into.send(piece), shared, &tell).await.is_ok();
         // Its client has gone. The rest is read for the sake of those behind it alone.
--- a/crates/node/src/servers/line.rs
+++ b/crates/node/src/servers/line.rs
@@ -58,6 +58,8 @@
     pub up: bool,
     /// What came last makes it useless: it is about to end.
     pub ending: bool,
+    /// An answer is held back that may be the one before it: nothing is written until that is known.
+    pub is_paused: bool,
     /// A large value is passing: how long that takes is up to its client.
     pub streaming: bool,
     /// The large value that is passing has stood still.
--- a/crates/node/src/servers/pool.rs
+++ b/crates/node/src/servers/pool.rs
@@ -91,6 +91,7 @@
             (line.up
                 && !line.ending
                 && !line.streaming
+                && !line.is_paused
                 && !c.retired
                 && !line.stalled()
                 && !line.may_skip_an_answer()
--- a/crates/node/tests/unit/repeats.rs
+++ b/crates/node/tests/unit/repeats.rs
@@ -226,6 +226,8 @@
     );
     let later = Instant::now() + LATEST_TRUE_ANSWER;
     assert_eq!(recent.doubt(&key("one"), later, value("one")), None, "after a time without another answer");
+    recent.found_in_step();
+    assert_eq!(recent.doubt(&key("one"), Instant::now(), value("one")), None, "none more came");
 }
 
 /// However the pieces are cut in which a large value comes, it has one fingerprint, and it is told once.
--- a/crates/ops/src/figures.rs
+++ b/crates/ops/src/figures.rs
@@ -44,6 +44,7 @@
     pub(crate) answers_doubted: AtomicU64,
     pub(crate) doubts_confirmed: AtomicU64,
     pub(crate) doubts_refuted: AtomicU64,
+    pub(crate) answers_held_back: AtomicU64,
     /// Connections of clients that have ended.
     pub closed: ByReason<CloseReason>,
     /// Requests that were refused.
@@ -63,12 +64,15 @@
     pub confirmed: u64,
     /// Of these, the ones that were repeats.
     pub refuted: u64,
+    /// Answers that were handed on later, for one more might have come behind them.
+    pub held_back: u64,
 }
 
 impl std::fmt::Display for DoubtedAnswers {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let DoubtedAnswers { unasked, doubted, confirmed, refuted } = self;
-        write!(f, "{unasked} unasked, {doubted} doubted ({confirmed} confirmed, {refuted} refuted)")
+        let DoubtedAnswers { unasked, doubted, confirmed, refuted, held_back } = self;
+        write!(f, "{unasked} unasked, {doubted} doubted ({confirmed} confirmed, {refuted} refuted), ")?;
+        write!(f, "{held_back} held back")
     }
 }
 
@@ -107,6 +111,7 @@
             answers_doubted: AtomicU64::new(0),
             doubts_confirmed: AtomicU64::new(0),
             doubts_refuted: AtomicU64::new(0),
+            answers_held_back: AtomicU64::new(0),
             closed: ByReason::default(),
             refusals: ByReason::default(),
             retries: ByReason::default(),
@@ -174,6 +179,11 @@
         self.doubts_refuted.fetch_add(1, Relaxed);
     }
 
+    /// An answer of a cache server was held back, for it may be that of the command before its own.
+    pub fn answer_held_back(&self) {
+        self.answers_held_back.fetch_add(1, Relaxed);
+    }
+
     /// The answers that came twice, or may have, since the start.
     pub fn doubted_answers(&self) -> DoubtedAnswers {
         DoubtedAnswers {
@@ -181,6 +191,7 @@
             doubted: self.answers_doubted.load(Relaxed),
             confirmed: self.doubts_confirmed.load(Relaxed),
             refuted: self.doubts_refuted.load(Relaxed),
+            held_back: self.answers_held_back.load(Relaxed),
         }
     }
 
--- a/crates/ops/src/text.rs
+++ b/crates/ops/src/text.rs
@@ -62,6 +62,12 @@
             ),
             ("doubts_confirmed_total", "Of these, true ones.", "counter", &self.doubts_confirmed),
             ("doubts_refuted_total", "Of these, repeats.", "counter", &self.doubts_refuted),
+            (
+                "answers_held_back_total",
+                "Answers of cache servers that were handed on later, for they may be another command's.",
+                "counter",
+                &self.answers_held_back,
+            ),
         ];
         for (name, help, kind, value) in single {
             head(&mut out, name, help, kind);
@@ -125,6 +131,7 @@
         (0..3).for_each(|_| figures.answer_doubted());
         (0..2).for_each(|_| figures.doubt_confirmed());
         figures.doubt_refuted();
+        (0..5).for_each(|_| figures.answer_held_back());
         figures.closed.count(CloseReason::Drained);
         figures.refusals.count(RefuseReason::Retiring);
         figures.retries.count(RetryReason::Miss);
@@ -151,6 +158,7 @@
             "edge_router_answers_doubted_total 3",
             "edge_router_doubts_confirmed_total 2",
             "edge_router_doubts_refuted_total 1",
+            "edge_router_answers_held_back_total 5",
             "# TYPE edge_router_connections_closed_total counter",
             "edge_router_connections_closed_total{reason=\"drained\"} 1",
             "edge_router_connections_closed_total{reason=\"idle\"} 0",
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -101,6 +101,16 @@
     Ok(Extent::Whole(at))
 }
 
+/// How many whole frames a buffer begins with, with values of at most `most` bytes. What can't be read ends the count.
+pub fn whole_frames(mut bytes: &[u8], most: usize) -> usize {
+    let mut frames = 0;
+    while let Ok(Extent::Whole(end)) = extent(bytes, most) {
+        frames += 1;
+        bytes = &bytes[end..];
+    }
+    frames
+}
+
 /// A large value at the beginning of a cache server's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Large {
@@ -184,6 +194,16 @@
         }
     }
 
+    #[test]
+    fn only_whole_frames_are_counted_and_nothing_behind_what_cannot_be_read() {
+        let frames = b"*1\r\n$1\r\nk\r\n-BUSY\r\n$2\r\nab\r\n";
+        for (cut, whole) in [(0, 0), (11, 1), (18, 2), (19, 2), (frames.len() - 1, 2), (frames.len(), 3)] {
+            assert_eq!(whole_frames(&frames[..cut], WHOLE), whole, "{cut}");
+        }
+        assert_eq!(whole_frames(b"+one\r\nnothing\r\n+two\r\n", WHOLE), 1);
+        assert_eq!(whole_frames(frames, 1), 2, "a value that is too large");
+    }
+
     #[test]
     fn a_large_value_is_known_by_its_header_alone() {
         let answer = |length: usize| format!("*3\r\n${length}\r\nabc");
