Servers: a connection on which a value is held back takes commands as a last choice

Callers would have got -BUSY while a value was held back on a node's only connection to a server: it counted as one that moves, so that none was made beside it, and it took no command.

Change: such a connection does not count as moving (Line::moves), so that another may be made, and Pool::append puts a command behind what is held back where nothing else is left; it is written once that is known.

--- a/crates/mothpier/tests/second_answer_orders.rs
+++ b/crates/mothpier/tests/second_answer_orders.rs
@@ -1267,6 +1267,32 @@
     assert_each_own_or_unserved(&mut clients[0], &["k1", "k2"]);
 }
 
+/// Guards against a request that finds no connection because an answer is held back on the only one.
+#[test]
+fn while_a_value_is_held_back_another_request_is_served() {
+    let makes: Makes = |asked| match asked[1].as_str() {
+        key if key.starts_with("miss") => Some(bytes_of(miss())),
+        _ => makes_for_key(asked),
+    };
+    let server = StandIn::start(command, makes, |_, _| {});
+    let origin = serve(call, |asked| Reaction::Answer(origin_makes(asked).unwrap()));
+    let members = [member("s-1", server.address, "m", "ready"), member("o-1", origin, "origin", "ready")];
+    let discovery = Discovery::start(&members.join(","));
+    let node = node("held-back-beside", &discovery, &[ONE_CONNECTION]);
+    let mut clients: Vec<Client> = (0..3).map(|_| node.client()).collect();
+    use_up_checks_behind_misses(&mut clients);
+    for round in 0..5 {
+        let keys = [format!("miss-c{round}"), format!("miss-d{round}"), format!("held{round}")];
+        clients.iter_mut().zip(&keys).for_each(|(client, key)| send_read(client, key));
+        let others = keys.iter().zip(&mut clients).take(2);
+        others.for_each(|(key, client)| assert_own(&client.answer(), key));
+        // The misses have been answered, and the value behind them is held back.
+        let key = format!("beside{round}");
+        assert_own(&read(&mut clients[0], &key), &key);
+        assert_own(&clients[2].answer(), &keys[2]);
+    }
+}
+
 /// Guards against values of several keys that change with time: that another comes when one is asked for
 /// again proves no repeat.
 #[test]
--- a/crates/node/src/servers/line.rs
+++ b/crates/node/src/servers/line.rs
@@ -94,7 +94,7 @@
 
     /// Whether what is written now would be answered without waiting for something that stands still.
     pub fn moves(&self) -> bool {
-        !self.stalled() && !self.held_up && self.writing != Writing::Abandoned
+        !self.stalled() && !self.held_up && !self.is_paused && self.writing != Writing::Abandoned
     }
 
     /// Whether the answer to what is written now could be told from that of the command before without asking again.
--- a/crates/node/src/servers/pool.rs
+++ b/crates/node/src/servers/pool.rs
@@ -84,19 +84,19 @@
         idle.map(|place| self.connections.remove(place));
     }
 
-    /// Puts an attempt behind others on the connection with the fewest that is not held up.
+    /// Puts an attempt behind others on the connection with the fewest that is not held up; one that is paused is the last
+    /// choice, for it goes on soon.
     pub fn append(&mut self, command: Command, multiplex: usize) -> bool {
         let line = |c: &Connection| {
             let line = c.shared.line.borrow();
             (line.up
                 && !line.ending
                 && !line.streaming
-                && !line.is_paused
                 && !c.retired
                 && !line.stalled()
                 && !line.may_skip_an_answer()
                 && line.load() < multiplex)
-                .then(|| (!line.is_in_step(), line.load()))
+                .then(|| (line.is_paused, !line.is_in_step(), line.load()))
         };
         if let Some(c) = self.connections.iter_mut().filter(|c| line(c).is_some()).min_by_key(|c| line(c)) {
             c.push(command);
