--- a/crates/mothpier/tests/second_answer_orders.rs
+++ b/crates/mothpier/tests/second_answer_orders.rs
@@ -218,6 +218,14 @@
     Some(bytes_of(array(&value)))
 }
 
+/// The same of a cache server that lacks the keys whose names begin with `miss`.
+fn makes_but_misses(asked: &[String]) -> Option<Vec<u8>> {
+    match asked[1].starts_with("miss") {
+        true => Some(bytes_of(miss())),
+        false => makes_for_key(asked),
+    }
+}
+
 /// The value of a key: that of one whose name begins with `large` is larger than what is taken whole, all of
 /// one length.
 fn value_of(key: &str) -> String {
@@ -255,6 +263,14 @@
     (node(name, &discovery, changed), discovery)
 }
 
+/// A node with one cache server, and an origin that has every key.
+fn node_beside_origin(name: &str, server: &StandIn, changed: &[(&str, &str)]) -> (Node, Discovery) {
+    let origin = serve(call, |asked| Reaction::Answer(origin_makes(asked).unwrap()));
+    let members = [member("s-1", server.address, "m", "ready"), member("o-1", origin, "origin", "ready")];
+    let discovery = Discovery::start(&members.join(","));
+    (node(name, &discovery, changed), discovery)
+}
+
 /// A node with the origin, and a cache server that has nothing.
 fn node_of_origin(name: &str, origin: &StandIn) -> (Node, Discovery) {
     let cache = serve(command, |_| miss());
@@ -400,10 +416,7 @@
 #[test]
 fn after_a_repeated_miss_no_value_goes_to_the_command_after() {
     let server = line_repeated(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n");
-    let origin = serve(call, |asked| Reaction::Answer(origin_makes(asked).unwrap()));
-    let members = [member("s-1", server.address, "m", "ready"), member("o-1", origin, "origin", "ready")];
-    let discovery = Discovery::start(&members.join(","));
-    let node = node("repeated-miss", &discovery, &[]);
+    let (node, _discovery) = node_beside_origin("repeated-miss", &server, &[]);
     let mut client = node.client();
     assert_each_own_or_unserved(&mut client, &["k0", "k1", "k2", "k3", "k4", "k5"]);
 }
@@ -1173,10 +1186,7 @@
 #[test]
 fn misses_of_a_cold_server_cost_few_connections() {
     let (server, connections) = counting(|_| Some(bytes_of(miss())));
-    let origin = serve(call, |asked| Reaction::Answer(origin_makes(asked).unwrap()));
-    let members = [member("s-1", server.address, "m", "ready"), member("o-1", origin, "origin", "ready")];
-    let discovery = Discovery::start(&members.join(","));
-    let node = node("cold-misses", &discovery, &[]);
+    let (node, _discovery) = node_beside_origin("cold-misses", &server, &[]);
     let mut client = node.client();
     for number in 0..100 {
         let key = format!("k{number}");
@@ -1190,11 +1200,7 @@
 /// Guards against values that are taken unchecked because misses have used up the checks.
 #[test]
 fn a_repeat_behind_many_misses_reaches_no_other_key() {
-    let makes: Makes = |asked| match asked[1].as_str() {
-        key if key.starts_with("miss") => Some(bytes_of(miss())),
-        _ => makes_for_key(asked),
-    };
-    let server = StandIn::start(command, makes, |line, _| {
+    let server = StandIn::start(command, makes_but_misses, |line, _| {
         while line.next() {
             if line.word(1) == "last" && !line.answers.is_empty() {
                 line.repeat(line.answers.len() - 1);
@@ -1204,10 +1210,7 @@
             line.answer();
         }
     });
-    let origin = serve(call, |asked| Reaction::Answer(origin_makes(asked).unwrap()));
-    let members = [member("s-1", server.address, "m", "ready"), member("o-1", origin, "origin", "ready")];
-    let discovery = Discovery::start(&members.join(","));
-    let node = node("misses-use-up", &discovery, &[ONE_CONNECTION]);
+    let (node, _discovery) = node_beside_origin("misses-use-up", &server, &[ONE_CONNECTION]);
     let mut clients: Vec<Client> = (0..3).map(|_| node.client()).collect();
     use_up_checks_behind_misses(&mut clients);
     thread::sleep(Duration::from_millis(400));
@@ -1231,11 +1234,7 @@
 /// behind the next command.
 #[test]
 fn a_value_behind_a_repeated_miss_reaches_no_other_key_where_all_checks_are_used_up() {
-    let makes: Makes = |asked| match asked[1].as_str() {
-        key if key.starts_with("miss") => Some(bytes_of(miss())),
-        _ => makes_for_key(asked),
-    };
-    let server = StandIn::start(command, makes, |line, _| {
+    let server = StandIn::start(command, makes_but_misses, |line, _| {
         while line.next() {
             if line.word(1) != "miss-last" {
                 line.answer();
@@ -1249,10 +1248,7 @@
             return;
         }
     });
-    let origin = serve(call, |asked| Reaction::Answer(origin_makes(asked).unwrap()));
-    let members = [member("s-1", server.address, "m", "ready"), member("o-1", origin, "origin", "ready")];
-    let discovery = Discovery::start(&members.join(","));
-    let node = node("checks-used-up", &discovery, &[ONE_CONNECTION]);
+    let (node, _discovery) = node_beside_origin("checks-used-up", &server, &[ONE_CONNECTION]);
     let mut clients: Vec<Client> = (0..3).map(|_| node.client()).collect();
     use_up_checks_behind_misses(&mut clients);
     let keys = ["miss-last", "value-x", "value-y"];
@@ -1270,15 +1266,8 @@
 /// Guards against a request that finds no connection because an answer is held back on the only one.
 #[test]
 fn while_a_value_is_held_back_another_request_is_served() {
-    let makes: Makes = |asked| match asked[1].as_str() {
-        key if key.starts_with("miss") => Some(bytes_of(miss())),
-        _ => makes_for_key(asked),
-    };
-    let server = StandIn::start(command, makes, |_, _| {});
-    let origin = serve(call, |asked| Reaction::Answer(origin_makes(asked).unwrap()));
-    let members = [member("s-1", server.address, "m", "ready"), member("o-1", origin, "origin", "ready")];
-    let discovery = Discovery::start(&members.join(","));
-    let node = node("held-back-beside", &discovery, &[ONE_CONNECTION]);
+    let server = StandIn::start(command, makes_but_misses, |_, _| {});
+    let (node, _discovery) = node_beside_origin("held-back-beside", &server, &[ONE_CONNECTION]);
     let mut clients: Vec<Client> = (0..3).map(|_| node.client()).collect();
     use_up_checks_behind_misses(&mut clients);
     for round in 0..5 {
@@ -1372,10 +1361,7 @@
         line.answer();
         line.next_within();
     });
-    let origin = serve(call, |asked| Reaction::Answer(origin_makes(asked).unwrap()));
-    let members = [member("s-1", server.address, "m", "ready"), member("o-1", origin, "origin", "ready")];
-    let discovery = Discovery::start(&members.join(","));
-    let node = node("slow-behind-repeat", &discovery, &[]);
+    let (node, _discovery) = node_beside_origin("slow-behind-repeat", &server, &[]);
     let mut client = node.client();
     assert_own(&read(&mut client, "k0"), "k0");
     assert_own(&read(&mut client, "k1"), "k1");
