Servers: while a value is asked for again, another answer with it waits for what that shows

Cause: until a first check has shown a value to be common, each connection that brought it ended for a check of its own, and what was written on it was sent again, which counts as an attempt; a request that moved from one to the next used up its three.

Change: while a value is asked for again, another answer with it is held back until that is known, 250 ms at most, and judged then. judging.rs learns, weighs and waits in separate steps.

--- a/crates/node/src/repeats.rs
+++ b/crates/node/src/repeats.rs
@@ -8,10 +8,12 @@
 //! server gets a new connection, which shows whether its receipts differ.
 
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use redis_protocol::resp2::types::BytesFrame;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -34,6 +36,8 @@
 const ANSWERS_FOR_A_COMMON_CHECK: u32 = 2 * ANSWERS_FOR_A_CHECK;
 /// The same of connections that are made lest a command meets a repeat.
 const CONNECTIONS_IN_A_ROW: u32 = 8;
+/// What a check shows is waited for no longer than this.
+const LONGEST_CHECK: Duration = Duration::from_millis(250);
 /// So many values that turned out to be others, and none that turned out to be true, show that a server repeats.
 const REFUTED_TO_DISTRUST: u32 = 2;
 /// An answer without a value may be the repeat of one that is no older than this: repeats are late by some tens of
@@ -280,6 +284,10 @@
     repeated_at: Option<Instant>,
     /// Values that turned out to be others since one turned out to be true.
     refuted: u32,
+    /// The value that is being asked for again now for another key's, and since when.
+    under_check: Option<(Fingerprint, Instant)>,
+    /// Told when that is known.
+    pub(crate) check_ended: Rc<Notify>,
     /// Checks of values that came before, and the part of them that common values may take; checks of values behind a
     /// refusal or a miss that came before; and connections for commands that must not meet a repeat.
     value_checks: Allowance,
@@ -296,6 +304,8 @@
             receipts: Receipts::Unknown,
             repeated_at: None,
             refuted: 0,
+            under_check: None,
+            check_ended: Rc::default(),
             value_checks: Allowance::of(CHECKS_IN_A_ROW, ANSWERS_FOR_A_CHECK),
             common_checks: Allowance::of(COMMON_CHECKS_IN_A_ROW, ANSWERS_FOR_A_COMMON_CHECK),
             step_checks: Allowance::of(CHECKS_IN_A_ROW, ANSWERS_FOR_A_CHECK),
@@ -360,16 +370,35 @@
         }
         match doubt.cause {
             Cause::BehindRepeat => self.step_checks.take(),
-            Cause::SameKey | Cause::OtherKey => self.value_checks.take(),
+            Cause::SameKey => self.value_checks.take(),
+            Cause::OtherKey => {
+                let is_granted = self.value_checks.take();
+                if is_granted {
+                    self.under_check = Some((doubt.value, Instant::now()));
+                }
+                is_granted
+            }
         }
     }
 
+    /// Whether another command's check will tell of a doubt soon: a check of its own would cost what is in flight on
+    /// one more connection.
+    pub(crate) fn is_under_check(&self, doubt: Doubt) -> bool {
+        let is_recent =
+            |(value, since): (Fingerprint, Instant)| value == doubt.value && since.elapsed() < LONGEST_CHECK;
+        doubt.cause == Cause::OtherKey && !self.is_distrusted() && self.under_check.is_some_and(is_recent)
+    }
+
     /// A value has come, as the first on its connection, for a command of which the last was doubted; whether that was true.
     /// `None` where it tells nothing.
     pub(crate) fn settle(&mut self, doubt: Doubt, value: Fingerprint) -> Option<bool> {
         if doubt.cause == Cause::BehindRepeat {
             return None;
         }
+        if self.under_check.is_some_and(|(checked, _)| checked == doubt.value) {
+            self.under_check = None;
+            self.check_ended.notify_waiters();
+        }
         let is_true = doubt.value == value;
         // One that several keys have may change for all of them at once.
         let proves_nothing =
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::connection::Shared;
-use super::judging::{Verdict, brings_surplus, judge, keep};
+use super::judging::{believe, believe_large};
 use super::line::{Sent, Writing};
 use super::payload::{Command, Kind};
 use super::{ConnectionEnd, Event, LONGEST_SILENCE};
@@ -170,16 +170,9 @@
         let mut may_repeat = false;
         if let Ok(Some(frame)) = &taken {
             let value = Fingerprint::of_answer(frame);
-            match judge(value, shared) {
-                Verdict::Believe => {}
-                Verdict::AskAgain(doubt) => return ConnectionEnd::OutOfStep(Some(doubt)),
-                Verdict::HoldBack => match brings_surplus(reading, &mut buffer, shared).await {
-                    Ok(false) => {}
-                    Ok(true) => return ConnectionEnd::OutOfStep(None),
-                    Err(_) => return ConnectionEnd::Broken,
-                },
+            if let Err(end) = believe(value, reading, &mut buffer, shared).await {
+                return end;
             }
-            keep(value, shared);
             // Load reports are equal as often as loads are.
             may_repeat = value.is_none()
                 && !matches!(frame, BytesFrame::BulkString(_))
@@ -290,11 +283,9 @@
             }
         }
         let value = fingerprint.take().and_then(|mut f| f.update(&buffer[large.head..]));
-        // What passes piece by piece can't be held back.
-        if let Verdict::AskAgain(doubt) = judge(value, shared) {
+        if let Err(doubt) = believe_large(value, shared) {
             return Passed::Doubted(doubt);
         }
-        keep(value, shared);
     }
     let (into, value) = LargeValue::new(large.length);
     shared.line.borrow_mut().streaming = true;
@@ -316,8 +307,7 @@
         left -= piece.len();
         if let Some(value) = fingerprint.as_mut().and_then(|f| f.update(&piece)) {
             // Of a length that none had before it: it can't be doubted.
-            judge(Some(value), shared);
-            keep(Some(value), shared);
+            let _ = believe_large(Some(value), shared);
         }
         wanted = wanted && tell_if_held_up(into.send(piece), shared, &tell).await.is_ok();
         // Its client has gone. The rest is read for the sake of those behind it alone.
--- a/crates/node/tests/unit/repeats.rs
+++ b/crates/node/tests/unit/repeats.rs
@@ -114,6 +114,32 @@
     assert!((COMMON_CHECKS_IN_A_ROW..=most).contains(&sent_again), "{sent_again}");
 }
 
+/// While a value is asked for again, more doubts of the same value wait for what that shows, but not at a server that repeats,
+/// where each value may be a repeat of its own.
+#[test]
+fn a_value_that_is_being_asked_for_again_is_waited_for_until_that_is_known() {
+    let (doubt, other) = (doubt_about("0"), doubt_about("1"));
+    for answer in ["0", "changed"] {
+        let mut findings = Findings::default();
+        assert!(!findings.is_under_check(doubt));
+        assert!(findings.wants_check(doubt));
+        assert!(findings.is_under_check(doubt));
+        assert!(!findings.is_under_check(other));
+        findings.settle(other, value("1"));
+        assert!(findings.is_under_check(doubt), "another one's end");
+        findings.settle(doubt, value(answer));
+        assert!(!findings.is_under_check(doubt));
+    }
+    let mut findings = Findings::default();
+    assert!(findings.wants_check(doubt));
+    findings.repeated();
+    assert!(!findings.is_under_check(doubt));
+    let mut findings = Findings::default();
+    assert!(findings.wants_check(doubt));
+    findings.under_check = findings.under_check.map(|(value, since)| (value, since - LONGEST_CHECK));
+    assert!(!findings.is_under_check(doubt), "its answer may never come");
+}
+
 /// A value that all keys have may change for all of them at once, again and again.
 #[test]
 fn a_common_value_that_turns_out_to_be_another_is_no_proof_of_a_repeat() {
