Servers: a doubted value that is not asked again is held back until a fence shows whether answers are in order

Callers got the value that their key had before a change, and the reader of the next key the new one, at a cache server whose values were seen to stay the same: the entry after_a_repeat_for_its_own_key_the_true_answer_goes_to_no_other_key.

Cause: an answer that equals the last one of its key is believed once values are known to stay (Findings::wants_check), for asking again costs an attempt and a connection for each read of a key that is asked often. A repeat looks the same.

Change: such an answer, and one behind a repeated miss that may not be asked again, is held back until PING behind its command is answered (servers/fence.rs). An array in the place of that answer shows a repeat, and the value is asked for again on a new connection; the answer in its place shows that all before it are in order, and they are not doubted again. Where the doubt is known beforehand, the fence is written behind the command at once. The answers to fences may be repeated as well: as many are written as may still be, and one more (2 at most, 4 at a server that has repeated of late; beyond that, asked again), and what equals one is no other command's. Commands are written meanwhile, so that the pause of a connection is gone.

Why it works: the order of answers tells what their values can't.

Stand-ins: one that answered each command with the same value, and the one that repeats, which panicked at a command of one word, answer PING in its turn; the latter repeats that as often as any other answer. No check is changed. In resp, the count of whole frames, used by the pause alone, is replaced by the first whole frame, and its test by one over the same bytes and cuts that asks for the length of each frame.

--- a/crates/mothpier/tests/repeating/mod.rs
+++ b/crates/mothpier/tests/repeating/mod.rs
@@ -159,7 +159,13 @@
     attempts: &Mutex<HashMap<String, u32>>,
     to: &Sender<Pending>,
 ) {
-    let number = record.lock().unwrap().command(begun.elapsed(), &asked[1]);
+    // `PING` has no further word.
+    let subject = asked.get(1).unwrap_or(&asked[0]);
+    let (number, behind) = {
+        let mut record = record.lock().unwrap();
+        let behind = record.commands.last().map(|(_, key)| key.clone()).unwrap_or_default();
+        (record.command(begun.elapsed(), subject), behind)
+    };
     let pending = match asked[0].as_str() {
         "CACHE.GET" => {
             let earlier = {
@@ -174,6 +180,17 @@
             let after = draws.up_to(habits.latest_repeat);
             Pending { number, bytes: bytes_for(&asked[1]), due, repeat_after: repeated.then_some(after) }
         }
+        "PING" => {
+            let mut draws = Draws::new(habits.seed, &format!("PING {number} behind {behind}"));
+            let repeated = draws.next() < habits.repeated;
+            let after = draws.up_to(habits.latest_repeat);
+            Pending {
+                number,
+                bytes: b"+PONG\r\n".to_vec(),
+                due: Instant::now(),
+                repeat_after: repeated.then_some(after),
+            }
+        }
         // A probe: it is answered with the load alone.
         _ => Pending {
             number,
--- a/crates/mothpier/tests/second_answer_orders.rs
+++ b/crates/mothpier/tests/second_answer_orders.rs
@@ -41,6 +41,8 @@
     seen: Sender<Vec<String>>,
     unanswered: VecDeque<Vec<String>>,
     answers: Vec<Vec<u8>>,
+    /// Commands that only show whether answers are in order, as far as they have been read.
+    fences: usize,
     ended: bool,
 }
 
@@ -53,6 +55,7 @@
                 return false;
             };
             let is_side = side_answer(&asked).is_some();
+            self.fences += usize::from(asked == ["PING"]);
             let _ = self.seen.send(asked.clone());
             self.unanswered.push_back(asked);
             if !is_side {
@@ -164,7 +167,8 @@
                 thread::spawn(move || {
                     let (unanswered, answers) = (VecDeque::new(), Vec::new());
                     let stream = BufReader::new(stream);
-                    let mut line = Line { stream, read, makes, seen, unanswered, answers, ended: false };
+                    let mut line =
+                        Line { stream, read, makes, seen, unanswered, answers, fences: 0, ended: false };
                     script(&mut line, number);
                     line.serve();
                 });
@@ -1483,3 +1487,53 @@
     assert_own_or_unserved(&answers[1], "k2");
     assert!(answer != "$old", "an answer that was not made for this request");
 }
+
+/// Counts what was asked of a server: reads, and commands that only show whether answers are in order.
+fn reads_and_fences(server: &StandIn) -> (usize, usize) {
+    let seen: Vec<Vec<String>> = server.seen.try_iter().collect();
+    let count = |name: &str| seen.iter().filter(|asked| asked[0] == name).count();
+    (count("CACHE.GET"), count("PING"))
+}
+
+/// Guards against attempts and connections that a key costs which is read often and keeps its value: whether an answer is a
+/// repeat is seen from a command that stands behind its own.
+#[test]
+fn a_key_that_is_read_often_and_keeps_its_value_costs_no_further_attempt_or_connection() {
+    const REQUESTS: usize = 100;
+    let (server, connections) = counting(makes_for_key);
+    let (node, _discovery) = node_of("read-often", &server, &[THROUGH]);
+    let mut client = node.client();
+    for _ in 0..REQUESTS {
+        assert_own(&read(&mut client, "hot"), "hot");
+    }
+    let (reads, fences) = reads_and_fences(&server);
+    let connections = connections.load(Ordering::SeqCst);
+    println!("{REQUESTS} requests: {reads} reads, {fences} fences, {connections} connections");
+    assert!(reads <= REQUESTS + REQUESTS / 50, "{reads} reads for {REQUESTS} requests");
+    assert!(connections <= 2, "{connections} connections");
+    assert!(fences > 0, "nothing was tried");
+}
+
+/// Guards against the answer to a fence that comes a second time, and as an error, taken for the answer of the next read.
+#[test]
+fn an_answer_to_a_fence_that_is_repeated_is_not_taken_for_the_next_commands() {
+    let repeated = Arc::new(AtomicUsize::new(0));
+    let count = repeated.clone();
+    let server = StandIn::start(command, makes_for_key, move |line, _| {
+        while line.next() {
+            if line.word(1).starts_with('k') && line.fences > 0 {
+                line.write(b"-ERR unknown command\r\n");
+                count.fetch_add(1, Ordering::SeqCst);
+            }
+            line.answer();
+        }
+    });
+    let (node, _discovery) = node_of("fence-repeated", &server, &[THROUGH, ONE_CONNECTION]);
+    let mut client = node.client();
+    for round in 0..10 {
+        assert_own(&read(&mut client, "stays"), "stays");
+        let key = format!("k{round}");
+        assert_own(&read(&mut client, &key), &key);
+    }
+    assert!(repeated.load(Ordering::SeqCst) > 0, "nothing was tried");
+}
--- a/crates/mothpier/tests/world/mod.rs
+++ b/crates/mothpier/tests/world/mod.rs
@@ -52,6 +52,11 @@
     Reaction::Answer(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec())
 }
 
+/// The answer to `PING`, which a node sends to find out whether answers are in order.
+pub fn pong() -> Reaction {
+    Reaction::Answer(b"+PONG\r\n".to_vec())
+}
+
 pub fn http(status: &str, body: &str) -> Reaction {
     let length = body.len();
     Reaction::Answer(format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}").into_bytes())
@@ -119,7 +124,8 @@
                 let mut reader = BufReader::new(stream.try_clone().unwrap());
                 let mut stream = stream;
                 while let Some(asked) = read(&mut reader) {
-                    match react(&asked) {
+                    let reaction = if asked == ["PING"] { pong() } else { react(&asked) };
+                    match reaction {
                         Reaction::Answer(bytes) if stream.write_all(&bytes).is_ok() => {}
                         Reaction::Silence => {}
                         Reaction::AnswerAndClose(bytes, closed) => {
--- a/crates/node/src/repeats.rs
+++ b/crates/node/src/repeats.rs
@@ -8,12 +8,10 @@
 //! server gets a new connection, which shows whether its receipts differ.
 
 use std::collections::VecDeque;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use redis_protocol::resp2::types::BytesFrame;
-use tokio::sync::Notify;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -42,7 +40,7 @@
 const REFUTED_TO_DISTRUST: u32 = 2;
 /// An answer without a value may be the repeat of one that is no older than this: repeats are late by some tens of
 /// milliseconds at the most.
-const LATEST_REPEAT: Duration = Duration::from_millis(50);
+pub(crate) const LATEST_REPEAT: Duration = Duration::from_millis(50);
 /// Where a repeat was taken for an answer, the true one comes within this time, or is waited for no longer.
 const LATEST_TRUE_ANSWER: Duration = Duration::from_secs(1);
 /// Bytes at the beginning of a large value by which it is told from others of its length.
@@ -109,6 +107,11 @@
 }
 
 impl Doubt {
+    /// Whether its value came for another key.
+    pub(crate) fn is_of_other_key(&self) -> bool {
+        self.cause == Cause::OtherKey
+    }
+
     /// Whether its value came only once.
     pub(crate) fn is_behind_repeat(self) -> bool {
         self.cause == Cause::BehindRepeat
@@ -199,6 +202,12 @@
         self.without_value.back().is_some_and(|(_, at)| at.elapsed() < LATEST_REPEAT)
     }
 
+    /// Whether one of them was for this key.
+    pub(crate) fn have_key(&self, key: &[u8]) -> bool {
+        let key = xxh3_64(key);
+        self.with_value.iter().any(|earlier| earlier.key == key)
+    }
+
     /// Whether one of them has a value of this length.
     pub(crate) fn have_length(&self, length: usize) -> bool {
         self.with_value.iter().any(|earlier| earlier.value.length == length)
@@ -286,8 +295,6 @@
     refuted: u32,
     /// The value that is being asked for again now for another key's, and since when.
     under_check: Option<(Fingerprint, Instant)>,
-    /// Told when that is known.
-    pub(crate) check_ended: Rc<Notify>,
     /// Checks of values that came before, and the part of them that common values may take; checks of values behind a
     /// refusal or a miss that came before; and connections for commands that must not meet a repeat.
     value_checks: Allowance,
@@ -305,7 +312,6 @@
             repeated_at: None,
             refuted: 0,
             under_check: None,
-            check_ended: Rc::default(),
             value_checks: Allowance::of(CHECKS_IN_A_ROW, ANSWERS_FOR_A_CHECK),
             common_checks: Allowance::of(COMMON_CHECKS_IN_A_ROW, ANSWERS_FOR_A_COMMON_CHECK),
             step_checks: Allowance::of(CHECKS_IN_A_ROW, ANSWERS_FOR_A_CHECK),
@@ -397,7 +403,6 @@
         }
         if self.under_check.is_some_and(|(checked, _)| checked == doubt.value) {
             self.under_check = None;
-            self.check_ended.notify_waiters();
         }
         let is_true = doubt.value == value;
         // One that several keys have may change for all of them at once.
@@ -416,8 +421,14 @@
         Some(is_true)
     }
 
-    /// What was doubted came again on a connection where it can't be a repeat: it is true.
-    fn confirmed(&mut self, doubt: Doubt) {
+    /// Whether values are known to stay the same from one request of a key to the next.
+    pub(crate) fn has_stable_values(&self) -> bool {
+        self.has_stable_values
+    }
+
+    /// What was doubted came again on a connection where it can't be a repeat, or answers were shown to be in order: it is
+    /// true.
+    pub(crate) fn confirmed(&mut self, doubt: Doubt) {
         match doubt.cause {
             Cause::SameKey => self.has_stable_values = true,
             Cause::BehindRepeat => {}
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -27,6 +27,7 @@
 
 mod connection;
 mod driver;
+mod fence;
 mod judging;
 mod line;
 mod payload;
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -18,10 +18,10 @@
 use tokio::time::{Instant, timeout};
 
 use super::connection::Shared;
-use super::judging::{believe, believe_large};
+use super::judging::{MOST_FENCES_AHEAD, believe, believe_large, expects_doubt};
 use super::line::{Sent, Writing};
 use super::payload::{Command, Kind};
-use super::{ConnectionEnd, Event, LONGEST_SILENCE};
+use super::{ConnectionEnd, Event, LONGEST_SILENCE, fence};
 use crate::command::{PIECE, STANDSTILL, Stream as LargeValue};
 use crate::input::Input;
 use crate::repeats::{Doubt, Fingerprint, LARGE_PREFIX, LargeFingerprint};
@@ -77,6 +77,9 @@
         loop {
             // Once round the runtime: a close that has come in is read before anything more is written.
             tokio::task::yield_now().await;
+            if write_fences(&mut writing, shared).await.is_err() {
+                return;
+            }
             let Begun { command, bytes, written } = match begin_next(&mut writing, shared).await {
                 Ok(Some(begun)) => begun,
                 Ok(None) => {
@@ -103,7 +106,11 @@
             if command.payload.kind() != Kind::Probe {
                 shared.figures.attempt();
             }
-            line.sent.push_back(Sent { command, written: Instant::now(), given_up: false });
+            let expects_doubt = expects_doubt(&command, &line, shared);
+            line.sent.push_back(Sent { command, written: Instant::now(), given_up: false, fences: 0 });
+            if expects_doubt {
+                line.want_fence(MOST_FENCES_AHEAD);
+            }
         }
     };
     // The reader first: a close by the server is noticed before anything more is written to it.
@@ -123,9 +130,12 @@
     let tell = |event| events.send(Input::Server { server, number, event });
     let mut buffer = BytesMut::new();
     loop {
+        if take_fences(&mut buffer, shared).is_err() {
+            return out_of_step(None, shared);
+        }
         let (nothing_sent, writing) = {
             let line = shared.line.borrow();
-            (line.sent.is_empty(), line.writing)
+            (line.sent.is_empty() && line.fences.due == 0, line.writing)
         };
         if nothing_sent && writing == Writing::Abandoned {
             return ConnectionEnd::Broken;
@@ -144,14 +154,19 @@
         if !buffer.is_empty() && shared.line.borrow().next_answer_is_ambiguous() {
             return ConnectionEnd::Broken;
         }
-        if let Some(large) = resp::large_answer(&buffer) {
+        let fences_due = shared.line.borrow().fences.due > 0;
+        if let Some(large) = resp::large_answer(&buffer).filter(|_| !fences_due) {
             match pass_on(large, reading, &mut buffer, shared, tell).await {
                 Passed::Whole => continue,
                 Passed::Cut => return ConnectionEnd::Broken,
                 Passed::Doubted(doubt) => return ConnectionEnd::OutOfStep(Some(doubt)),
             }
         }
-        let taken = resp::take_frame(&mut buffer, resp::WHOLE);
+        let taken = match fences_due {
+            // None of their answers has come whole.
+            true => Ok(None),
+            false => resp::take_frame(&mut buffer, resp::WHOLE),
+        };
         if let Ok(None) = taken {
             if buffer.is_empty() {
                 buffer = BytesMut::new();
@@ -176,9 +191,9 @@
             // Load reports are equal as often as loads are.
             may_repeat = value.is_none()
                 && !matches!(frame, BytesFrame::BulkString(_))
-                && shared.line.borrow_mut().recent.push_empty(&resp::encode(frame));
+                && shared.line.borrow_mut().push_empty(&resp::encode(frame));
         }
-        let Some(sent) = shared.line.borrow_mut().sent.pop_front() else { return ConnectionEnd::Broken };
+        let Some(sent) = shared.line.borrow_mut().take_answered() else { return ConnectionEnd::Broken };
         // That it was turned away can't be believed then: what may not run twice would.
         let misleads = may_repeat && !sent.command.payload.may_run_twice();
         let (event, good) = match taken {
@@ -187,16 +202,68 @@
             }
             _ => (Event::Spoilt(sent.attempt()), false),
         };
+        let in_order = take_fences(&mut buffer, shared).is_ok();
         // Before the node hears of it, which may have something more to write.
-        let waits = !shared.line.borrow().sent.is_empty();
-        shared.line.borrow_mut().ending = !good || !(buffer.is_empty() || waits);
-        shared.line.borrow_mut().has_answered |= good;
+        {
+            let mut line = shared.line.borrow_mut();
+            let waits = !line.sent.is_empty() || line.fences.due > 0;
+            line.ending = !good || !in_order || !(buffer.is_empty() || waits);
+            line.has_answered |= good;
+        }
         let told = tell(event).await;
         if told.is_err() || !good {
             host.log(format_args!("{address}: an answer that can't be read"));
             return ConnectionEnd::Broken;
         }
+        if !in_order {
+            return out_of_step(None, shared);
+        }
+    }
+}
+
+/// An answer more has come than was asked for: how the connection ends.
+fn out_of_step(doubt: Option<Doubt>, shared: &Shared) -> ConnectionEnd {
+    shared.findings.borrow_mut().repeated();
+    ConnectionEnd::OutOfStep(doubt)
+}
+
+/// Takes the answers to fences that come next, as far as they are there, and repeats of such answers.
+///
+/// # Errors
+/// Where something else has come in their place, or the answer to a fence in another place.
+fn take_fences(buffer: &mut BytesMut, shared: &Shared) -> Result<(), AnswerTooMany> {
+    let mut line = shared.line.borrow_mut();
+    while line.fences.due > 0 {
+        match resp::take_bytes(buffer, resp::WHOLE) {
+            Ok(Some(frame)) if line.fences.take(frame.clone()) => {}
+            Ok(None) if resp::large_answer(buffer).is_none() => return Ok(()),
+            _ => return Err(AnswerTooMany),
+        }
+    }
+    while !line.sent.is_empty() {
+        let Some(length) = line.fences.repeated(buffer) else { break };
+        // It may be the answer to a fence that is out: a command ahead was dropped without a word, then.
+        if line.has_fence() {
+            return Err(AnswerTooMany);
+        }
+        let _ = buffer.split_to(length);
+        shared.findings.borrow_mut().repeated();
     }
+    Ok(())
+}
+
+/// An answer has come in the place of a fence's, or that of a fence in another's place.
+struct AnswerTooMany;
+
+/// Writes the fences that are wanted.
+async fn write_fences(writing: &mut (impl AsyncWrite + Unpin), shared: &Shared) -> std::io::Result<()> {
+    let wanted = shared.line.borrow().fences.wanted;
+    if wanted == 0 {
+        return Ok(());
+    }
+    writing.write_all(&fence::encode(wanted)).await?;
+    shared.line.borrow_mut().fences_written(wanted);
+    Ok(())
 }
 
 /// Reads why a connection was not made.
@@ -219,9 +286,6 @@
     poll_fn(|context| {
         let next = {
             let line = shared.line.borrow();
-            if line.is_paused {
-                return Poll::Ready(Ok(None));
-            }
             line.unsent.iter().enumerate().find_map(|(index, c)| Some((index, c.payload.encode_now()?)))
         };
         let Some((index, bytes)) = next else { return Poll::Ready(Ok(None)) };
@@ -240,7 +304,7 @@
 }
 
 /// As [`more`]; an error, too, where nothing has come within a time.
-async fn more_within(
+pub(super) async fn more_within(
     reading: &impl Reading,
     buffer: &mut BytesMut,
     room: usize,
@@ -336,7 +400,7 @@
         }
     }
     let mut line = shared.line.borrow_mut();
-    line.sent.pop_front();
+    line.take_answered();
     (line.streaming, line.held_up, line.has_answered) = (false, false, true);
     Passed::Whole
 }
--- a/crates/node/src/servers/judging.rs
+++ b/crates/node/src/servers/judging.rs
@@ -1,29 +1,37 @@
 //! What is to be done with an answer that has come: whether it is believed to be that of the command that has waited longest.
 
+use std::io::ErrorKind;
+
 use bytes::BytesMut;
 use mothpier_host::Reading;
 use mothpier_resp as resp;
-use tokio::time::timeout;
+use tokio::time::Instant;
 
 use super::connection::Shared;
-use super::payload::Payload;
+use super::driver::more_within;
+use super::fence::{Order, order};
+use super::line::Line;
+use super::payload::{Command, Payload};
 use super::{ConnectionEnd, LONGEST_SILENCE};
 use crate::repeats::{Doubt, Fingerprint};
-use crate::stream::{READ, more};
+use crate::stream::READ;
 
 /// Bytes behind an answer that is held back: with more than this it is not waited any longer.
 const MOST_HELD_BACK: usize = 4 * resp::WHOLE;
 
+/// Fences that are written for one answer at most: behind a command of which the answer will be doubted, at a server that has
+/// not repeated any of late, and at one that has.
+pub(super) const MOST_FENCES_AHEAD: usize = 2;
+const MOST_FENCES: usize = 2;
+const MOST_FENCES_AT_DISTRUSTED: usize = 4;
+
 /// What is to be done with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Verdict {
     /// It is handed on.
     Believe,
-    /// It may be the answer to the command before, and may not be asked for again: it is held back until the connection
-    /// shows whether one answer more comes than commands were written.
-    HoldBack,
-    /// It may be a repeat, and its value is being asked for again for another command: it is held back until that is known.
-    AwaitCheck(Doubt),
+    /// It may be a repeat: it is held back until a fence behind its command shows whether it is.
+    AwaitFence(Doubt),
     /// It may be a repeat: the connection ends, and it is asked for again.
     AskAgain(Doubt),
 }
@@ -39,20 +47,12 @@
     shared: &Shared,
 ) -> Result<(), ConnectionEnd> {
     learn(value, shared);
-    let mut verdict = weigh(value, shared);
-    if let Verdict::AwaitCheck(doubt) = verdict {
-        let is_under_check = || shared.findings.borrow().is_under_check(doubt);
-        hold_back(reading, buffer, shared, is_under_check).await?;
-        verdict = weigh_now(value, shared);
-    }
-    match verdict {
+    match weigh(value, shared) {
         Verdict::Believe => {}
-        Verdict::AskAgain(doubt) | Verdict::AwaitCheck(doubt) => {
-            return Err(ConnectionEnd::OutOfStep(Some(doubt)));
-        }
-        Verdict::HoldBack => {
-            hold_back(reading, buffer, shared, || true).await?;
-            shared.line.borrow_mut().recent.found_in_step();
+        Verdict::AskAgain(doubt) => return Err(ConnectionEnd::OutOfStep(Some(doubt))),
+        Verdict::AwaitFence(doubt) => {
+            await_fence(doubt, reading, buffer, shared).await?;
+            shared.findings.borrow_mut().confirmed(doubt);
         }
     }
     keep(value, shared);
@@ -62,15 +62,23 @@
 /// The same of a large value, which passes in pieces and can't be held back.
 pub(super) fn believe_large(value: Option<Fingerprint>, shared: &Shared) -> Result<(), Doubt> {
     learn(value, shared);
-    match weigh_now(value, shared) {
-        Verdict::AskAgain(doubt) | Verdict::AwaitCheck(doubt) => Err(doubt),
-        Verdict::Believe | Verdict::HoldBack => {
+    match weigh(value, shared) {
+        Verdict::AskAgain(doubt) => Err(doubt),
+        Verdict::AwaitFence(doubt) if doubt.is_of_other_key() => Err(doubt),
+        Verdict::Believe | Verdict::AwaitFence(_) => {
             keep(value, shared);
             Ok(())
         }
     }
 }
 
+/// Whether the answer to a command that has just been written will be doubted: a fence that is written behind it at once costs
+/// no time.
+pub(super) fn expects_doubt(command: &Command, line: &Line, shared: &Shared) -> bool {
+    let Payload::Request { command, .. } = &command.payload else { return false };
+    shared.findings.borrow().has_stable_values() && line.recent.have_key(&command.key)
+}
+
 /// Learns from an answer what was doubted before, where it is the first on its connection and was asked for again.
 fn learn(value: Option<Fingerprint>, shared: &Shared) {
     let line = &mut *shared.line.borrow_mut();
@@ -93,35 +101,21 @@
 
 /// Compares an answer's value, if it has one, with those that came before it on the same connection.
 fn weigh(value: Option<Fingerprint>, shared: &Shared) -> Verdict {
-    let doubt = doubt(value, shared);
-    match doubt.filter(|doubt| shared.findings.borrow().is_under_check(*doubt)) {
-        Some(doubt) => Verdict::AwaitCheck(doubt),
-        None => weigh_now(value, shared),
-    }
-}
-
-/// Why the answer that has come may not be that of the command which has waited longest.
-fn doubt(value: Option<Fingerprint>, shared: &Shared) -> Option<Doubt> {
-    let line = shared.line.borrow();
-    let sent = line.sent.front()?;
-    let Payload::Request { command, .. } = &sent.command.payload else { return None };
-    line.recent.doubt(&command.key, sent.written, value?)
-}
-
-/// As [`weigh`], with what is known now.
-fn weigh_now(value: Option<Fingerprint>, shared: &Shared) -> Verdict {
-    let doubt = doubt(value, shared);
     let line = shared.line.borrow();
     let (Some(sent), Some(value)) = (line.sent.front(), value) else { return Verdict::Believe };
     let Payload::Request { command, .. } = &sent.command.payload else { return Verdict::Believe };
     let mut findings = shared.findings.borrow_mut();
     let mut known_values = shared.known_values.borrow_mut();
-    let Some(doubt) = doubt else {
+    let Some(doubt) = line.recent.doubt(&command.key, sent.written, value).filter(|_| line.in_order == 0)
+    else {
         if !command.write && findings.is_common(value) {
             known_values.insert(&command.key, value);
         }
         return Verdict::Believe;
     };
+    if findings.is_under_check(doubt) {
+        return Verdict::AwaitFence(doubt);
+    }
     let wants_check = match command.write {
         // A write can't be asked again.
         true => findings.wants_check(doubt),
@@ -131,13 +125,14 @@
             findings.wants_check_of_read(doubt, is_believed, in_flight)
         }
     };
-    if wants_check {
+    let shows_nothing = findings.is_distrusted() && line.repeatable_fences() >= MOST_FENCES_AT_DISTRUSTED;
+    if wants_check || (shows_nothing && !doubt.is_of_other_key()) {
         shared.figures.answer_doubted();
         return Verdict::AskAgain(doubt);
     }
-    match doubt.is_behind_repeat() {
-        true => Verdict::HoldBack,
-        false => Verdict::Believe,
+    match doubt.is_of_other_key() {
+        true => Verdict::Believe,
+        false => Verdict::AwaitFence(doubt),
     }
 }
 
@@ -152,44 +147,52 @@
     line.recent.push(&command.key, value);
 }
 
-/// Waits, with an answer held back that has been taken off the buffer, as long as there is a reason to, and no longer than an answer
-/// may be overdue. Nothing new is written meanwhile: its answer could not be told from one that is too many.
+/// Waits, with an answer held back that has been taken off the buffer, for the answer to a fence behind its command, no longer
+/// than answers may be silent and its attempt is waited for.
 ///
 /// # Errors
-/// Where one answer more has come than commands wait, or the connection has ended.
-async fn hold_back(
+/// Where that shows a repeat, or nothing; or the connection has ended.
+async fn await_fence(
+    doubt: Doubt,
     reading: &impl Reading,
     buffer: &mut BytesMut,
     shared: &Shared,
-    has_reason: impl Fn() -> bool,
 ) -> Result<(), ConnectionEnd> {
     shared.figures.answer_held_back();
-    shared.line.borrow_mut().is_paused = true;
-    let held = timeout(LONGEST_SILENCE, wait_for_surplus(reading, buffer, shared, has_reason)).await;
-    shared.line.borrow_mut().is_paused = false;
-    shared.wake.notify_one();
-    held.unwrap_or(Ok(()))
-}
-
-/// Reads on while there is a reason to, until one answer more has come than commands wait.
-async fn wait_for_surplus(
-    reading: &impl Reading,
-    buffer: &mut BytesMut,
-    shared: &Shared,
-    has_reason: impl Fn() -> bool,
-) -> Result<(), ConnectionEnd> {
-    let check_ended = shared.findings.borrow().check_ended.clone();
-    while has_reason() && buffer.len() <= MOST_HELD_BACK {
-        let behind = shared.line.borrow().sent.len().saturating_sub(1);
-        if resp::whole_frames(buffer, resp::WHOLE) > behind {
-            shared.findings.borrow_mut().repeated();
-            return Err(ConnectionEnd::OutOfStep(None));
+    let ends = {
+        let mut line = shared.line.borrow_mut();
+        if !line.has_fence() {
+            let is_distrusted = shared.findings.borrow().is_distrusted();
+            line.want_fence(if is_distrusted { MOST_FENCES_AT_DISTRUSTED } else { MOST_FENCES });
+            shared.wake.notify_one();
+        }
+        line.sent.front().and_then(|sent| sent.command.payload.ends())
+    };
+    let unknown = || Err(ConnectionEnd::OutOfStep(Some(doubt)));
+    loop {
+        let order = order(&shared.line.borrow(), buffer);
+        match order {
+            Order::Kept { answers } => {
+                let mut line = shared.line.borrow_mut();
+                line.in_order = 1 + answers;
+                line.recent.found_in_step();
+                return Ok(());
+            }
+            Order::Broken => {
+                shared.findings.borrow_mut().repeated();
+                return unknown();
+            }
+            Order::Unreadable => return unknown(),
+            Order::Unknown => {}
         }
-        tokio::select! {
-            biased;
-            read = more(reading, buffer, READ) => read.map_err(|_| ConnectionEnd::Broken)?,
-            () = check_ended.notified() => {}
+        let is_over = ends.is_some_and(|ends| Instant::now() >= ends);
+        if is_over || buffer.len() > MOST_HELD_BACK {
+            return unknown();
+        }
+        match more_within(reading, buffer, READ, LONGEST_SILENCE).await {
+            Ok(()) => {}
+            Err(e) if e.kind() == ErrorKind::TimedOut => return unknown(),
+            Err(_) => return Err(ConnectionEnd::Broken),
         }
     }
-    Ok(())
 }
--- a/crates/node/src/servers/line.rs
+++ b/crates/node/src/servers/line.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use super::fence::Fences;
 use super::payload::{Command, Kind};
 use crate::command::AttemptId;
 use crate::repeats::{Doubt, RecentAnswers};
@@ -19,6 +20,8 @@
     pub written: Instant,
     /// The node waits for it no longer.
     pub given_up: bool,
+    /// So many fences were written behind it, before the next command.
+    pub fences: usize,
 }
 
 impl Sent {
@@ -58,8 +61,6 @@
     pub up: bool,
     /// What came last makes it useless: it is about to end.
     pub ending: bool,
-    /// An answer is held back that may be the one before it: nothing is written until that is known.
-    pub is_paused: bool,
     /// A large value is passing: how long that takes is up to its client.
     pub streaming: bool,
     /// The large value that is passing has stood still.
@@ -74,6 +75,9 @@
     pub has_answered: bool,
     /// The answers that have come.
     pub recent: RecentAnswers,
+    pub fences: Fences,
+    /// The answers to so many of those sent are shown to be theirs.
+    pub in_order: usize,
 }
 
 impl Line {
@@ -94,7 +98,7 @@
 
     /// Whether what is written now would be answered without waiting for something that stands still.
     pub fn moves(&self) -> bool {
-        !self.stalled() && !self.held_up && !self.is_paused && self.writing != Writing::Abandoned
+        !self.stalled() && !self.held_up && self.writing != Writing::Abandoned
     }
 
     /// Whether the answer to what is written now could be told from that of the command before without asking again.
@@ -110,6 +114,50 @@
             || written.is_some_and(|written| self.recent.may_be_out_of_step(written))
     }
 
+    /// The command that has waited longest has been answered: takes it off.
+    pub fn take_answered(&mut self) -> Option<Sent> {
+        let answered = self.sent.pop_front()?;
+        self.fences.due += answered.fences;
+        self.in_order = self.in_order.saturating_sub(1);
+        Some(answered)
+    }
+
+    /// Keeps an answer without a value; whether it may be the repeat of another.
+    pub fn push_empty(&mut self, answer: &[u8]) -> bool {
+        let may_repeat = self.recent.push_empty(answer);
+        let is_shown = self.in_order > 0;
+        if is_shown {
+            self.recent.found_in_step();
+        }
+        may_repeat && !is_shown
+    }
+
+    /// Whether a fence is on its way to the server or back, behind a command that has not been answered.
+    pub fn has_fence(&self) -> bool {
+        self.fences.wanted > 0 || self.sent.iter().any(|sent| sent.fences > 0)
+    }
+
+    /// Has a fence written before the next command: as many as answers to earlier ones may still be repeated, up to a bound,
+    /// and one more. So one answer at least is no repeat.
+    pub fn want_fence(&mut self, most: usize) {
+        self.fences.wanted = most.min(1 + self.repeatable_fences());
+    }
+
+    /// Answers to fences that may come a second time while a further one is waited for.
+    pub fn repeatable_fences(&self) -> usize {
+        let out: usize = self.sent.iter().map(|sent| sent.fences).sum();
+        self.fences.repeatable() + out
+    }
+
+    /// So many fences have been written.
+    pub fn fences_written(&mut self, fences: usize) {
+        self.fences.wanted = 0;
+        match self.sent.back_mut() {
+            Some(sent) => sent.fences += fences,
+            None => self.fences.due += fences,
+        }
+    }
+
     /// Whether it may end to ask once more for a value that is probably true: all that would be sent again with it may be,
     /// and was not before.
     pub fn may_end_for_check(&self) -> bool {
--- a/crates/node/src/servers/pool.rs
+++ b/crates/node/src/servers/pool.rs
@@ -84,8 +84,7 @@
         idle.map(|place| self.connections.remove(place));
     }
 
-    /// Puts an attempt behind others on the connection with the fewest that is not held up; one that is paused is the last
-    /// choice, for it goes on soon.
+    /// Puts an attempt behind others on the connection with the fewest that is not held up.
     pub fn append(&mut self, command: Command, multiplex: usize) -> bool {
         let line = |c: &Connection| {
             let line = c.shared.line.borrow();
@@ -96,7 +95,7 @@
                 && !line.stalled()
                 && !line.may_skip_an_answer()
                 && line.load() < multiplex)
-                .then(|| (line.is_paused, !line.is_in_step(), line.load()))
+                .then(|| (!line.is_in_step(), line.load()))
         };
         if let Some(c) = self.connections.iter_mut().filter(|c| line(c).is_some()).min_by_key(|c| line(c)) {
             c.push(command);
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -28,15 +28,37 @@
 }
 
 /// Takes the first whole frame off a buffer; `None` while it has not all come. Values of at most `most` bytes.
+///
+/// # Errors
+/// Where it can't be read.
 pub fn take_frame(buffer: &mut BytesMut, most: usize) -> Result<Option<BytesFrame>, Malformed> {
-    let Extent::Whole(end) = extent(buffer, most)? else { return Ok(None) };
-    let bytes = buffer.split_to(end).freeze();
+    let Some(bytes) = take_bytes(buffer, most)? else { return Ok(None) };
     match decode::decode_bytes(&bytes) {
-        Ok(Some((frame, used))) if used == end => Ok(Some(frame)),
+        Ok(Some((frame, used))) if used == bytes.len() => Ok(Some(frame)),
         _ => Err(Malformed("unreadable frame")),
     }
 }
 
+/// As [`take_frame`], without a look into the frame: its bytes.
+///
+/// # Errors
+/// Where its extent can't be read.
+pub fn take_bytes(buffer: &mut BytesMut, most: usize) -> Result<Option<Bytes>, Malformed> {
+    let length = first_frame(buffer, most)?.map(<[u8]>::len);
+    Ok(length.map(|length| buffer.split_to(length).freeze()))
+}
+
+/// The bytes of the first whole frame; `None` while it has not all come. Values of at most `most` bytes.
+///
+/// # Errors
+/// Where its extent can't be read.
+pub fn first_frame(bytes: &[u8], most: usize) -> Result<Option<&[u8]>, Malformed> {
+    match extent(bytes, most)? {
+        Extent::Whole(end) => Ok(Some(&bytes[..end])),
+        Extent::Unknown | Extent::InValue { .. } => Ok(None),
+    }
+}
+
 /// How far the first frame of a buffer goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Extent {
@@ -101,16 +123,6 @@
     Ok(Extent::Whole(at))
 }
 
-/// How many whole frames a buffer begins with, with values of at most `most` bytes. What can't be read ends the count.
-pub fn whole_frames(mut bytes: &[u8], most: usize) -> usize {
-    let mut frames = 0;
-    while let Ok(Extent::Whole(end)) = extent(bytes, most) {
-        frames += 1;
-        bytes = &bytes[end..];
-    }
-    frames
-}
-
 /// A large value at the beginning of a cache server's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Large {
@@ -195,13 +207,34 @@
     }
 
     #[test]
-    fn only_whole_frames_are_counted_and_nothing_behind_what_cannot_be_read() {
+    fn only_a_whole_frame_is_the_first_and_none_that_cannot_be_read() {
         let frames = b"*1\r\n$1\r\nk\r\n-BUSY\r\n$2\r\nab\r\n";
-        for (cut, whole) in [(0, 0), (11, 1), (18, 2), (19, 2), (frames.len() - 1, 2), (frames.len(), 3)] {
-            assert_eq!(whole_frames(&frames[..cut], WHOLE), whole, "{cut}");
+        let whole = |bytes: &[u8], most: usize| {
+            let (mut rest, mut taken) = (bytes, Vec::new());
+            while let Ok(Some(frame)) = first_frame(rest, most) {
+                taken.push(frame.len());
+                rest = &rest[frame.len()..];
+            }
+            assert_eq!(
+                take_bytes(&mut BytesMut::from(bytes), most).ok(),
+                first_frame(bytes, most).ok().map(|f| f.map(Bytes::copy_from_slice))
+            );
+            taken
+        };
+        let lengths: [(usize, &[usize]); 6] = [
+            (0, &[]),
+            (11, &[11]),
+            (18, &[11, 7]),
+            (19, &[11, 7]),
+            (frames.len() - 1, &[11, 7]),
+            (frames.len(), &[11, 7, 8]),
+        ];
+        for (cut, expected) in lengths {
+            assert_eq!(whole(&frames[..cut], WHOLE), expected, "{cut}");
         }
-        assert_eq!(whole_frames(b"+one\r\nnothing\r\n+two\r\n", WHOLE), 1);
-        assert_eq!(whole_frames(frames, 1), 2, "a value that is too large");
+        assert_eq!(whole(b"+one\r\nnothing\r\n+two\r\n", WHOLE), [6]);
+        assert_eq!(whole(frames, 1), [11, 7], "a value that is too large");
+        assert!(first_frame(b"nothing\r\n", WHOLE).is_err());
     }
 
     #[test]
