Servers: a common value awaits a fence for each key, and is never believed for want of checks

Callers got the value that three in ten keys have for a key with another one, and the reads behind it each other's, when a cache server repeated that value for the first time: the entry no_second_answer_is_taken_for_another_keys_where_values_are_often_equal, red at times.

Cause: a common value was asked for again for each new key within an allowance (16, then one in 100 answers); beyond it, for a key that had had it before and on a connection that could not end, it was believed.

Change: a doubt that is not asked again awaits a fence, whatever its cause; one of a common value does so at once. Where several checks of one value would go out together, the later ones await a fence as well. A large value that several keys have is asked again within the allowance of checks, for it passes in pieces. With that the pairs of keys and values (known_values.rs) and the checks of common values are dead and go, with their unit tests: what these bounded, attempts, checks left for others and memory, does not arise; in their place two tests ask that a common value takes no check at all, that it is doubted for each key, and that a large one is asked again as often as may be.

Why it works: no value is believed any more that can be a repeat by its bytes, but by the order of answers.

--- a/crates/mothpier/tests/second_answer_orders.rs
+++ b/crates/mothpier/tests/second_answer_orders.rs
@@ -1537,3 +1537,31 @@
     }
     assert!(repeated.load(Ordering::SeqCst) > 0, "nothing was tried");
 }
+
+/// Guards against a value that several keys have, believed for any key once all that may be asked again has been.
+#[test]
+fn a_common_value_that_is_repeated_reaches_no_key_with_another_where_all_checks_are_used_up() {
+    const NEW_KEYS: usize = 60;
+    let makes: Makes = |asked| match asked[1].as_str() {
+        key if key.starts_with("same") => Some(bytes_of(array("equal"))),
+        _ => makes_for_key(asked),
+    };
+    let server = StandIn::start(command, makes, |line, _| {
+        while line.next() {
+            if line.word(1) == "k1" && !line.answers.is_empty() {
+                line.repeat(line.answers.len() - 1);
+                line.next_within();
+                return;
+            }
+            line.answer();
+        }
+    });
+    let (node, _discovery) = node_of("common-used-up", &server, &[THROUGH]);
+    let mut client = node.client();
+    for number in 0..NEW_KEYS {
+        assert_eq!(read(&mut client, &format!("same{number}")), "$equal");
+    }
+    let (reads, _) = reads_and_fences(&server);
+    println!("{NEW_KEYS} requests: {reads} reads");
+    assert_each_own_or_unserved(&mut client, &["k1", "k2", "k3", "k4"]);
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,7 +25,6 @@
 mod http;
 mod input;
 pub mod keys;
-mod known_values;
 mod local_failures;
 mod near;
 mod node;
--- a/crates/node/src/repeats.rs
+++ b/crates/node/src/repeats.rs
@@ -28,10 +28,6 @@
 /// what many keys with few values would cost otherwise.
 const ANSWERS_FOR_A_CHECK: u32 = 50;
 const CHECKS_IN_A_ROW: u32 = 32;
-/// Of these, common values get so many in a row, and one in so many answers: where many keys are new and have few values,
-/// each wants one, and some have to be left for other values.
-const COMMON_CHECKS_IN_A_ROW: u32 = CHECKS_IN_A_ROW / 2;
-const ANSWERS_FOR_A_COMMON_CHECK: u32 = 2 * ANSWERS_FOR_A_CHECK;
 /// The same of connections that are made lest a command meets a repeat.
 const CONNECTIONS_IN_A_ROW: u32 = 8;
 /// What a check shows is waited for no longer than this.
@@ -67,11 +63,6 @@
     pub(crate) fn of_value(value: &[u8]) -> Fingerprint {
         Fingerprint { length: value.len(), hash: xxh3_64(value) }
     }
-
-    /// A number that stands for it, to hash something else with.
-    pub(crate) fn as_seed(self) -> u64 {
-        self.hash ^ self.length as u64
-    }
 }
 
 /// Makes the fingerprint of a large value while it passes: from its length and its first bytes.
@@ -107,11 +98,6 @@
 }
 
 impl Doubt {
-    /// Whether its value came for another key.
-    pub(crate) fn is_of_other_key(&self) -> bool {
-        self.cause == Cause::OtherKey
-    }
-
     /// Whether its value came only once.
     pub(crate) fn is_behind_repeat(self) -> bool {
         self.cause == Cause::BehindRepeat
@@ -244,40 +230,27 @@
 struct Allowance {
     left: u32,
     most: u32,
-    /// What was taken beyond what was left, and is paid back first.
-    owed: u32,
     answers: u32,
     answers_for_one: u32,
 }
 
 impl Allowance {
     fn of(most: u32, answers_for_one: u32) -> Self {
-        Allowance { left: most, most, owed: 0, answers: 0, answers_for_one }
+        Allowance { left: most, most, answers: 0, answers_for_one }
     }
 
     fn answered(&mut self) {
         self.answers += 1;
         if self.answers >= self.answers_for_one {
             self.answers = 0;
-            match self.owed {
-                0 => self.left = self.most.min(self.left + 1),
-                owed => self.owed = owed - 1,
-            }
+            self.left = self.most.min(self.left + 1);
         }
     }
 
     /// Takes one, where there is one.
     fn take(&mut self) -> bool {
-        self.take_many(1)
-    }
-
-    /// Takes so many, where there is one: what is lacking is owed.
-    fn take_many(&mut self, cost: u32) -> bool {
         let is_granted = self.left > 0;
-        if is_granted {
-            self.owed += cost.saturating_sub(self.left);
-            self.left = self.left.saturating_sub(cost);
-        }
+        self.left = self.left.saturating_sub(1);
         is_granted
     }
 }
@@ -295,10 +268,9 @@
     refuted: u32,
     /// The value that is being asked for again now for another key's, and since when.
     under_check: Option<(Fingerprint, Instant)>,
-    /// Checks of values that came before, and the part of them that common values may take; checks of values behind a
-    /// refusal or a miss that came before; and connections for commands that must not meet a repeat.
+    /// Checks of values that came before; checks of values behind a refusal or a miss that came before; and connections for
+    /// commands that must not meet a repeat.
     value_checks: Allowance,
-    common_checks: Allowance,
     step_checks: Allowance,
     connections: Allowance,
 }
@@ -313,7 +285,6 @@
             refuted: 0,
             under_check: None,
             value_checks: Allowance::of(CHECKS_IN_A_ROW, ANSWERS_FOR_A_CHECK),
-            common_checks: Allowance::of(COMMON_CHECKS_IN_A_ROW, ANSWERS_FOR_A_COMMON_CHECK),
             step_checks: Allowance::of(CHECKS_IN_A_ROW, ANSWERS_FOR_A_CHECK),
             connections: Allowance::of(CONNECTIONS_IN_A_ROW, ANSWERS_FOR_A_CHECK),
         }
@@ -329,7 +300,6 @@
     /// An answer was taken.
     pub(crate) fn answered(&mut self) {
         self.value_checks.answered();
-        self.common_checks.answered();
         self.step_checks.answered();
         self.connections.answered();
     }
@@ -344,33 +314,34 @@
         self.common.contains(&value)
     }
 
-    /// Whether the value of a read has to be asked for again. One that other keys have is believed for this key alone:
-    /// at a server that has repeated nothing so far, a repeat of it would be believed for any other key.
-    /// `in_flight` is the number of commands that are sent again with the check, for their connection ends.
-    pub(crate) fn wants_check_of_read(
-        &mut self,
-        doubt: Doubt,
-        is_believed_for_key: bool,
-        in_flight: u32,
-    ) -> bool {
-        let is_new_to_key =
-            doubt.cause == Cause::OtherKey && self.is_common(doubt.value) && !is_believed_for_key;
-        if is_new_to_key && !self.is_distrusted() {
-            return self.common_checks.take_many(in_flight) && self.value_checks.take();
+    /// Whether answers with this doubt are often true at this server, or will soon be known to be: to ask again for each of
+    /// them would cost much.
+    pub(crate) fn is_often_true(&self, doubt: Doubt) -> bool {
+        match doubt.cause {
+            Cause::SameKey => self.has_stable_values,
+            Cause::OtherKey => self.is_common(doubt.value) || self.is_under_check(doubt),
+            Cause::BehindRepeat => false,
         }
-        self.wants_check(doubt)
     }
 
-    /// Whether an answer has to be asked for again, where a value that several keys have is believed for every key.
+    /// Whether an answer has to be asked for again, where nothing else can show that it is true.
     pub(crate) fn wants_check(&mut self, doubt: Doubt) -> bool {
-        let is_known = match doubt.cause {
+        let is_believed = match doubt.cause {
             Cause::SameKey => self.has_stable_values,
             Cause::OtherKey => !self.is_distrusted() && self.is_common(doubt.value),
             Cause::BehindRepeat => false,
         };
-        if is_known {
-            return false;
-        }
+        !is_believed && self.grants_check(doubt)
+    }
+
+    /// The same of a large value: one that several keys have is not believed for any key.
+    pub(crate) fn wants_check_of_large(&mut self, doubt: Doubt) -> bool {
+        let is_believed = doubt.cause == Cause::SameKey && self.has_stable_values;
+        !is_believed && self.grants_check(doubt)
+    }
+
+    /// Whether an answer may be asked for again.
+    pub(crate) fn grants_check(&mut self, doubt: Doubt) -> bool {
         if self.is_distrusted() {
             return true;
         }
@@ -387,9 +358,8 @@
         }
     }
 
-    /// Whether another command's check will tell of a doubt soon: a check of its own would cost what is in flight on
-    /// one more connection.
-    pub(crate) fn is_under_check(&self, doubt: Doubt) -> bool {
+    /// Whether another command's check will tell of a doubt soon.
+    fn is_under_check(&self, doubt: Doubt) -> bool {
         let is_recent =
             |(value, since): (Fingerprint, Instant)| value == doubt.value && since.elapsed() < LONGEST_CHECK;
         doubt.cause == Cause::OtherKey && !self.is_distrusted() && self.under_check.is_some_and(is_recent)
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -153,8 +153,7 @@
 impl<H: Host> Servers<H> {
     pub fn new(host: H, limits: Limits, figures: Arc<Figures>, events: mpsc::Sender<Input>) -> Self {
         let connect_timeout = limits.connect_timeout;
-        let (all, known_values) = (Rc::default(), Rc::default());
-        let connector = Connector { host, connect_timeout, events, figures, all, known_values };
+        let connector = Connector { host, connect_timeout, events, figures, all: Rc::default() };
         Servers {
             connector,
             pools: BTreeMap::new(),
@@ -326,8 +325,7 @@
     /// # Errors
     /// Where there is no connection for it: it was not written again.
     pub fn send_again(&mut self, server: ServerId, displaced: Displaced) -> Result<(), SendError> {
-        let Displaced { mut command, was_written, doubt } = displaced;
-        command.was_sent_again |= was_written;
+        let Displaced { command, doubt, .. } = displaced;
         let Some(doubt) = doubt else { return self.send(server, command) };
         let is_ready = self.pools.get(&server).is_some_and(|pool| pool.ready);
         if !is_ready || !self.has_room_for_first(server) {
--- a/crates/node/src/servers/connection.rs
+++ b/crates/node/src/servers/connection.rs
@@ -18,7 +18,6 @@
 use super::payload::Command;
 use super::{ConnectionEnd, Displaced, Event};
 use crate::input::Input;
-use crate::known_values::KnownValues;
 use crate::repeats::{Doubt, Findings};
 
 /// What a connection shares with its task.
@@ -30,8 +29,6 @@
     pub figures: Arc<Figures>,
     /// What is known of the answers of its server.
     pub findings: Rc<RefCell<Findings>>,
-    /// What is known of keys, at all servers.
-    pub known_values: Rc<RefCell<KnownValues>>,
 }
 
 /// A connection; its task ends with it.
@@ -89,8 +86,6 @@
     pub figures: Arc<Figures>,
     /// How many connections there are to all servers.
     pub all: Rc<Cell<usize>>,
-    /// What is known of keys, at all servers.
-    pub known_values: Rc<RefCell<KnownValues>>,
 }
 
 impl<H: Host> Connector<H> {
@@ -116,7 +111,6 @@
             halt: Notify::new(),
             figures: self.figures.clone(),
             findings,
-            known_values: self.known_values.clone(),
         });
         let (host, task_shared, events, within) =
             (self.host.clone(), shared.clone(), self.events.clone(), self.connect_timeout);
--- a/crates/node/src/servers/judging.rs
+++ b/crates/node/src/servers/judging.rs
@@ -62,10 +62,13 @@
 /// The same of a large value, which passes in pieces and can't be held back.
 pub(super) fn believe_large(value: Option<Fingerprint>, shared: &Shared) -> Result<(), Doubt> {
     learn(value, shared);
-    match weigh(value, shared) {
-        Verdict::AskAgain(doubt) => Err(doubt),
-        Verdict::AwaitFence(doubt) if doubt.is_of_other_key() => Err(doubt),
-        Verdict::Believe | Verdict::AwaitFence(_) => {
+    let doubt = doubt(value, shared);
+    match doubt.filter(|doubt| shared.findings.borrow_mut().wants_check_of_large(*doubt)) {
+        Some(doubt) => {
+            shared.figures.answer_doubted();
+            Err(doubt)
+        }
+        None => {
             keep(value, shared);
             Ok(())
         }
@@ -84,56 +87,40 @@
     let line = &mut *shared.line.borrow_mut();
     let settled = line.settles.take();
     let Some(sent) = line.sent.front() else { return };
-    let Payload::Request { command, .. } = &sent.command.payload else { return };
+    if !matches!(sent.command.payload, Payload::Request { .. }) {
+        return;
+    }
     let mut findings = shared.findings.borrow_mut();
     findings.answered();
     let Some(value) = value else { return };
     let settled = settled.filter(|(attempt, _)| *attempt == sent.attempt());
     match settled.and_then(|(_, doubt)| findings.settle(doubt, value)) {
-        Some(true) => {
-            shared.figures.doubt_confirmed();
-            shared.known_values.borrow_mut().insert(&command.key, value);
-        }
+        Some(true) => shared.figures.doubt_confirmed(),
         Some(false) => shared.figures.doubt_refuted(),
         None => {}
     }
 }
 
-/// Compares an answer's value, if it has one, with those that came before it on the same connection.
-fn weigh(value: Option<Fingerprint>, shared: &Shared) -> Verdict {
+/// Why the answer that has come may not be that of the command which has waited longest: its value, if it has one, is compared
+/// with those that came before it on the same connection.
+fn doubt(value: Option<Fingerprint>, shared: &Shared) -> Option<Doubt> {
     let line = shared.line.borrow();
-    let (Some(sent), Some(value)) = (line.sent.front(), value) else { return Verdict::Believe };
-    let Payload::Request { command, .. } = &sent.command.payload else { return Verdict::Believe };
+    let sent = line.sent.front().filter(|_| line.in_order == 0)?;
+    let Payload::Request { command, .. } = &sent.command.payload else { return None };
+    line.recent.doubt(&command.key, sent.written, value?)
+}
+
+/// Decides what is to be done with an answer that is doubted, if it is.
+fn weigh(value: Option<Fingerprint>, shared: &Shared) -> Verdict {
+    let Some(doubt) = doubt(value, shared) else { return Verdict::Believe };
     let mut findings = shared.findings.borrow_mut();
-    let mut known_values = shared.known_values.borrow_mut();
-    let Some(doubt) = line.recent.doubt(&command.key, sent.written, value).filter(|_| line.in_order == 0)
-    else {
-        if !command.write && findings.is_common(value) {
-            known_values.insert(&command.key, value);
-        }
-        return Verdict::Believe;
-    };
-    if findings.is_under_check(doubt) {
+    let repeatable = shared.line.borrow().repeatable_fences();
+    let shows_nothing = findings.is_distrusted() && repeatable >= MOST_FENCES_AT_DISTRUSTED;
+    if !shows_nothing && (findings.is_often_true(doubt) || !findings.grants_check(doubt)) {
         return Verdict::AwaitFence(doubt);
     }
-    let wants_check = match command.write {
-        // A write can't be asked again.
-        true => findings.wants_check(doubt),
-        false => {
-            let is_believed = known_values.contains(&command.key, value) || !line.may_end_for_check();
-            let in_flight = u32::try_from(line.sent.len()).unwrap_or(u32::MAX);
-            findings.wants_check_of_read(doubt, is_believed, in_flight)
-        }
-    };
-    let shows_nothing = findings.is_distrusted() && line.repeatable_fences() >= MOST_FENCES_AT_DISTRUSTED;
-    if wants_check || (shows_nothing && !doubt.is_of_other_key()) {
-        shared.figures.answer_doubted();
-        return Verdict::AskAgain(doubt);
-    }
-    match doubt.is_of_other_key() {
-        true => Verdict::Believe,
-        false => Verdict::AwaitFence(doubt),
-    }
+    shared.figures.answer_doubted();
+    Verdict::AskAgain(doubt)
 }
 
 /// Keeps a value that is believed, to compare others with it.
--- a/crates/node/src/servers/line.rs
+++ b/crates/node/src/servers/line.rs
@@ -158,12 +158,6 @@
         }
     }
 
-    /// Whether it may end to ask once more for a value that is probably true: all that would be sent again with it may be,
-    /// and was not before.
-    pub fn may_end_for_check(&self) -> bool {
-        self.sent.iter().all(|sent| sent.command.payload.may_run_twice() && !sent.command.was_sent_again)
-    }
-
     /// Whether an answer is waited for behind the one that comes now.
     pub fn others_wait(&self) -> bool {
         let writes = !self.unsent.is_empty() || matches!(self.writing, Writing::Begun(_));
--- a/crates/node/src/servers/payload.rs
+++ b/crates/node/src/servers/payload.rs
@@ -12,14 +12,12 @@
 pub struct Command {
     pub attempt: AttemptId,
     pub payload: Payload,
-    /// It was written before, and its connection ended then.
-    pub(super) was_sent_again: bool,
 }
 
 impl Command {
     /// One that was not written yet.
     pub fn new(attempt: AttemptId, payload: Payload) -> Self {
-        Command { attempt, payload, was_sent_again: false }
+        Command { attempt, payload }
     }
 }
 
--- a/crates/node/tests/unit/repeats.rs
+++ b/crates/node/tests/unit/repeats.rs
@@ -61,57 +61,38 @@
     assert!(findings.wants_check(doubt), "taken for true at a server that repeats");
 }
 
-/// That several keys have a value says nothing of the next one: at a server that has not repeated yet, a repeat would be
-/// believed for any key.
+/// That several keys have a value says nothing of the next one: it is never believed for that alone, nor are checks spent on
+/// it, whichever key it comes for and however often.
 #[test]
-fn a_common_value_is_believed_for_the_keys_alone_that_are_known_to_have_it() {
+fn a_common_value_takes_no_checks_and_is_doubted_for_each_key() {
     let doubt = doubt_about("0");
     let mut findings = Findings::default();
-    assert!(findings.wants_check_of_read(doubt, true, 1), "not known to be common");
+    assert!(!findings.is_often_true(doubt), "not known to be common");
     findings.confirmed(doubt);
-    assert!(findings.wants_check_of_read(doubt, false, 1));
-    assert!(!findings.wants_check_of_read(doubt, true, 1));
-    findings.repeated();
-    assert!(findings.wants_check_of_read(doubt, true, 1), "taken for true at a server that repeats");
-}
-
-/// Keys that are new and have few values want a check each: values that only one key has must find some left.
-#[test]
-fn checks_of_common_values_leave_some_for_others() {
-    let doubt = doubt_about("0");
-    let mut findings = Findings::default();
-    findings.confirmed(doubt);
-    let checks = |findings: &mut Findings, answers: u32| -> u32 {
-        let wants = |_| {
-            findings.answered();
-            u32::from(findings.wants_check_of_read(doubt, false, 1))
-        };
-        (0..answers).map(wants).sum()
-    };
-    let first = checks(&mut findings, 1_000);
-    assert_eq!(first, COMMON_CHECKS_IN_A_ROW + 1_000 / ANSWERS_FOR_A_COMMON_CHECK);
-    let for_others = CHECKS_IN_A_ROW - COMMON_CHECKS_IN_A_ROW;
-    for number in 0..for_others {
-        assert!(findings.wants_check_of_read(doubt_about(&format!("rare {number}")), false, 1));
+    for _ in 0..2 * CHECKS_IN_A_ROW {
+        assert!(findings.is_often_true(doubt));
+        assert_eq!(findings.value_checks.left, CHECKS_IN_A_ROW);
+    }
+    assert!(!findings.is_often_true(doubt_about("1")));
+    for number in 0..CHECKS_IN_A_ROW {
+        assert!(findings.grants_check(doubt_about(&format!("rare {number}"))));
     }
+    assert!(!findings.grants_check(doubt_about("one more")));
+    findings.repeated();
+    assert!(findings.is_often_true(doubt) && findings.grants_check(doubt));
 }
 
-/// A check ends its connection, and what is in flight there is sent again: that counts, too.
+/// A large value can't be held back until more is known: it is asked for again as often as may be.
 #[test]
-fn a_check_of_a_common_value_costs_what_is_in_flight_on_its_connection() {
-    const IN_FLIGHT: u32 = 5;
+fn a_large_value_that_several_keys_have_is_asked_for_again_as_often_as_may_be() {
     let doubt = doubt_about("0");
     let mut findings = Findings::default();
     findings.confirmed(doubt);
-    let mut sent_again = 0;
-    for _ in 0..1_000 {
-        findings.answered();
-        if findings.wants_check_of_read(doubt, false, IN_FLIGHT) {
-            sent_again += IN_FLIGHT;
-        }
+    for number in 0..2 * CHECKS_IN_A_ROW {
+        assert_eq!(findings.wants_check_of_large(doubt), number < CHECKS_IN_A_ROW, "{number}");
     }
-    let most = COMMON_CHECKS_IN_A_ROW + 1_000 / ANSWERS_FOR_A_COMMON_CHECK + IN_FLIGHT;
-    assert!((COMMON_CHECKS_IN_A_ROW..=most).contains(&sent_again), "{sent_again}");
+    findings.repeated();
+    assert!(findings.wants_check_of_large(doubt));
 }
 
 /// While a value is asked for again, more doubts of the same value wait for what that shows, but not at a server that repeats,
