Servers: what precedes a fence is acknowledged at once, lest its answer waits for that

Callers got an answer that awaits a fence 40 ms late at a cache server that delays small writes (no TCP_NODELAY).

Cause: such a server holds back the answer to the fence until the answer before it is acknowledged, and the node, which has nothing to write meanwhile, delays that by 40 ms.

Change: while an answer awaits a fence, TCP_QUICKACK is set before each wait (Reading::acknowledge_at_once).

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -90,6 +90,10 @@
     /// How long ago the last bytes of the other side arrived at this machine, read or not; `None` where it doesn't tell.
     fn since_last_arrival(&self) -> Option<Duration>;
 
+    /// Has what has come acknowledged without delay: the other side may hold back something small until then (`TCP_QUICKACK`,
+    /// tcp(7)). Holds for what comes next alone.
+    fn acknowledge_at_once(&self) {}
+
     /// Whether the other side is known to have ended its sending, though there may be something left to read.
     fn other_side_has_ended(&self) -> bool;
 }
--- a/crates/host/src/sockets.rs
+++ b/crates/host/src/sockets.rs
@@ -192,6 +192,14 @@
         }
     }
 
+    fn acknowledge_at_once(&self) {
+        if let ReadingHalf::Opened(half) = &self.half {
+            let stream: &TcpStream = half.as_ref();
+            // Where that fails it is acknowledged some 40 ms later.
+            let _ = stream.set_quickack(true);
+        }
+    }
+
     fn other_side_has_ended(&self) -> bool {
         let half = match &self.half {
             ReadingHalf::Opened(half) => half,
--- a/crates/mothpier/tests/second_answer_orders.rs
+++ b/crates/mothpier/tests/second_answer_orders.rs
@@ -14,7 +14,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use world::*;
 
@@ -1565,3 +1565,25 @@
     println!("{NEW_KEYS} requests: {reads} reads");
     assert_each_own_or_unserved(&mut client, &["k1", "k2", "k3", "k4"]);
 }
+
+/// Guards against answers that are late where a server delays small writes until the one before is acknowledged: that of a fence
+/// is one.
+#[test]
+fn answers_that_await_a_fence_are_not_late_at_a_server_that_delays_small_writes() {
+    const REQUESTS: usize = 100;
+    /// An acknowledgement that is delayed is so by 40 ms at least.
+    const IN_THE_MEAN: Duration = Duration::from_millis(10);
+    // The stand-in's sockets delay them, and it writes each answer by itself.
+    let server = serve(command, |_| array("equal"));
+    let discovery = Discovery::start(&member("s-1", server, "m", "ready"));
+    let node = node("delayed-writes", &discovery, &[THROUGH, ONE_CONNECTION]);
+    let mut client = node.client();
+    let begun = Instant::now();
+    for number in 0..REQUESTS {
+        // Every other one is for a key that was read before.
+        assert_eq!(read(&mut client, &format!("k{}", number / 2)), "$equal");
+    }
+    let took = begun.elapsed();
+    println!("{REQUESTS} reads in {took:?}");
+    assert!(took < REQUESTS as u32 * IN_THE_MEAN, "{REQUESTS} reads took {took:?}");
+}
--- a/crates/node/src/servers/judging.rs
+++ b/crates/node/src/servers/judging.rs
@@ -176,6 +176,8 @@
         if is_over || buffer.len() > MOST_HELD_BACK {
             return unknown();
         }
+        // A server that delays small writes sends the answer to the fence only then.
+        reading.acknowledge_at_once();
         match more_within(reading, buffer, READ, LONGEST_SILENCE).await {
             Ok(()) => {}
             Err(e) if e.kind() == ErrorKind::TimedOut => return unknown(),
--- a/crates/world/src/failing_host.rs
+++ b/crates/world/src/failing_host.rs
@@ -187,6 +187,10 @@
         self.reading.since_last_arrival()
     }
 
+    fn acknowledge_at_once(&self) {
+        self.reading.acknowledge_at_once();
+    }
+
     fn other_side_has_ended(&self) -> bool {
         self.reading.other_side_has_ended()
     }
