Servers: four fences at most for one answer, at a server that is not known to repeat, too

Change: as many fences as answers to earlier ones may still be repeated, and one more, up to four, whether the server is known to repeat or not; two where they are written beforehand.

Why it works: one answer of four is then not a repeat unless all three before it were repeated at once.

--- a/crates/node/src/servers/judging.rs
+++ b/crates/node/src/servers/judging.rs
@@ -19,11 +19,9 @@
 /// Bytes behind an answer that is held back: with more than this it is not waited any longer.
 const MOST_HELD_BACK: usize = 4 * resp::WHOLE;
 
-/// Fences that are written for one answer at most: behind a command of which the answer will be doubted, at a server that has
-/// not repeated any of late, and at one that has.
+/// Fences that are written at most for one answer that is doubted, and for one that will be.
+const MOST_FENCES: usize = 4;
 pub(super) const MOST_FENCES_AHEAD: usize = 2;
-const MOST_FENCES: usize = 2;
-const MOST_FENCES_AT_DISTRUSTED: usize = 4;
 
 /// What is to be done with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -115,7 +113,7 @@
     let Some(doubt) = doubt(value, shared) else { return Verdict::Believe };
     let mut findings = shared.findings.borrow_mut();
     let repeatable = shared.line.borrow().repeatable_fences();
-    let shows_nothing = findings.is_distrusted() && repeatable >= MOST_FENCES_AT_DISTRUSTED;
+    let shows_nothing = findings.is_distrusted() && repeatable >= MOST_FENCES;
     if !shows_nothing && (findings.is_often_true(doubt) || !findings.grants_check(doubt)) {
         return Verdict::AwaitFence(doubt);
     }
@@ -149,8 +147,7 @@
     let ends = {
         let mut line = shared.line.borrow_mut();
         if !line.has_fence() {
-            let is_distrusted = shared.findings.borrow().is_distrusted();
-            line.want_fence(if is_distrusted { MOST_FENCES_AT_DISTRUSTED } else { MOST_FENCES });
+            line.want_fence(MOST_FENCES);
             shared.wake.notify_one();
         }
         line.sent.front().and_then(|sent| sent.command.payload.ends())
--- a/crates/world/tests/second_answers.rs
+++ b/crates/world/tests/second_answers.rs
@@ -220,3 +220,17 @@
 fn a_miss_that_is_repeated_late_shifts_no_answer() {
     kept(&drawn(&scenario("second-answers"), 70343, None));
 }
+
+/// Where the first that a server repeats are a value and the answers to two fences behind it, within a millisecond, what
+/// fences show is not true if they are too few.
+#[test]
+fn fences_of_which_the_answers_are_repeated_let_no_repeat_pass() {
+    kept(&drawn(&scenario("equal-values"), 62848, None));
+}
+
+/// Where the answers of the only server that is up stand still in their middle, reads are refused long after they were asked.
+#[test]
+fn reads_at_a_server_that_stands_still_are_refused_at_once_where_values_are_often_equal() {
+    let scenario = scenario("equal-values");
+    [61049, 61305, 61797, 62365].into_iter().for_each(|seed| kept(&drawn(&scenario, seed, None)));
+}
