Servers: a write whose receipt awaits a fence waits for it as long as for its attempt

Callers would have got -ERR for a write that had run and whose receipt had come, where receipts are often equal and a slow command stood between it and the fence.

Cause: what awaits a fence was asked for again once answers had been silent for 250 ms, and a write that may not run twice can't be.

Evidence: a_write_with_a_common_receipt_before_slow_commands_is_not_told_as_failed, which fails with that bound ("-ERR failed" for $OK).

Change: what may not run twice waits until its attempt's time is over; what may, for 250 ms of silence as before. The bytes of fences are read and written in fence.rs now, and the read with a bound stands beside the one without in stream.rs: driver.rs and judging.rs no longer use each other.

--- a/crates/mothpier/tests/second_answer_orders.rs
+++ b/crates/mothpier/tests/second_answer_orders.rs
@@ -1587,3 +1587,38 @@
     println!("{REQUESTS} reads in {took:?}");
     assert!(took < REQUESTS as u32 * IN_THE_MEAN, "{REQUESTS} reads took {took:?}");
 }
+
+/// Guards against a write that is told as failed because its receipt is like others and slow commands stand between it and the
+/// fence that shows it to be true.
+#[test]
+fn a_write_with_a_common_receipt_before_slow_commands_is_not_told_as_failed() {
+    /// More than an answer may be silent.
+    const SLOW: Duration = Duration::from_millis(600);
+    let makes: Makes = |asked| match asked[0].as_str() {
+        "CACHE.SET" => Some(bytes_of(array("OK"))),
+        _ => makes_for_key(asked),
+    };
+    let server = StandIn::start(command, makes, |line, _| {
+        while line.next() {
+            if line.word(1) == "last" {
+                // The read is written behind the write before that is answered.
+                line.next();
+                line.answer();
+                thread::sleep(SLOW);
+            }
+            while !line.unanswered.is_empty() {
+                line.answer();
+            }
+        }
+    });
+    let (node, _discovery) = node_of("slow-behind-write", &server, &[THROUGH, ONE_CONNECTION]);
+    let mut clients: Vec<Client> = (0..2).map(|_| node.client()).collect();
+    for id in ["w0", "w1", "w2", "w3"] {
+        assert_eq!(write(&mut clients[0], id, id), "$OK");
+    }
+    clients[0].send(&["CACHE.SET", "last", "w4", "c=once,t=acme,d=9000", "new"]);
+    assert!(server.saw("last"));
+    send_read(&mut clients[1], "behind");
+    assert_eq!(clients[0].answer(), "$OK");
+    assert_own(&clients[1].answer(), "behind");
+}
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -18,15 +18,16 @@
 use tokio::time::{Instant, timeout};
 
 use super::connection::Shared;
+use super::fence::{take_answers, write_wanted};
 use super::judging::{MOST_FENCES_AHEAD, believe, believe_large, expects_doubt};
 use super::line::{Sent, Writing};
 use super::payload::{Command, Kind};
-use super::{ConnectionEnd, Event, LONGEST_SILENCE, fence};
+use super::{ConnectionEnd, Event, LONGEST_SILENCE};
 use crate::command::{PIECE, STANDSTILL, Stream as LargeValue};
 use crate::input::Input;
 use crate::repeats::{Doubt, Fingerprint, LARGE_PREFIX, LargeFingerprint};
 use crate::shortage::Outlasting;
-use crate::stream::{READ, more};
+use crate::stream::{READ, more, more_within};
 
 /// A command of which the first byte has been written.
 struct Begun {
@@ -77,7 +78,7 @@
         loop {
             // Once round the runtime: a close that has come in is read before anything more is written.
             tokio::task::yield_now().await;
-            if write_fences(&mut writing, shared).await.is_err() {
+            if write_wanted(&mut writing, shared).await.is_err() {
                 return;
             }
             let Begun { command, bytes, written } = match begin_next(&mut writing, shared).await {
@@ -130,8 +131,8 @@
     let tell = |event| events.send(Input::Server { server, number, event });
     let mut buffer = BytesMut::new();
     loop {
-        if take_fences(&mut buffer, shared).is_err() {
-            return out_of_step(None, shared);
+        if take_answers(&mut buffer, shared).is_err() {
+            return ConnectionEnd::OutOfStep(None);
         }
         let (nothing_sent, writing) = {
             let line = shared.line.borrow();
@@ -202,7 +203,7 @@
             }
             _ => (Event::Spoilt(sent.attempt()), false),
         };
-        let in_order = take_fences(&mut buffer, shared).is_ok();
+        let in_order = take_answers(&mut buffer, shared).is_ok();
         // Before the node hears of it, which may have something more to write.
         {
             let mut line = shared.line.borrow_mut();
@@ -216,54 +217,9 @@
             return ConnectionEnd::Broken;
         }
         if !in_order {
-            return out_of_step(None, shared);
-        }
-    }
-}
-
-/// An answer more has come than was asked for: how the connection ends.
-fn out_of_step(doubt: Option<Doubt>, shared: &Shared) -> ConnectionEnd {
-    shared.findings.borrow_mut().repeated();
-    ConnectionEnd::OutOfStep(doubt)
-}
-
-/// Takes the answers to fences that come next, as far as they are there, and repeats of such answers.
-///
-/// # Errors
-/// Where something else has come in their place, or the answer to a fence in another place.
-fn take_fences(buffer: &mut BytesMut, shared: &Shared) -> Result<(), AnswerTooMany> {
-    let mut line = shared.line.borrow_mut();
-    while line.fences.due > 0 {
-        match resp::take_bytes(buffer, resp::WHOLE) {
-            Ok(Some(frame)) if line.fences.take(frame.clone()) => {}
-            Ok(None) if resp::large_answer(buffer).is_none() => return Ok(()),
-            _ => return Err(AnswerTooMany),
-        }
-    }
-    while !line.sent.is_empty() {
-        let Some(length) = line.fences.repeated(buffer) else { break };
-        // It may be the answer to a fence that is out: a command ahead was dropped without a word, then.
-        if line.has_fence() {
-            return Err(AnswerTooMany);
+            return ConnectionEnd::OutOfStep(None);
         }
-        let _ = buffer.split_to(length);
-        shared.findings.borrow_mut().repeated();
-    }
-    Ok(())
-}
-
-/// An answer has come in the place of a fence's, or that of a fence in another's place.
-struct AnswerTooMany;
-
-/// Writes the fences that are wanted.
-async fn write_fences(writing: &mut (impl AsyncWrite + Unpin), shared: &Shared) -> std::io::Result<()> {
-    let wanted = shared.line.borrow().fences.wanted;
-    if wanted == 0 {
-        return Ok(());
     }
-    writing.write_all(&fence::encode(wanted)).await?;
-    shared.line.borrow_mut().fences_written(wanted);
-    Ok(())
 }
 
 /// Reads why a connection was not made.
@@ -303,16 +259,6 @@
     .await
 }
 
-/// As [`more`]; an error, too, where nothing has come within a time.
-pub(super) async fn more_within(
-    reading: &impl Reading,
-    buffer: &mut BytesMut,
-    room: usize,
-    within: Duration,
-) -> std::io::Result<()> {
-    timeout(within, more(reading, buffer, room)).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
-}
-
 /// What has become of a large value.
 enum Passed {
     /// It has come whole; the connection can be used again.
--- a/crates/node/src/servers/fence.rs
+++ b/crates/node/src/servers/fence.rs
@@ -7,10 +7,12 @@
 
 use std::collections::VecDeque;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use mothpier_resp as resp;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::time::Instant;
 
+use super::connection::Shared;
 use super::line::Line;
 use super::payload::Kind;
 use crate::repeats::LATEST_REPEAT;
@@ -19,7 +21,7 @@
 const REMEMBERED: usize = 8;
 
 /// The bytes of so many fences.
-pub(super) fn encode(fences: usize) -> Bytes {
+fn encode(fences: usize) -> Bytes {
     resp::command(["PING".into()]).repeat(fences).into()
 }
 
@@ -130,6 +132,55 @@
     Ok(())
 }
 
+/// An answer has come in the place of a fence's, or that of a fence in another's place.
+pub(super) struct OutOfOrder;
+
+/// Takes the answers to fences that come next, as far as they are there, and repeats of such answers.
+///
+/// # Errors
+/// Where something else has come in their place: the server counts as one that repeats.
+pub(super) fn take_answers(buffer: &mut BytesMut, shared: &Shared) -> Result<(), OutOfOrder> {
+    let mut line = shared.line.borrow_mut();
+    let mut findings = shared.findings.borrow_mut();
+    while line.fences.due > 0 {
+        match resp::take_bytes(buffer, resp::WHOLE) {
+            Ok(Some(frame)) if line.fences.take(frame.clone()) => {}
+            Ok(None) if resp::large_answer(buffer).is_none() => return Ok(()),
+            _ => {
+                findings.repeated();
+                return Err(OutOfOrder);
+            }
+        }
+    }
+    while !line.sent.is_empty() {
+        let Some(length) = line.fences.repeated(buffer) else { break };
+        findings.repeated();
+        // It may be the answer to a fence that is out: a command ahead was dropped without a word, then.
+        if line.has_fence() {
+            return Err(OutOfOrder);
+        }
+        let _ = buffer.split_to(length);
+    }
+    Ok(())
+}
+
+/// Writes the fences that are wanted.
+///
+/// # Errors
+/// What ended the connection.
+pub(super) async fn write_wanted(
+    writing: &mut (impl AsyncWrite + Unpin),
+    shared: &Shared,
+) -> std::io::Result<()> {
+    let wanted = shared.line.borrow().fences.wanted;
+    if wanted == 0 {
+        return Ok(());
+    }
+    writing.write_all(&encode(wanted)).await?;
+    shared.line.borrow_mut().fences_written(wanted);
+    Ok(())
+}
+
 #[cfg(test)]
 #[path = "../../tests/unit/fence.rs"]
 mod tests;
--- a/crates/node/src/servers/judging.rs
+++ b/crates/node/src/servers/judging.rs
@@ -8,13 +8,12 @@
 use tokio::time::Instant;
 
 use super::connection::Shared;
-use super::driver::more_within;
 use super::fence::{Order, order};
 use super::line::Line;
 use super::payload::{Command, Payload};
 use super::{ConnectionEnd, LONGEST_SILENCE};
 use crate::repeats::{Doubt, Fingerprint};
-use crate::stream::READ;
+use crate::stream::{READ, more_within};
 
 /// Bytes behind an answer that is held back: with more than this it is not waited any longer.
 const MOST_HELD_BACK: usize = 4 * resp::WHOLE;
@@ -133,7 +132,7 @@
 }
 
 /// Waits, with an answer held back that has been taken off the buffer, for the answer to a fence behind its command, no longer
-/// than answers may be silent and its attempt is waited for.
+/// than its attempt is waited for; where it may be asked for again, no longer than answers may be silent.
 ///
 /// # Errors
 /// Where that shows a repeat, or nothing; or the connection has ended.
@@ -144,13 +143,16 @@
     shared: &Shared,
 ) -> Result<(), ConnectionEnd> {
     shared.figures.answer_held_back();
-    let ends = {
+    let (ends, silence) = {
         let mut line = shared.line.borrow_mut();
         if !line.has_fence() {
             line.want_fence(MOST_FENCES);
             shared.wake.notify_one();
         }
-        line.sent.front().and_then(|sent| sent.command.payload.ends())
+        let payload = line.sent.front().map(|sent| &sent.command.payload);
+        let ends = payload.and_then(Payload::ends).unwrap_or_else(Instant::now);
+        let may_run_twice = payload.is_some_and(Payload::may_run_twice);
+        (ends, may_run_twice.then_some(LONGEST_SILENCE))
     };
     let unknown = || Err(ConnectionEnd::OutOfStep(Some(doubt)));
     loop {
@@ -169,13 +171,14 @@
             Order::Unreadable => return unknown(),
             Order::Unknown => {}
         }
-        let is_over = ends.is_some_and(|ends| Instant::now() >= ends);
-        if is_over || buffer.len() > MOST_HELD_BACK {
+        let left = ends.saturating_duration_since(Instant::now());
+        if left.is_zero() || buffer.len() > MOST_HELD_BACK {
             return unknown();
         }
+        let within = silence.map_or(left, |silence| silence.min(left));
         // A server that delays small writes sends the answer to the fence only then.
         reading.acknowledge_at_once();
-        match more_within(reading, buffer, READ, LONGEST_SILENCE).await {
+        match more_within(reading, buffer, READ, within).await {
             Ok(()) => {}
             Err(e) if e.kind() == ErrorKind::TimedOut => return unknown(),
             Err(_) => return Err(ConnectionEnd::Broken),
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -40,6 +40,19 @@
     }
 }
 
+/// As [`more`], no longer than a time.
+///
+/// # Errors
+/// `TimedOut` where nothing has come within it.
+pub async fn more_within(
+    reading: &impl Reading,
+    buffer: &mut BytesMut,
+    room: usize,
+    within: Duration,
+) -> io::Result<()> {
+    timeout(within, more(reading, buffer, room)).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
+}
+
 /// Reads what has come; whether the other side is still there. Safe to drop and call again.
 pub async fn read(reading: &impl Reading, buffer: &mut BytesMut) -> bool {
     more(reading, buffer, READ).await.is_ok()
