Tests: a server that repeats a common value, and a read that is written, are made in one place each

Cause: the new tests of fences wrote the script of one stand-in and the making of a read again.

Change: repeats_common_value in second_answer_orders.rs, and read_until of unit/servers.rs, serve both. No check is touched.

--- a/crates/mothpier/tests/second_answer_orders.rs
+++ b/crates/mothpier/tests/second_answer_orders.rs
@@ -1425,15 +1425,14 @@
     assert!(open <= 4, "{open} connections");
 }
 
-/// Guards against a repeat of a value that several keys have, at a server that has sent none twice
-/// before.
-#[test]
-fn a_common_value_that_is_repeated_for_the_first_time_reaches_no_key_with_another() {
+/// A cache server that has one value for all keys whose names begin with `same`, and repeats its last answer behind the command
+/// for `k1`.
+fn repeats_common_value() -> StandIn {
     let makes: Makes = |asked| match asked[1].as_str() {
         key if key.starts_with("same") => Some(bytes_of(array("equal"))),
         _ => makes_for_key(asked),
     };
-    let server = StandIn::start(command, makes, |line, _| {
+    StandIn::start(command, makes, |line, _| {
         while line.next() {
             if line.word(1) == "k1" && !line.answers.is_empty() {
                 line.repeat(line.answers.len() - 1);
@@ -1442,7 +1441,14 @@
             }
             line.answer();
         }
-    });
+    })
+}
+
+/// Guards against a repeat of a value that several keys have, at a server that has sent none twice
+/// before.
+#[test]
+fn a_common_value_that_is_repeated_for_the_first_time_reaches_no_key_with_another() {
+    let server = repeats_common_value();
     let (node, _discovery) = node_of("common-repeated", &server, &[THROUGH]);
     let mut client = node.client();
     for number in 0..6 {
@@ -1542,20 +1548,7 @@
 #[test]
 fn a_common_value_that_is_repeated_reaches_no_key_with_another_where_all_checks_are_used_up() {
     const NEW_KEYS: usize = 60;
-    let makes: Makes = |asked| match asked[1].as_str() {
-        key if key.starts_with("same") => Some(bytes_of(array("equal"))),
-        _ => makes_for_key(asked),
-    };
-    let server = StandIn::start(command, makes, |line, _| {
-        while line.next() {
-            if line.word(1) == "k1" && !line.answers.is_empty() {
-                line.repeat(line.answers.len() - 1);
-                line.next_within();
-                return;
-            }
-            line.answer();
-        }
-    });
+    let server = repeats_common_value();
     let (node, _discovery) = node_of("common-used-up", &server, &[THROUGH]);
     let mut client = node.client();
     for number in 0..NEW_KEYS {
--- a/crates/node/tests/unit/fence.rs
+++ b/crates/node/tests/unit/fence.rs
@@ -3,28 +3,17 @@
 use std::time::Duration;
 
 use super::*;
-use crate::command::{AttemptId, Claim, Command as ClientCommand, Ids};
+use crate::command::AttemptId;
 use crate::servers::line::Sent;
-use crate::servers::payload::{Command, Payload};
+use crate::servers::tests::read_until;
 
 const VALUE: &str = "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n";
 const PONG: &str = "+PONG\r\n";
 
 /// A read that has been written, with so many fences behind it.
 fn sent(attempt: AttemptId, fences: usize) -> Sent {
-    let id = Bytes::from(attempt.to_string());
-    let command = ClientCommand {
-        name: "CACHE.GET".into(),
-        key: "k".into(),
-        id: id.clone(),
-        extras: "c=read,d=9000".into(),
-        value: None,
-        write: false,
-        _claim: Claim::of(&Ids::default(), &id).unwrap(),
-    };
-    let extras = command.attempt_extras(Instant::now() + Duration::from_secs(9));
-    let payload = Payload::Request { command: command.into(), extras, may_run_twice: true };
-    Sent { command: Command::new(attempt, payload), written: Instant::now(), given_up: false, fences }
+    let command = read_until(attempt, Instant::now() + Duration::from_secs(9));
+    Sent { command, written: Instant::now(), given_up: false, fences }
 }
 
 /// A line with reads that have so many fences behind them each.
--- a/crates/node/tests/unit/servers.rs
+++ b/crates/node/tests/unit/servers.rs
@@ -131,7 +131,7 @@
 }
 
 /// A read of which the attempt is waited for until `attempt_ends`.
-fn read_until(attempt: AttemptId, attempt_ends: Instant) -> Command {
+pub(super) fn read_until(attempt: AttemptId, attempt_ends: Instant) -> Command {
     let id = Bytes::from(attempt.to_string());
     let command = ClientCommand {
         name: "CACHE.GET".into(),
