Metrics: bytes held, by what for, and the resident memory

Cause: a node of 48 MB is killed over its memory as clients read 1,200 values of 64 KiB at once. Neither log nor metrics told what the memory was held for, so that bytes from clients, replies that wait, receive buffers and the allocator could not be told apart.

Change: gauges of held bytes by use, each with its peak, and of the resident memory without program and files (RssAnon).

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -58,6 +58,11 @@
     /// The time of day, since the start of 1970. It may be set back; durations are not measured with it.
     fn unix_time(&self) -> Duration;
 
+    /// Resident memory of this process in bytes, without its program and files; `None` where it is not known.
+    fn resident_memory(&self) -> Option<u64> {
+        None
+    }
+
     /// Writes a line to the operators' log. It never fails and never blocks.
     fn log(&self, line: fmt::Arguments<'_>);
 }
--- a/crates/host/src/system_host.rs
+++ b/crates/host/src/system_host.rs
@@ -1,6 +1,7 @@
 //! The host that a program really runs on: tokio's sockets, the system's clock and standard error.
 
 use std::fmt;
+use std::fs;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -46,8 +47,33 @@
         SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
     }
 
+    fn resident_memory(&self) -> Option<u64> {
+        resident_memory(&fs::read_to_string("/proc/self/status").ok()?)
+    }
+
     /// Ignores write errors: a log that can't be written must not end the program.
     fn log(&self, line: fmt::Arguments<'_>) {
         let _ = writeln!(io::stderr(), "{}: {line}", self.program);
     }
 }
+
+/// Anonymous resident memory in bytes, from the contents of `/proc/self/status` (proc_pid_status(5)).
+fn resident_memory(status: &str) -> Option<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+    let kibibytes: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kibibytes * 1024)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn resident_memory_is_read_from_the_status_of_a_process() {
+        let status = "VmRSS:\t    5120 kB\nRssAnon:\t    1204 kB\nRssFile:\t    3916 kB\n";
+        assert_eq!(resident_memory(status), Some(1204 * 1024));
+        assert_eq!(resident_memory("VmRSS:\t    5120 kB\n"), None);
+        assert_eq!(resident_memory("RssAnon: many kB"), None);
+        assert!(SystemHost { program: "test" }.resident_memory().is_some_and(|bytes| bytes > 0));
+    }
+}
--- a/crates/node/src/clients/inbox.rs
+++ b/crates/node/src/clients/inbox.rs
@@ -6,6 +6,7 @@
 use brassrouter::Micros;
 use bytes::BytesMut;
 use mothpier_host::Reading;
+use mothpier_ops::HeldBytes;
 use mothpier_resp::{self as resp, FrameExtent, MAX_VALUE_BYTES};
 use tokio::time::Instant;
 
@@ -45,12 +46,20 @@
     /// When the command at the front of the buffer arrived, on the clock of requests.
     received_at: Micros,
     unread: Unread,
+    /// Counts the buffer as held.
+    held: HeldBytes,
 }
 
 impl<'a, R: Reading> Inbox<'a, R> {
     /// For a connection from which nothing has been read yet.
-    pub(super) fn new(reading: &'a R, now: Micros, unread: Unread) -> Self {
-        Inbox { reading, buffer: BytesMut::new(), last_read_at: Instant::now(), received_at: now, unread }
+    pub(super) fn new(reading: &'a R, now: Micros, unread: Unread, held: HeldBytes) -> Self {
+        let last_read_at = Instant::now();
+        Inbox { reading, buffer: BytesMut::new(), last_read_at, received_at: now, unread, held }
+    }
+
+    /// Updates the account of held memory.
+    pub(super) fn count_held(&mut self) {
+        self.held.set(self.buffer.capacity());
     }
 
     /// When the command at the front of the buffer arrived, on the clock of requests.
@@ -62,6 +71,7 @@
     pub(super) async fn read(&mut self, now: impl Fn() -> Micros) -> bool {
         let holds_command = self.holds_command();
         let more = read_some(self.reading, &mut self.buffer).await;
+        self.count_held();
         if holds_command {
             // Bytes behind the command must not move its arrival time.
             self.last_read_at = Instant::now();
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -8,7 +8,7 @@
 use brassrouter::settings::DeploymentSettings;
 use brassrouter::{Micros, RequestId};
 use mothpier_host::{Host, Stream};
-use mothpier_ops::OpsEndpoint;
+use mothpier_ops::{HeldBytes, MemoryUse, OpsEndpoint};
 use mothpier_storm::ConnectionAdmission;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::Instant;
@@ -125,6 +125,11 @@
         self.total_connections.clone()
     }
 
+    /// Counts bytes as held until the result is dropped.
+    fn hold(&self, use_: MemoryUse, bytes: usize) -> HeldBytes {
+        HeldBytes::new(&self.ops_endpoint.metrics.memory, use_, bytes)
+    }
+
     /// Number of open connections.
     pub fn open_count(&self) -> usize {
         self.open_connections.borrow().len()
--- a/crates/node/src/clients/parsing.rs
+++ b/crates/node/src/clients/parsing.rs
@@ -6,6 +6,7 @@
 use brassrouter::{Micros, Request};
 use bytes::Bytes;
 use mothpier_host::Host;
+use mothpier_ops::{HeldBytes, MemoryUse};
 use mothpier_resp::MAX_BUFFERED_VALUE_BYTES;
 use redis_protocol::resp2::types::BytesFrame;
 
@@ -77,7 +78,7 @@
 
     /// The command sent on to servers. Copies the arguments: a slice would keep the whole read buffer alive for as long as
     /// the request is open.
-    fn into_command(self, id_guard: RequestIdGuard) -> Command {
+    fn into_command(self, id_guard: RequestIdGuard, held: HeldBytes) -> Command {
         let write = self.is_write();
         Command {
             name: Bytes::from_static(if write { b"CACHE.SET" } else { b"CACHE.GET" }),
@@ -89,6 +90,7 @@
                 if v.len() > MAX_BUFFERED_VALUE_BYTES { v.clone() } else { Bytes::copy_from_slice(v) }
             }),
             write,
+            _held: held,
             _id_guard: id_guard,
         }
     }
@@ -144,7 +146,8 @@
         // Servers could not tell two open requests with one id apart; the first one is unaffected.
         let id_guard = RequestIdGuard::acquire(&self.open_ids, &Bytes::copy_from_slice(arguments.id));
         let id_guard = id_guard.ok_or("a request of this id is open".into()).map_err(rejected)?;
-        Ok((request, arguments.into_command(id_guard)))
+        let held = self.hold(MemoryUse::WriteValues, arguments.value.map_or(0, Bytes::len));
+        Ok((request, arguments.into_command(id_guard, held)))
     }
 
     /// Builds the decision module's view of a request of this class.
--- a/crates/node/src/clients/pending_replies.rs
+++ b/crates/node/src/clients/pending_replies.rs
@@ -7,12 +7,12 @@
 
 use brassrouter::RequestId;
 use bytes::Bytes;
-use mothpier_ops::{RequestEnd, RequestTicket};
+use mothpier_ops::{HeldBytes, RequestEnd, RequestTicket};
 use mothpier_resp as resp;
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
 
-use crate::command::{LargeValue, Reply};
+use crate::command::{Delivery, LargeValue, Reply};
 
 /// Replies that are ready are combined into one write up to about this size.
 const MAX_BATCH_BYTES: usize = 64 * 1024;
@@ -24,7 +24,7 @@
     /// A large value that is relayed as it arrives.
     Stream(LargeValue),
     /// The node has not provided it yet.
-    Pending(RequestId, oneshot::Receiver<Reply>),
+    Pending(RequestId, oneshot::Receiver<Delivery>),
 }
 
 /// One of the pending replies of a connection.
@@ -32,6 +32,8 @@
     pub(super) state: ReplyState,
     /// Held until the reply is written; only for requests that were forwarded.
     pub(super) memory_permit: Option<OwnedSemaphorePermit>,
+    /// Counts the reply as held once it has arrived.
+    pub(super) held: Option<HeldBytes>,
     /// For a request: ended in this way once the reply is written.
     pub(super) ticket: Option<(RequestTicket, RequestEnd)>,
 }
@@ -45,9 +47,15 @@
     /// Takes the node's reply if it has arrived.
     fn poll_reply(&mut self, cx: &mut Context<'_>) {
         let ReplyState::Pending(_, receiver) = &mut self.state else { return };
-        let Poll::Ready(reply) = Pin::new(receiver).poll(cx) else { return };
+        let Poll::Ready(delivery) = Pin::new(receiver).poll(cx) else { return };
         // The node drops a request without a reply only at shutdown.
-        let reply = reply.unwrap_or(Reply::Failed);
+        let reply = match delivery {
+            Ok(Delivery { reply, held }) => {
+                self.held = Some(held);
+                reply
+            }
+            Err(_) => Reply::Failed,
+        };
         if let Some((_, end)) = &mut self.ticket {
             *end = ticket_end(&reply);
         }
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -125,7 +125,7 @@
         );
         let state = ReplyState::Ready(resp::encode_error(&format!("BUSY {RETRY_AFTER_MS}")));
         let ticket = Some((self.count_request(class), RequestEnd::Refused));
-        self.pending.push_back(PendingReply { state, memory_permit: None, ticket });
+        self.pending.push_back(PendingReply { state, memory_permit: None, held: None, ticket });
     }
 
     /// Forwards a request to the node.
@@ -160,6 +160,7 @@
         self.pending.push_back(PendingReply {
             state: ReplyState::Pending(id, receiver),
             memory_permit: Some(memory),
+            held: None,
             ticket,
         });
     }
--- a/crates/node/src/clients/serving.rs
+++ b/crates/node/src/clients/serving.rs
@@ -4,7 +4,7 @@
 
 use bytes::BytesMut;
 use mothpier_host::{Host, Reading, Stream};
-use mothpier_ops::{CloseReason, Reason};
+use mothpier_ops::{CloseReason, MemoryUse, Reason};
 use mothpier_resp::{self as resp, MAX_VALUE_BYTES, Malformed};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -48,7 +48,8 @@
         let (reading, writing) = stream.into_halves();
         let mut writing = RetryingStream::new(writing);
         let mut progress = Progress::new(Instant::now());
-        let mut inbox = Inbox::new(&reading, (self.clients.now)(), unread);
+        let mut inbox =
+            Inbox::new(&reading, (self.clients.now)(), unread, self.clients.hold(MemoryUse::ClientInput, 0));
         let closing = self.serve(&mut inbox, &mut writing, &mut progress, evict).await;
         self.report_close(closing.reason(), &progress);
         if let Closing::Graceful(_) = closing {
@@ -202,6 +203,7 @@
         } else {
             progress.record_partial_command();
         }
+        inbox.count_held();
     }
 
     /// Publishes the state of the connection, for eviction and for the log.
--- a/crates/node/src/clients/writing.rs
+++ b/crates/node/src/clients/writing.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use mothpier_host::{Host, Reading};
-use mothpier_ops::{CloseReason, RequestEnd, RequestTicket};
+use mothpier_ops::{CloseReason, MemoryUse, RequestEnd, RequestTicket};
 use mothpier_resp::{self as resp, Malformed};
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -48,7 +48,7 @@
         inbox: &mut Inbox<'_, R>,
         writing: &mut ClientWriting<H>,
     ) -> WriteResult {
-        let Some(PendingReply { state: ReplyState::Stream(mut value), memory_permit, ticket }) =
+        let Some(PendingReply { state: ReplyState::Stream(mut value), memory_permit, ticket, .. }) =
             self.pending.pop_front()
         else {
             return Err(CloseReason::ValueCut);
@@ -95,6 +95,8 @@
         writing: &mut ClientWriting<H>,
     ) -> WriteResult {
         let bytes = self.take_ready_bytes(ready);
+        let copied = if ready > 1 { bytes.len() } else { 0 };
+        let _held = self.clients.hold(MemoryUse::WriteBatches, copied);
         let result = self.write_bytes(&bytes, WriteKind::Replies, inbox, writing).await;
         for reply in self.pending.drain(..ready) {
             // A request whose reply could not be written was abandoned and has no end.
@@ -216,7 +218,7 @@
     pub(super) fn reject(&mut self, rejected: Rejected) {
         let ticket = rejected.class.map(|class| (self.count_request(class), RequestEnd::Failed));
         let state = ReplyState::Ready(resp::encode_error(&format!("ERR {}", rejected.message)));
-        self.pending.push_back(PendingReply { state, memory_permit: None, ticket });
+        self.pending.push_back(PendingReply { state, memory_permit: None, held: None, ticket });
     }
 
     /// Reports a protocol error behind the pending replies, and stops reading commands.
@@ -230,6 +232,7 @@
         self.pending.push_back(PendingReply {
             state: ReplyState::Ready(bytes),
             memory_permit: None,
+            held: None,
             ticket: None,
         });
     }
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use mothpier_ops::HeldBytes;
 use mothpier_resp as resp;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -32,6 +33,8 @@
     pub extras: Bytes,
     pub value: Option<Bytes>,
     pub write: bool,
+    /// Counts the value as held.
+    pub(crate) _held: HeldBytes,
     /// Released with the command; until then no other request may use the same id.
     pub(crate) _id_guard: RequestIdGuard,
 }
@@ -135,7 +138,23 @@
     Failed,
 }
 
+/// A final reply on its way to the client's connection.
+#[derive(Debug)]
+pub struct Delivery {
+    pub reply: Reply,
+    /// Counts the reply as held.
+    pub held: HeldBytes,
+}
+
 impl Reply {
+    /// The size of the value, if it is complete.
+    pub fn buffered_bytes(&self) -> usize {
+        match self {
+            Reply::Value(value) => value.len(),
+            Reply::Stream(_) | Reply::Busy(_) | Reply::Failed => 0,
+        }
+    }
+
     /// Whether the reply carries a value.
     pub fn carries_value(&self) -> bool {
         matches!(self, Reply::Value(_) | Reply::Stream(_))
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -9,7 +9,7 @@
 use mothpier_plan::ZoneOrder;
 use tokio::sync::oneshot;
 
-use crate::command::{AttemptId, Command, Reply};
+use crate::command::{AttemptId, Command, Delivery};
 use crate::discovery::ServerList;
 use crate::{origin, servers};
 
@@ -77,7 +77,7 @@
         /// The connection that the request arrived on.
         connection: u64,
         command: Box<Command>,
-        reply: oneshot::Sender<Reply>,
+        reply: oneshot::Sender<Delivery>,
     },
     Disconnected(RequestId),
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,14 +14,17 @@
 };
 use mothpier_handover::{PredecessorState, RemainingResources};
 use mothpier_host::Host;
-use mothpier_ops::{DoubtedAnswers, Gauges, LifecycleEvent, OpsEndpoint, Reason, RefuseReason, RetryReason};
+use mothpier_ops::{
+    DoubtedAnswers, Gauges, HeldBytes, LifecycleEvent, MemoryUse, OpsEndpoint, Reason, RefuseReason,
+    RetryReason,
+};
 use mothpier_record::{Recorder, entry};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
 use crate::agreement::{Agreement, AgreementChanges};
-use crate::command::{AttemptId, Command, Reply};
+use crate::command::{AttemptId, Command, Delivery, Reply};
 use crate::counters::Counters;
 use crate::discovery::{ListedServer, ServerIds, ServerList, Subscription};
 use crate::event_log::{EventKind, EventLog};
@@ -83,7 +86,7 @@
 /// A request that has not had its final reply.
 struct PendingRequest {
     command: Rc<Command>,
-    reply: oneshot::Sender<Reply>,
+    reply: oneshot::Sender<Delivery>,
     deadline: Instant,
     /// Attempts so far (the next attempt gets this number), and how many of them failed on this machine.
     attempts: u16,
@@ -338,6 +341,9 @@
             origin_calls_limit,
             list_age,
         });
+        if let Some(bytes) = self.host.resident_memory() {
+            self.components.ops_endpoint.metrics.set_resident_bytes(bytes);
+        }
         self.publish_zone_status();
     }
 
@@ -776,7 +782,9 @@
             Reply::Failed => self.counters.failed += 1,
         }
         // The client may have disconnected meanwhile.
-        let _ = pending.reply.send(reply);
+        let memory = &self.components.ops_endpoint.metrics.memory;
+        let held = HeldBytes::new(memory, MemoryUse::Replies, reply.buffered_bytes());
+        let _ = pending.reply.send(Delivery { reply, held });
         pending.in_flight
     }
 
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -11,6 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use mothpier_host::failure::ConnectFailure;
 use mothpier_host::{Host, Reading, Stream};
+use mothpier_ops::{HeldBytes, MemoryUse};
 use mothpier_resp as resp;
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
@@ -144,6 +145,7 @@
 ) -> ConnectionEnd {
     let notify = |event| events.send(Input::Server { server, connection: connection_number, event });
     let mut buffer = BytesMut::new();
+    let mut held = HeldBytes::new(&shared.metrics.memory, MemoryUse::ServerInput, 0);
     loop {
         if take_fence_replies(&mut buffer, shared).is_err() {
             return ConnectionEnd::OutOfSync(None);
@@ -186,11 +188,13 @@
             if buffer.is_empty() {
                 buffer = BytesMut::new();
             }
+            held.set(buffer.capacity());
             let started = !buffer.is_empty();
             let read = match started {
                 true => read_more_within(reading, &mut buffer, READ_SIZE_BYTES, RESPONSE_STALL_TIMEOUT).await,
                 false => read_more(reading, &mut buffer, READ_SIZE_BYTES).await,
             };
+            held.set(buffer.capacity());
             match read {
                 Ok(()) => continue,
                 Err(e) if e.kind() == ErrorKind::TimedOut && started => {}
--- a/crates/node/tests/unit/origin.rs
+++ b/crates/node/tests/unit/origin.rs
@@ -1,7 +1,7 @@
 //! Tests of the origin client without a node.
 
 use mothpier_host::SystemHost;
-use mothpier_ops::OpsEndpoint;
+use mothpier_ops::{HeldBytes, MemoryUse, OpsEndpoint};
 
 use super::*;
 use crate::command::{RequestIdGuard, RequestIds};
@@ -30,6 +30,7 @@
             extras: "c=read,d=9000".into(),
             value: Some("value".into()),
             write: true,
+            _held: HeldBytes::new(&Arc::default(), MemoryUse::WriteValues, 0),
             _id_guard: RequestIdGuard::acquire(&RequestIds::default(), &"i".into()).unwrap(),
         };
         let extras = command.attempt_extras(Instant::now());
--- a/crates/node/tests/unit/servers.rs
+++ b/crates/node/tests/unit/servers.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use mothpier_host::SystemHost;
-use mothpier_ops::OpsEndpoint;
+use mothpier_ops::{HeldBytes, MemoryUse, OpsEndpoint};
 use mothpier_resp as resp;
 
 use super::*;
@@ -151,6 +151,7 @@
         extras: "c=read,d=9000".into(),
         value: None,
         write: false,
+        _held: HeldBytes::new(&Arc::default(), MemoryUse::WriteValues, 0),
         _id_guard: RequestIdGuard::acquire(&RequestIds::default(), &id).unwrap(),
     };
     let extras = command.attempt_extras(deadline);
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod call;
 mod lifecycle;
+mod memory;
 mod metrics;
 mod reasons;
 mod text;
@@ -14,6 +15,7 @@
 
 pub use call::{CallEffect, CallResult, MAX_HEAD_BYTES};
 pub use lifecycle::{Lifecycle, LifecycleEvent, Phase};
+pub use memory::{HeldBytes, MemoryGauges, MemoryUse};
 pub use metrics::{DoubtedAnswers, Gauges, Metrics, RequestEnd, RequestTicket};
 pub use reasons::{ByReason, CloseReason, Reason, RefuseReason, RetryReason};
 pub use zone_status::ZoneStatusBoard;
--- a/crates/ops/src/metrics.rs
+++ b/crates/ops/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
+use crate::memory::MemoryGauges;
 use crate::reasons::{ByReason, CloseReason, RefuseReason, RetryReason};
 
 /// How a request ended.
@@ -45,6 +46,9 @@
     pub(crate) doubts_confirmed: AtomicU64,
     pub(crate) doubts_refuted: AtomicU64,
     pub(crate) answers_held_back: AtomicU64,
+    pub(crate) resident_bytes: AtomicU64,
+    /// Memory held for clients and servers.
+    pub memory: Arc<MemoryGauges>,
     /// Ended connections of clients.
     pub closed: ByReason<CloseReason>,
     /// Refused requests.
@@ -112,6 +116,8 @@
             doubts_confirmed: AtomicU64::new(0),
             doubts_refuted: AtomicU64::new(0),
             answers_held_back: AtomicU64::new(0),
+            resident_bytes: AtomicU64::new(0),
+            memory: Arc::default(),
             closed: ByReason::default(),
             refusals: ByReason::default(),
             retries: ByReason::default(),
@@ -195,6 +201,11 @@
         }
     }
 
+    /// Sets the resident memory of the process, without its program and files.
+    pub fn set_resident_bytes(&self, bytes: u64) {
+        self.resident_bytes.store(bytes, Relaxed);
+    }
+
     /// Sets all gauges.
     pub fn set_gauges(&self, gauges: Gauges) {
         self.servers_known.store(gauges.servers_known as u64, Relaxed);
--- a/crates/ops/src/reasons.rs
+++ b/crates/ops/src/reasons.rs
@@ -41,6 +41,8 @@
     };
 }
 
+pub(crate) use reasons;
+
 reasons! {
     /// Why a client's connection has ended.
     CloseReason {
--- a/crates/ops/src/text.rs
+++ b/crates/ops/src/text.rs
@@ -48,6 +48,12 @@
                 "gauge",
                 &self.servers_excluded,
             ),
+            (
+                "resident_bytes",
+                "Resident memory of the process, without its program and files.",
+                "gauge",
+                &self.resident_bytes,
+            ),
             ("origin_calls_out", "Calls out at the origin.", "gauge", &self.origin_calls_out),
             (
                 "origin_calls_limit",
@@ -101,6 +107,10 @@
         let (name, help) =
             ("further_attempts_total", "Attempts beyond a request's first, by what came before.");
         write_by_reason(&mut out, (name, help), &self.retries);
+        let held = "Bytes held, by what for.";
+        write_by_use(&mut out, ("held_bytes", held), self.memory.current());
+        let peak = "The most bytes held at one time since the start, by what for.";
+        write_by_use(&mut out, ("held_peak_bytes", peak), self.memory.peak());
         let (name, help) = ("list_age_seconds", "Since discovery last answered, or since the start.");
         write_header(&mut out, name, help, "gauge");
         let _ = writeln!(out, "{PREFIX}{name} {:.1}", self.list_age_ms.load(Relaxed) as f64 / 1e3);
@@ -120,6 +130,18 @@
     }
 }
 
+/// Writes a gauge with a value for each use of memory.
+fn write_by_use(
+    out: &mut String,
+    (name, help): (&str, &str),
+    values: impl Iterator<Item = (&'static str, u64)>,
+) {
+    write_header(out, name, help, "gauge");
+    for (use_, bytes) in values {
+        let _ = writeln!(out, "{PREFIX}{name}{{use=\"{use_}\"}} {bytes}");
+    }
+}
+
 /// Escapes a label value: a backslash, a quote and an end of line would end it or change its meaning.
 fn escape_label(label: &str) -> String {
     label.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
@@ -131,7 +153,7 @@
     use std::time::Duration;
 
     use super::*;
-    use crate::{CloseReason, Gauges, RefuseReason, RequestEnd, RetryReason};
+    use crate::{CloseReason, Gauges, HeldBytes, MemoryUse, RefuseReason, RequestEnd, RetryReason};
 
     #[test]
     fn every_class_is_present_from_the_start_and_each_end_counts_once() {
@@ -164,6 +186,8 @@
         metrics.closed.increment(CloseReason::Drained);
         metrics.refusals.increment(RefuseReason::Retiring);
         metrics.retries.increment(RetryReason::Miss);
+        metrics.set_resident_bytes(4096);
+        let _held = HeldBytes::new(&metrics.memory, MemoryUse::Replies, 70);
         let text = metrics.to_text();
         for line in [
             "# TYPE edge_router_served_total counter",
@@ -188,6 +212,10 @@
             "edge_router_doubts_confirmed_total 2",
             "edge_router_doubts_refuted_total 1",
             "edge_router_answers_held_back_total 5",
+            "edge_router_resident_bytes 4096",
+            "# TYPE edge_router_held_bytes gauge",
+            "edge_router_held_bytes{use=\"replies\"} 70",
+            "edge_router_held_peak_bytes{use=\"server_input\"} 0",
             "# TYPE edge_router_connections_closed_total counter",
             "edge_router_connections_closed_total{reason=\"drained\"} 1",
             "edge_router_connections_closed_total{reason=\"idle\"} 0",
