--- /dev/null
+++ b/crates/mothpier/tests/memory_limit.rs
@@ -0,0 +1,228 @@
+//! A node stays within its memory limit and answers what it has taken, whatever the size of the values.
+#![allow(missing_docs)]
+
+mod harness;
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use harness::*;
+
+/// Interval at which the memory of the node is read.
+const WATCH_INTERVAL: Duration = Duration::from_millis(1);
+/// How long a cache server takes for an answer, so that the requests of all clients are open together.
+const ANSWER_DELAY: Duration = Duration::from_millis(80);
+/// The same for those behind which other replies wait for their turn.
+const LONG_ANSWER_DELAY: Duration = Duration::from_millis(400);
+/// The largest value that a node holds whole; a larger one is streamed.
+const MAX_BUFFERED_VALUE_BYTES: usize = 64 * 1024;
+const KIB_PER_MIB: u64 = 1024;
+
+/// Reads the anonymous resident memory of a process while a test runs.
+struct MemoryWatch {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<u64>,
+}
+
+impl MemoryWatch {
+    fn start(node: &Node) -> Self {
+        let (path, stop) = (format!("/proc/{}/status", node.child.id()), Arc::new(AtomicBool::new(false)));
+        let stopped = stop.clone();
+        let thread = thread::spawn(move || {
+            let mut peak = 0;
+            while !stopped.load(Relaxed) {
+                let status = std::fs::read_to_string(&path).unwrap();
+                let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
+                peak = peak.max(line.trim().trim_end_matches(" kB").parse().unwrap());
+                thread::sleep(WATCH_INTERVAL);
+            }
+            peak
+        });
+        MemoryWatch { stop, thread }
+    }
+
+    /// The most memory that was seen, in KiB.
+    fn peak_kib(self) -> u64 {
+        self.stop.store(true, Relaxed);
+        self.thread.join().unwrap()
+    }
+}
+
+/// Starts nine cache servers that answer each command with this reaction after a delay, which is longer for every tenth
+/// key of a client.
+fn cache_servers(answer: impl Fn() -> Reaction + Clone + Send + Sync + 'static) -> Vec<String> {
+    let start = |number| {
+        let answer = answer.clone();
+        let address = serve(read_command, move |asked| {
+            thread::sleep(if asked[1].ends_with('0') { LONG_ANSWER_DELAY } else { ANSWER_DELAY });
+            answer()
+        });
+        member(&format!("s-{number}"), address, "m", "ready")
+    };
+    (0..9).map(start).collect()
+}
+
+/// A node with this memory limit.
+fn node_with_memory(name: &str, memory_mb: usize, servers: &[String]) -> Node {
+    let memory = format!(r#""memory_mb":{memory_mb}"#);
+    let replacements = [(r#""memory_mb":192"#, memory.as_str()), (r#""maxOpen":1000"#, r#""maxOpen":20000"#)];
+    start_node(name, &Discovery::start(&servers.join(",")), &replacements)
+}
+
+/// The commands of one client.
+#[derive(Clone, Copy)]
+enum Commands {
+    Reads,
+    WritesOf { value_bytes: usize },
+}
+
+impl Commands {
+    fn encode(self, client: usize, count: usize) -> Vec<u8> {
+        let mut commands = Vec::new();
+        for number in 0..count {
+            let (key, id) = (format!("k{client}-{number}"), format!("id{client}-{number}"));
+            let words = match self {
+                Commands::Reads => vec!["CACHE.GET".into(), key, id, "c=read,t=acme,d=19000".into()],
+                Commands::WritesOf { value_bytes } => {
+                    let extras = format!("c=once,t=acme,d=19000,k={id}");
+                    vec!["CACHE.SET".into(), key, id, extras, "v".repeat(value_bytes)]
+                }
+            };
+            commands.extend(format!("*{}\r\n", words.len()).into_bytes());
+            words.iter().for_each(|w| commands.extend(format!("${}\r\n{w}\r\n", w.len()).into_bytes()));
+        }
+        commands
+    }
+}
+
+/// How a request ended, from its reply.
+fn end(reply: &str) -> &'static str {
+    match reply {
+        reply if reply.starts_with('$') => "served",
+        reply if reply.starts_with("-BUSY") => "refused",
+        "-ERR failed" => "failed",
+        "end" => "never answered",
+        _ => "something else",
+    }
+}
+
+/// Many clients that each send all of their commands at once, wait, and take the replies.
+#[derive(Clone, Copy)]
+struct Crowd {
+    clients: usize,
+    commands: Commands,
+    commands_per_client: usize,
+    pause: Duration,
+}
+
+impl Crowd {
+    fn reads(clients: usize, commands_per_client: usize) -> Self {
+        Crowd { clients, commands: Commands::Reads, commands_per_client, pause: Duration::ZERO }
+    }
+
+    /// One client, from its first command to its last reply.
+    fn play_one(self, number: usize, node: SocketAddr) -> Vec<&'static str> {
+        let mut client = Client::connect(node);
+        let mut sending = client.sending_side();
+        let sender = thread::spawn(move || {
+            sending.write_all(&self.commands.encode(number, self.commands_per_client)).unwrap();
+        });
+        thread::sleep(self.pause);
+        let ends = (0..self.commands_per_client).map(|_| end(&client.answer())).collect();
+        sender.join().unwrap();
+        ends
+    }
+}
+
+/// Plays a crowd and returns how its requests ended.
+fn play(crowd: Crowd, node: SocketAddr) -> BTreeMap<&'static str, usize> {
+    let play_one = |number| thread::spawn(move || crowd.play_one(number, node));
+    let clients: Vec<_> = (0..crowd.clients).map(play_one).collect();
+    let mut ends = BTreeMap::new();
+    for reply in clients.into_iter().flat_map(|client| client.join().unwrap()) {
+        *ends.entry(reply).or_default() += 1;
+    }
+    ends
+}
+
+/// Checks that a node answers all commands and stays within its memory; returns how many were served.
+fn check(node: Node, memory_mb: usize, crowd: Crowd) -> usize {
+    let memory = MemoryWatch::start(&node);
+    let ends = play(crowd, node.address);
+    let peak = memory.peak_kib();
+    let answered = ["served", "refused", "failed"].iter().filter_map(|end| ends.get(end)).sum::<usize>();
+    let seen = format!("{peak} KiB of {memory_mb} MiB, {ends:?}");
+    assert_eq!(answered, crowd.clients * crowd.commands_per_client, "{seen}");
+    assert!(peak <= memory_mb as u64 * KIB_PER_MIB, "{seen}");
+    ends.get("served").copied().unwrap_or_default()
+}
+
+/// The same for reads of values of one size.
+fn check_reads(name: &str, memory_mb: usize, value_bytes: usize, crowd: Crowd) -> usize {
+    let value = "v".repeat(value_bytes);
+    let servers = cache_servers(move || hit(&value));
+    check(node_with_memory(name, memory_mb, &servers), memory_mb, crowd)
+}
+
+/// Guards against a node that admits reads by a guess of their size, and is killed for the values that they bring.
+#[test]
+fn values_of_the_largest_buffered_size_stay_within_the_memory_limit() {
+    for memory_mb in [32, 48, 192] {
+        let crowd = Crowd::reads(memory_mb / 4, 100);
+        let served = check_reads(&format!("at-once-{memory_mb}"), memory_mb, MAX_BUFFERED_VALUE_BYTES, crowd);
+        // A quarter of the memory at least goes into values that are served.
+        assert!(served >= memory_mb * 4, "{memory_mb} MiB: {served}");
+    }
+}
+
+/// Guards against replies that are held without a bound for clients that do not take them.
+#[test]
+fn values_for_clients_that_read_late_stay_within_the_memory_limit() {
+    let crowd = Crowd { pause: Duration::from_secs(1), ..Crowd::reads(24, 60) };
+    assert!(check_reads("late", 32, MAX_BUFFERED_VALUE_BYTES, crowd) > 0);
+}
+
+/// Guards against chunks of streamed values that cost more than is reserved for them.
+#[test]
+fn streamed_values_stay_within_the_memory_limit() {
+    let crowd = Crowd { pause: Duration::from_millis(500), ..Crowd::reads(24, 40) };
+    assert!(check_reads("streamed", 32, MAX_BUFFERED_VALUE_BYTES + 1, crowd) > 0);
+}
+
+/// Guards against values of the origin that are received beside the account of memory.
+#[test]
+fn values_of_the_origin_stay_within_the_memory_limit() {
+    let origin = serve(read_call, |_| {
+        thread::sleep(ANSWER_DELAY);
+        http("200 OK", &"v".repeat(MAX_BUFFERED_VALUE_BYTES))
+    });
+    let mut servers = cache_servers(miss);
+    servers.push(member("o-1", origin, "origin", "ready"));
+    assert!(check(node_with_memory("origin-values", 32, &servers), 32, Crowd::reads(24, 60)) > 0);
+}
+
+/// Guards against writes whose values are held beside the account of memory.
+#[test]
+fn values_of_writes_stay_within_the_memory_limit() {
+    let origin = serve(read_call, |_| {
+        thread::sleep(ANSWER_DELAY);
+        http("200 OK", "ok")
+    });
+    let mut servers = cache_servers(miss);
+    servers.push(member("o-1", origin, "origin", "ready"));
+    let commands = Commands::WritesOf { value_bytes: MAX_BUFFERED_VALUE_BYTES };
+    let crowd = Crowd { commands, ..Crowd::reads(24, 30) };
+    assert!(check(node_with_memory("writes", 32, &servers), 32, crowd) > 0);
+}
+
+/// Guards against an account of memory that admits fewer reads of small values than half of the memory holds replies of
+/// 32 KiB.
+#[test]
+fn as_many_small_values_as_before_are_served() {
+    assert!(check_reads("small", 48, 100, Crowd::reads(12, 100)) >= 768);
+}
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -10,13 +10,14 @@
 use mothpier_host::{Host, Stream};
 use mothpier_ops::{HeldBytes, MemoryUse, OpsEndpoint};
 use mothpier_storm::ConnectionAdmission;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio::time::Instant;
 
 use crate::command::RequestIds;
 use crate::event_log::EventLog;
 use crate::input::Input;
 use crate::keys::KeyHasher;
+use crate::memory::{MemoryBudget, SharedHalf};
 use crate::memory_shortage::RetryingStream;
 
 mod accepting;
@@ -51,8 +52,8 @@
 pub struct ClientLimits {
     /// Limit of open connections.
     pub max_connections: usize,
-    /// Limit of memory for open requests.
-    pub memory_bytes: usize,
+    /// Memory for open requests.
+    pub memory: Rc<MemoryBudget>,
     /// Admission control of new connections.
     pub admission: ConnectionAdmission,
 }
@@ -65,9 +66,7 @@
     ops_endpoint: Arc<OpsEndpoint>,
     next_request: Cell<RequestId>,
     open_ids: RequestIds,
-    /// One permit for each KiB.
-    memory: Arc<Semaphore>,
-    memory_kb: usize,
+    memory: Rc<MemoryBudget>,
     max_connections: Cell<usize>,
     key_hasher: KeyHasher,
     admission: RefCell<ConnectionAdmission>,
@@ -103,8 +102,7 @@
             ops_endpoint,
             next_request: Cell::new(1),
             open_ids: RequestIds::default(),
-            memory: Arc::new(Semaphore::new(limits.memory_bytes / 1024)),
-            memory_kb: limits.memory_bytes / 1024,
+            memory: limits.memory,
             max_connections: Cell::new(limits.max_connections),
             admission: RefCell::new(limits.admission),
             newcomers: Rc::default(),
@@ -140,10 +138,9 @@
         self.max_connections.set(limit);
     }
 
-    /// Reserves half of the memory for requests, or as much of that half as is free, for another process of this node.
-    pub fn reserve_half(&self) -> Option<OwnedSemaphorePermit> {
-        let half = (self.memory_kb / 2).min(self.memory.available_permits());
-        self.memory.clone().try_acquire_many_owned(half as u32).ok()
+    /// Sets aside half of the memory for another process of this node.
+    pub fn share_memory(&self) -> SharedHalf {
+        self.memory.share_half()
     }
 
     /// Waits until a connection has closed.
--- a/crates/node/src/clients/parsing.rs
+++ b/crates/node/src/clients/parsing.rs
@@ -90,6 +90,7 @@
                 if v.len() > MAX_BUFFERED_VALUE_BYTES { v.clone() } else { Bytes::copy_from_slice(v) }
             }),
             write,
+            memory: None,
             _held: held,
             _id_guard: id_guard,
         }
--- a/crates/node/src/clients/pending_replies.rs
+++ b/crates/node/src/clients/pending_replies.rs
@@ -7,14 +7,14 @@
 
 use brassrouter::RequestId;
 use bytes::Bytes;
-use mothpier_ops::{HeldBytes, RequestEnd, RequestTicket};
+use mothpier_ops::{RequestEnd, RequestTicket};
 use mothpier_resp as resp;
-use redis_protocol::resp2::types::BytesFrame;
-use tokio::sync::{OwnedSemaphorePermit, oneshot};
+use tokio::sync::oneshot;
 
-use crate::command::{Delivery, LargeValue, Reply};
+use crate::command::{Delivery, EncodedReply, LargeValue};
+use crate::memory::ReplyMemory;
 
-/// Replies that are ready are combined into one write up to about this size.
+/// Replies that are ready are combined into one write of at most this size; a larger one is written alone.
 const MAX_BATCH_BYTES: usize = 64 * 1024;
 
 /// State of a reply.
@@ -30,10 +30,10 @@
 /// One of the pending replies of a connection.
 pub(super) struct PendingReply {
     pub(super) state: ReplyState,
-    /// Held until the reply is written; only for requests that were forwarded.
-    pub(super) memory_permit: Option<OwnedSemaphorePermit>,
-    /// Counts the reply as held once it has arrived.
-    pub(super) held: Option<HeldBytes>,
+    /// Whether it is the reply to a request that was forwarded to the node.
+    pub(super) forwarded: bool,
+    /// Memory of the node's reply, released once it is written.
+    pub(super) memory: Option<ReplyMemory>,
     /// For a request: ended in this way once the reply is written.
     pub(super) ticket: Option<(RequestTicket, RequestEnd)>,
 }
@@ -48,36 +48,22 @@
     fn poll_reply(&mut self, cx: &mut Context<'_>) {
         let ReplyState::Pending(_, receiver) = &mut self.state else { return };
         let Poll::Ready(delivery) = Pin::new(receiver).poll(cx) else { return };
-        // The node drops a request without a reply only at shutdown.
-        let reply = match delivery {
-            Ok(Delivery { reply, held }) => {
-                self.held = Some(held);
-                reply
-            }
-            Err(_) => Reply::Failed,
+        let Ok(Delivery { reply, end, memory }) = delivery else {
+            // The node drops a request without a reply only at shutdown.
+            self.state = ReplyState::Ready(resp::encode_error("ERR failed"));
+            return;
         };
-        if let Some((_, end)) = &mut self.ticket {
-            *end = ticket_end(&reply);
+        self.memory = Some(memory);
+        if let Some((_, ticket_end)) = &mut self.ticket {
+            *ticket_end = end;
         }
         self.state = match reply {
-            Reply::Stream(value) => ReplyState::Stream(value),
-            Reply::Value(value) => ReplyState::Ready(resp::encode(&BytesFrame::BulkString(value))),
-            Reply::Busy(0) => ReplyState::Ready(resp::encode_error("BUSY")),
-            Reply::Busy(ms) => ReplyState::Ready(resp::encode_error(&format!("BUSY {ms}"))),
-            Reply::Failed => ReplyState::Ready(resp::encode_error("ERR failed")),
+            EncodedReply::Complete(bytes) => ReplyState::Ready(bytes),
+            EncodedReply::Stream(value) => ReplyState::Stream(value),
         };
     }
 }
 
-/// How a request with this reply ends.
-fn ticket_end(reply: &Reply) -> RequestEnd {
-    match reply {
-        Reply::Value(_) | Reply::Stream(_) => RequestEnd::Served,
-        Reply::Busy(_) => RequestEnd::Refused,
-        Reply::Failed => RequestEnd::Failed,
-    }
-}
-
 /// What can be written to a client now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Writable {
@@ -94,10 +80,11 @@
         for reply in pending.iter_mut() {
             reply.poll_reply(cx);
             let ReplyState::Ready(bytes) = &reply.state else { break };
-            (ready, size) = (ready + 1, size + bytes.len());
-            if size >= MAX_BATCH_BYTES {
+            size += bytes.len();
+            if ready > 0 && size > MAX_BATCH_BYTES {
                 break;
             }
+            ready += 1;
         }
         match pending.front() {
             _ if ready > 0 => Poll::Ready(Writable::Replies(ready)),
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -6,25 +6,20 @@
 use mothpier_ops::{CloseReason, Lifecycle, Phase, Reason, RefuseReason, RequestEnd};
 use mothpier_resp::{self as resp, FrameExtent, MAX_BUFFERED_VALUE_BYTES, MAX_VALUE_BYTES, Malformed};
 use redis_protocol::resp2::types::BytesFrame;
-use tokio::sync::{OwnedSemaphorePermit, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::parsing::command_arguments;
 use super::pending_replies::{PendingReply, ReplyState};
 use super::session::Session;
-use crate::command::Command;
+use crate::command::{Command, REFUSED_RETRY_AFTER_MS};
 use crate::event_log::EventKind;
 use crate::input::{ClientEvent, Input};
+use crate::memory::{MemoryPermit, ReplyMemory, USUAL_REPLY_BYTES, permits};
 use crate::stream::READ_SIZE_BYTES;
 
 /// Limit of open requests on one connection; further ones are refused.
 const MAX_PIPELINE: usize = 128;
-/// Memory that an open request accounts for until its reply is written, beside its own value: half of the largest reply
-/// that is held completely, because few are large. The buffered chunks of a relayed value are no larger.
-const REQUEST_MEMORY_KB: usize = MAX_BUFFERED_VALUE_BYTES / 2 / 1024;
-/// Retry hint for a request that is refused here.
-const RETRY_AFTER_MS: u64 = 100;
-
 impl<H: Host> Session<H> {
     /// Inspects a command whose value is still arriving. Memory for a large value is reserved before it is read; if there is
     /// none, the value will be discarded and the request refused.
@@ -43,9 +38,10 @@
         if !last {
             return self.protocol_error(Malformed("only a value may be so large"));
         }
-        if let Ok(reservation) = self.clients.memory.clone().try_acquire_many_owned((end / 1024) as u32) {
+        if let Ok(reservation) = self.clients.memory.reserve_for_request(end) {
             self.input.reserve(reservation);
-            return buffer.reserve(end - buffer.len());
+            // With room for one more read, so that the buffer does not grow again at the end of the value.
+            return buffer.reserve(end - buffer.len() + READ_SIZE_BYTES);
         }
         let mut head = BytesMut::from(&buffer[..header]);
         head.extend_from_slice(b"$0\r\n\r\n");
@@ -73,7 +69,7 @@
         &mut self,
         frame: BytesFrame,
         received_at: Micros,
-        reserved: Option<OwnedSemaphorePermit>,
+        reserved: Option<MemoryPermit>,
     ) {
         let Some(arguments) = command_arguments(frame) else {
             return self.protocol_error(Malformed("a command is an array of bulk strings"));
@@ -99,7 +95,7 @@
     }
 
     /// Acquires memory for one more request, if the limits of the connection and the node allow it.
-    fn acquire_memory(&self, kilobytes: usize) -> Result<OwnedSemaphorePermit, RefuseReason> {
+    fn acquire_memory(&self, bytes: usize) -> Result<MemoryPermit, RefuseReason> {
         let clients = &self.clients;
         if self.forwarded_requests >= MAX_PIPELINE {
             return Err(RefuseReason::Pipeline);
@@ -107,8 +103,7 @@
         if clients.open_ids.borrow().len() > clients.settings.max_open_requests {
             return Err(RefuseReason::OpenRequests);
         }
-        let memory = clients.memory.clone().try_acquire_many_owned(kilobytes as u32);
-        memory.map_err(|_| RefuseReason::Memory)
+        clients.memory.reserve_for_request(bytes).map_err(|_| RefuseReason::Memory)
     }
 
     /// Refuses a request.
@@ -118,40 +113,35 @@
         clients.log.write(
             EventKind::RequestRefused,
             format_args!(
-                "reason={} connection={} attempts=0 retry_after_ms={RETRY_AFTER_MS}",
+                "reason={} connection={} attempts=0 retry_after_ms={REFUSED_RETRY_AFTER_MS}",
                 reason.name(),
                 self.number
             ),
         );
-        let state = ReplyState::Ready(resp::encode_error(&format!("BUSY {RETRY_AFTER_MS}")));
+        let state = ReplyState::Ready(resp::encode_error(&format!("BUSY {REFUSED_RETRY_AFTER_MS}")));
         let ticket = Some((self.count_request(class), RequestEnd::Refused));
-        self.pending.push_back(PendingReply { state, memory_permit: None, held: None, ticket });
+        self.pending.push_back(PendingReply { state, forwarded: false, memory: None, ticket });
     }
 
     /// Forwards a request to the node.
-    async fn submit(
-        &mut self,
-        request: Request,
-        command: Box<Command>,
-        reserved: Option<OwnedSemaphorePermit>,
-    ) {
+    async fn submit(&mut self, request: Request, mut command: Box<Command>, reserved: Option<MemoryPermit>) {
         if self.clients.retirement.plans().refuses(!self.pending.is_empty(), Instant::now()) {
             return self.refuse(request.class, RefuseReason::Retiring);
         }
         // Memory is bounded by what open requests may hold, and each connection by its own share of them. Requests beyond
         // that are refused instead of being left unread.
         let value = command.value.as_ref().filter(|_| reserved.is_none()).map_or(0, Bytes::len);
-        let mut memory = match self.acquire_memory(REQUEST_MEMORY_KB + value.div_ceil(1024)) {
+        let mut memory = match self.acquire_memory(USUAL_REPLY_BYTES + value) {
             Ok(memory) => memory,
             Err(reason) => return self.refuse(request.class, reason),
         };
-        if let Some(reserved) = reserved {
-            memory.merge(reserved);
-        }
+        let for_value = memory.num_permits().saturating_sub(permits(USUAL_REPLY_BYTES));
+        command.memory = reserved.or_else(|| memory.split(for_value));
+        let memory = ReplyMemory::new(memory, &self.clients.ops_endpoint.metrics.memory);
         let ticket = self.count_request(request.class);
         let (reply, receiver) = oneshot::channel();
         let id = request.id;
-        let event = ClientEvent::Request { request, connection: self.number, command, reply };
+        let event = ClientEvent::Request { request, connection: self.number, command, memory, reply };
         if self.clients.events.send(Input::Client(event)).await.is_err() {
             return self.push_reply(resp::encode_error("ERR stopping"));
         }
@@ -159,8 +149,8 @@
         let ticket = Some((ticket, RequestEnd::Failed));
         self.pending.push_back(PendingReply {
             state: ReplyState::Pending(id, receiver),
-            memory_permit: Some(memory),
-            held: None,
+            forwarded: true,
+            memory: None,
             ticket,
         });
     }
--- a/crates/node/src/clients/writing.rs
+++ b/crates/node/src/clients/writing.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use mothpier_host::{Host, Reading};
-use mothpier_ops::{CloseReason, MemoryUse, RequestEnd, RequestTicket};
+use mothpier_ops::{CloseReason, RequestEnd, RequestTicket};
 use mothpier_resp::{self as resp, Malformed};
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -48,12 +48,12 @@
         inbox: &mut Inbox<'_, R>,
         writing: &mut ClientWriting<H>,
     ) -> WriteResult {
-        let Some(PendingReply { state: ReplyState::Stream(mut value), memory_permit, ticket, .. }) =
+        let Some(PendingReply { state: ReplyState::Stream(mut value), forwarded, memory, ticket }) =
             self.pending.pop_front()
         else {
             return Err(CloseReason::ValueCut);
         };
-        self.forwarded_requests -= usize::from(memory_permit.is_some());
+        self.forwarded_requests -= usize::from(forwarded);
         let mut remaining = value.length;
         let mut chunk = resp::value_header(remaining);
         let mut result = Ok(());
@@ -77,6 +77,7 @@
             Ok(()) => Err(CloseReason::ValueCut),
             Err(reason) => Err(reason),
         };
+        drop(memory);
         if let Some((ticket, _)) = ticket
             && (finished.is_ok() || result.is_ok())
         {
@@ -95,8 +96,6 @@
         writing: &mut ClientWriting<H>,
     ) -> WriteResult {
         let bytes = self.take_ready_bytes(ready);
-        let copied = if ready > 1 { bytes.len() } else { 0 };
-        let _held = self.clients.hold(MemoryUse::WriteBatches, copied);
         let result = self.write_bytes(&bytes, WriteKind::Replies, inbox, writing).await;
         for reply in self.pending.drain(..ready) {
             // A request whose reply could not be written was abandoned and has no end.
@@ -194,18 +193,19 @@
         }
     }
 
-    /// Marks the replies as written and returns their bytes.
+    /// Marks the replies as written and returns their bytes, which no longer stand in the replies themselves.
     fn take_ready_bytes(&mut self, ready: usize) -> Bytes {
-        let mut all = BytesMut::new();
-        for reply in self.pending.iter().take(ready) {
-            self.forwarded_requests -= usize::from(reply.memory_permit.is_some());
-            match &reply.state {
-                ReplyState::Ready(bytes) if ready == 1 => return bytes.clone(),
-                ReplyState::Ready(bytes) => all.extend_from_slice(bytes),
-                ReplyState::Pending(..) | ReplyState::Stream(_) => {}
+        let mut taken = Vec::with_capacity(ready);
+        for reply in self.pending.iter_mut().take(ready) {
+            self.forwarded_requests -= usize::from(reply.forwarded);
+            if let ReplyState::Ready(bytes) = &mut reply.state {
+                taken.push(std::mem::take(bytes));
             }
         }
-        all.freeze()
+        match taken.len() {
+            1 => taken.swap_remove(0),
+            _ => taken.concat().into(),
+        }
     }
 
     /// Counts a request of a class, whatever its outcome.
@@ -218,7 +218,7 @@
     pub(super) fn reject(&mut self, rejected: Rejected) {
         let ticket = rejected.class.map(|class| (self.count_request(class), RequestEnd::Failed));
         let state = ReplyState::Ready(resp::encode_error(&format!("ERR {}", rejected.message)));
-        self.pending.push_back(PendingReply { state, memory_permit: None, held: None, ticket });
+        self.pending.push_back(PendingReply { state, forwarded: false, memory: None, ticket });
     }
 
     /// Reports a protocol error behind the pending replies, and stops reading commands.
@@ -231,8 +231,8 @@
     pub(super) fn push_reply(&mut self, bytes: Bytes) {
         self.pending.push_back(PendingReply {
             state: ReplyState::Ready(bytes),
-            memory_permit: None,
-            held: None,
+            forwarded: false,
+            memory: None,
             ticket: None,
         });
     }
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -6,15 +6,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use mothpier_ops::HeldBytes;
+use mothpier_ops::{HeldBytes, RequestEnd};
 use mothpier_resp as resp;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::memory::{MemoryPermit, ReplyMemory};
+
 /// Maximum size of a chunk of a large value.
 pub const MAX_CHUNK_BYTES: usize = 16 * 1024;
 /// Chunks of a large value that may be queued between its server and its client.
 const MAX_QUEUED_CHUNKS: usize = 2;
+/// Memory for the chunks of a large value: those queued, one being received, one being sent, and one that is partly
+/// split off its buffer.
+const LARGE_VALUE_MEMORY_BYTES: usize = (MAX_QUEUED_CHUNKS + 3) * MAX_CHUNK_BYTES;
+/// Retry hint for a request that is refused by the node itself, not by the decision module.
+pub const REFUSED_RETRY_AFTER_MS: u64 = 100;
 /// A large value whose transfer stalls for this long, on either side, is cut off.
 pub const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -33,6 +40,8 @@
     pub extras: Bytes,
     pub value: Option<Bytes>,
     pub write: bool,
+    /// Memory reserved for the value.
+    pub(crate) memory: Option<MemoryPermit>,
     /// Counts the value as held.
     pub(crate) _held: HeldBytes,
     /// Released with the command; until then no other request may use the same id.
@@ -138,25 +147,57 @@
     Failed,
 }
 
-/// A final reply on its way to the client's connection.
-#[derive(Debug)]
-pub struct Delivery {
-    pub reply: Reply,
-    /// Counts the reply as held.
-    pub held: HeldBytes,
-}
-
 impl Reply {
-    /// The size of the value, if it is complete.
-    pub fn buffered_bytes(&self) -> usize {
+    /// Whether the reply carries a value.
+    pub fn carries_value(&self) -> bool {
+        matches!(self, Reply::Value(_) | Reply::Stream(_))
+    }
+
+    /// How a request with this reply ends.
+    pub fn request_end(&self) -> RequestEnd {
+        match self {
+            Reply::Value(_) | Reply::Stream(_) => RequestEnd::Served,
+            Reply::Busy(_) => RequestEnd::Refused,
+            Reply::Failed => RequestEnd::Failed,
+        }
+    }
+
+    /// Memory held for it until it is written, in bytes.
+    pub fn held_bytes(&self) -> usize {
         match self {
             Reply::Value(value) => value.len(),
-            Reply::Stream(_) | Reply::Busy(_) | Reply::Failed => 0,
+            Reply::Stream(_) => LARGE_VALUE_MEMORY_BYTES,
+            Reply::Busy(_) | Reply::Failed => 0,
         }
     }
+}
 
-    /// Whether the reply carries a value.
-    pub fn carries_value(&self) -> bool {
-        matches!(self, Reply::Value(_) | Reply::Stream(_))
+/// What is written to a client for its request.
+#[derive(Debug)]
+pub enum EncodedReply {
+    /// A complete reply. Its buffer holds nothing else.
+    Complete(Bytes),
+    /// A value that is passed on while it arrives.
+    Stream(LargeValue),
+}
+
+impl From<Reply> for EncodedReply {
+    /// Copies a value: a slice would keep the whole buffer alive in which it was received.
+    fn from(reply: Reply) -> Self {
+        match reply {
+            Reply::Value(value) => EncodedReply::Complete(resp::encode_value(&value)),
+            Reply::Stream(value) => EncodedReply::Stream(value),
+            Reply::Busy(0) => EncodedReply::Complete(resp::encode_error("BUSY")),
+            Reply::Busy(ms) => EncodedReply::Complete(resp::encode_error(&format!("BUSY {ms}"))),
+            Reply::Failed => EncodedReply::Complete(resp::encode_error("ERR failed")),
+        }
     }
 }
+
+/// The final reply to a request on its way to the client's connection.
+#[derive(Debug)]
+pub struct Delivery {
+    pub reply: EncodedReply,
+    pub end: RequestEnd,
+    pub memory: ReplyMemory,
+}
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -9,12 +9,13 @@
 use brassrouter::STATE_VERSION;
 use mothpier_handover::{Message, PredecessorState, RemainingResources};
 use mothpier_host::Host;
-use tokio::sync::{Notify, OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::clients::Clients;
 use crate::discovery::ServerList;
 use crate::input::Input;
+use crate::memory::SharedHalf;
 
 /// Interval of the messages with the state that the predecessor would leave behind.
 const STATE_INTERVAL: Duration = Duration::from_millis(100);
@@ -97,7 +98,7 @@
 }
 
 /// Half of the memory for requests, held by the predecessor while its successor runs.
-type MemoryReserve = Option<OwnedSemaphorePermit>;
+type MemoryReserve = SharedHalf;
 
 impl<H: Host> HandoverParticipant<H> {
     async fn send_input(&self, input: Input) {
@@ -109,7 +110,7 @@
     async fn share_node(&self, parts: u32, descriptors: (usize, usize)) -> MemoryReserve {
         self.send_input(Input::ProcessCount(parts)).await;
         self.set_descriptor_limits(descriptors).await;
-        self.clients.reserve_half()
+        self.clients.share_memory()
     }
 
     /// Sets how many connections of clients and to servers may be open.
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use mothpier_host::Host;
@@ -14,8 +14,8 @@
 
 use crate::memory_shortage::RetryingStream;
 
-/// Size of the read buffer, which limits the head of a response.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Limit of the read buffer, and so of the head of a response.
+const READ_BUFFER_BYTES: usize = 16 * 1024;
 
 /// An open connection. Dropping it closes the socket, even with a request in flight.
 pub struct Connection {
@@ -50,7 +50,8 @@
     max_bytes: usize,
     stall_timeout: Option<Duration>,
 ) -> Result<Bytes, String> {
-    let mut collected = BytesMut::new();
+    let expected = body.size_hint().exact().map_or(0, |bytes| bytes.min(max_bytes as u64));
+    let mut collected = BytesMut::with_capacity(expected as usize);
     loop {
         let frame = match stall_timeout {
             Some(stall_timeout) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod keys;
 mod local_failures;
 mod locality;
+mod memory;
 mod memory_shortage;
 mod node;
 pub mod operator;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,22 +14,20 @@
 };
 use mothpier_handover::{PredecessorState, RemainingResources};
 use mothpier_host::Host;
-use mothpier_ops::{
-    DoubtedAnswers, Gauges, HeldBytes, LifecycleEvent, MemoryUse, OpsEndpoint, Reason, RefuseReason,
-    RetryReason,
-};
+use mothpier_ops::{DoubtedAnswers, Gauges, LifecycleEvent, OpsEndpoint, Reason, RefuseReason, RetryReason};
 use mothpier_record::{Recorder, entry};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
 use crate::agreement::{Agreement, AgreementChanges};
-use crate::command::{AttemptId, Command, Delivery, Reply};
+use crate::command::{AttemptId, Command, Delivery, REFUSED_RETRY_AFTER_MS, Reply};
 use crate::counters::Counters;
 use crate::discovery::{ListedServer, ServerIds, ServerList, Subscription};
 use crate::event_log::{EventKind, EventLog};
 use crate::input::{ClientEvent, DiscoveryEvent, Input};
 use crate::locality::LocalityController;
+use crate::memory::ReplyMemory;
 use crate::origin::Origins;
 use crate::peers::Peers;
 use crate::servers::{AttemptOutcome, InterruptedCommand, RESPONSE_STALL_TIMEOUT, SendError, Servers};
@@ -87,6 +85,8 @@
 struct PendingRequest {
     command: Rc<Command>,
     reply: oneshot::Sender<Delivery>,
+    /// Memory for the reply.
+    memory: ReplyMemory,
     deadline: Instant,
     /// Attempts so far (the next attempt gets this number), and how many of them failed on this machine.
     attempts: u16,
@@ -496,7 +496,7 @@
                 self.agreement_due = None;
             }
             Input::Shutdown => {}
-            Input::Client(ClientEvent::Request { mut request, connection, command, reply }) => {
+            Input::Client(ClientEvent::Request { mut request, connection, command, memory, reply }) => {
                 let deadline = Instant::now() + Duration::from_micros(request.time_left);
                 let now = self.clock.now();
                 let monitor = self.components.storm_monitor.as_mut();
@@ -506,6 +506,7 @@
                     may_run_twice: class.is_some_and(|class| class.effect == Effect::Idempotent),
                     command: command.into(),
                     reply,
+                    memory,
                     deadline,
                     attempts: 0,
                     local_failures: 0,
@@ -533,6 +534,8 @@
             Input::Origin { attempt, result } => {
                 let load = parse_load_report(&self.settings, &result.load);
                 self.finish_attempt(attempt, result.status, CacheResult::None, load, result.value);
+                // The reply has a reservation of its own.
+                drop(result.memory);
             }
             Input::Discovery(DiscoveryEvent::List(list)) => {
                 self.components.ops_endpoint.lifecycle.apply(LifecycleEvent::Ready);
@@ -703,7 +706,8 @@
             Action::Send { request, server, timeout } => self.send_attempt(request, server, timeout),
             Action::Refuse { request, retry_after } => {
                 let wait = retry_after.min(self.settings.max_retry_after).div_ceil(1000);
-                self.report_refusal(request, wait);
+                let attempts = self.pending.get(&request).map_or(0, PendingRequest::counted_attempts);
+                self.report_refusal(request, attempts, RefuseReason::Module, wait);
                 let attempts = self.send_reply(request, Reply::Busy(wait));
                 self.withdraw_attempts(attempts);
             }
@@ -744,11 +748,9 @@
         }
     }
 
-    /// Counts and logs that the decision module refuses a request.
-    fn report_refusal(&self, request: RequestId, retry_after_ms: Micros) {
-        let reason = RefuseReason::Module;
+    /// Counts and logs that a request is refused.
+    fn report_refusal(&self, request: RequestId, attempts: u16, reason: RefuseReason, retry_after_ms: u64) {
         self.components.ops_endpoint.metrics.refusals.increment(reason);
-        let attempts = self.pending.get(&request).map_or(0, PendingRequest::counted_attempts);
         self.event_log.write(
             EventKind::RequestRefused,
             format_args!(
@@ -767,9 +769,28 @@
         );
     }
 
+    /// Reserves the memory for a reply of this size. Where there is none, a request that may run twice is refused, and any
+    /// other fails, because it has run.
+    fn fit_reply(&mut self, request: RequestId, reply: Reply, pending: &mut PendingRequest) -> Reply {
+        if pending.memory.hold(reply.held_bytes()).is_ok() {
+            return reply;
+        }
+        if !pending.may_run_twice {
+            return Reply::Failed;
+        }
+        self.report_refusal(
+            request,
+            pending.counted_attempts(),
+            RefuseReason::Memory,
+            REFUSED_RETRY_AFTER_MS,
+        );
+        Reply::Busy(REFUSED_RETRY_AFTER_MS)
+    }
+
     /// Sends the final reply to a request and returns its attempts that are still in flight.
     fn send_reply(&mut self, request: RequestId, reply: Reply) -> Vec<AttemptId> {
-        let Some(pending) = self.pending.remove(&request) else { return Vec::new() };
+        let Some(mut pending) = self.pending.remove(&request) else { return Vec::new() };
+        let reply = self.fit_reply(request, reply, &mut pending);
         if let Some(monitor) = self.components.storm_monitor.as_mut().filter(|_| !reply.carries_value()) {
             monitor.request_unserved(self.clock.now(), pending.fingerprint);
         }
@@ -782,9 +803,8 @@
             Reply::Failed => self.counters.failed += 1,
         }
         // The client may have disconnected meanwhile.
-        let memory = &self.components.ops_endpoint.metrics.memory;
-        let held = HeldBytes::new(memory, MemoryUse::Replies, reply.buffered_bytes());
-        let _ = pending.reply.send(Delivery { reply, held });
+        let end = reply.request_end();
+        let _ = pending.reply.send(Delivery { reply: reply.into(), end, memory: pending.memory });
         pending.in_flight
     }
 
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -29,6 +29,7 @@
 use crate::http::{self, Connection};
 use crate::input::Input;
 use crate::local_failures::LocalFailures;
+use crate::memory::{MemoryPermit, ReceiveBudget};
 
 /// A connection that has been idle for this share of the idle time-out is not used again.
 const REUSABLE_IDLE_SHARE: f64 = 0.7;
@@ -62,11 +63,13 @@
     pub value: Option<Reply>,
     /// The load report as received.
     pub load: String,
+    /// Memory reserved for the value.
+    pub memory: Option<MemoryPermit>,
 }
 
 impl CallResult {
     fn from_status(status: Status) -> Self {
-        CallResult { status, value: None, load: String::new() }
+        CallResult { status, value: None, load: String::new(), memory: None }
     }
 }
 
@@ -219,6 +222,8 @@
     permits: Arc<Semaphore>,
     /// A shortage on this machine affects the connections to all origins.
     local_failures: Rc<RefCell<LocalFailures>>,
+    /// Memory for responses that are being received.
+    memory: ReceiveBudget,
 }
 
 impl<H: Host> Connector<H> {
@@ -247,6 +252,14 @@
     }
 }
 
+/// Limits of the calls.
+pub struct Limits {
+    /// Limit of the connections to all origins together; at least one may be open.
+    pub max_connections: usize,
+    /// Memory for responses that are being received.
+    pub memory: ReceiveBudget,
+}
+
 /// The origins in the server list.
 pub struct Origins<H> {
     connector: Connector<H>,
@@ -263,16 +276,17 @@
         host: H,
         idle_timeout: Duration,
         connect_timeout: Duration,
-        descriptors: usize,
+        limits: Limits,
         metrics: Arc<Metrics>,
         events: mpsc::Sender<Input>,
     ) -> Self {
-        let max_connections = descriptors.max(1);
+        let max_connections = limits.max_connections.max(1);
         let connector = Connector {
             host,
             timeout: connect_timeout,
             permits: Arc::new(Semaphore::new(max_connections)),
             local_failures: Rc::default(),
+            memory: limits.memory,
         };
         let reusable_for = idle_timeout.mul_f64(REUSABLE_IDLE_SHARE);
         Origins { connector, pools: BTreeMap::new(), reusable_for, max_connections, metrics, events }
@@ -441,11 +455,17 @@
     {
         let (chunks, stream) = LargeValue::new(length);
         let large = LargeValueTransfer { body: response.into_body(), chunks, _connection: pooled };
-        return Ok((CallResult { status, value: Some(Reply::Stream(stream)), load }, Some(large)));
+        return Ok((
+            CallResult { status, value: Some(Reply::Stream(stream)), load, memory: None },
+            Some(large),
+        ));
     }
+    let mut memory = connector.memory.buffer();
+    let expected = length.unwrap_or(MAX_BUFFERED_VALUE_BYTES).min(MAX_BUFFERED_VALUE_BYTES);
+    memory.reserve(expected, BODY_STALL_TIMEOUT).await.map_err(|_| Status::Reset)?;
     // A body that stalls, or that is too long without a stated length, is no response; its connection is
     // dropped.
-    let value = http::read_body(response.into_body(), MAX_BUFFERED_VALUE_BYTES, Some(BODY_STALL_TIMEOUT))
+    let value = http::read_body(response.into_body(), expected, Some(BODY_STALL_TIMEOUT))
         .await
         .map_err(|_| Status::Reset)?;
     if let Some(subject) = &subject {
@@ -462,14 +482,18 @@
             // The actual response may still arrive and would be taken for that of the next call, so the
             // connection is not kept.
             return match subject.may_run_twice {
-                true => Ok((CallResult { status, value: Some(Reply::Value(value)), load }, None)),
+                true => {
+                    let (value, memory) = (Some(Reply::Value(value)), memory.take());
+                    Ok((CallResult { status, value, load, memory }, None))
+                }
                 // Nor is the statement reliable that the call was not executed.
                 false => Err(Status::Error),
             };
         }
     }
     pool.put_back(pooled);
-    Ok((CallResult { status, value: Some(Reply::Value(value)), load }, None))
+    let (value, memory) = (Some(Reply::Value(value)), memory.take());
+    Ok((CallResult { status, value, load, memory }, None))
 }
 
 /// A large value whose transfer has begun.
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -25,6 +25,7 @@
 use crate::duplicate_responses::Doubt;
 use crate::input::Input;
 use crate::local_failures::LocalFailures;
+use crate::memory::{MemoryPermit, ReceiveBudget};
 
 mod connection;
 mod driver;
@@ -103,7 +104,8 @@
 /// What a connection reports to the node.
 pub enum ConnectionEvent {
     Up,
-    Response(AttemptId, BytesFrame),
+    /// A response, with the memory reserved for it.
+    Response(AttemptId, BytesFrame, Option<MemoryPermit>),
     StreamStarted(AttemptId, LargeValue),
     /// The frame received for this attempt cannot be its response; the connection ends next.
     InvalidResponse(AttemptId),
@@ -128,6 +130,8 @@
     pub connect_timeout: Duration,
     /// Limit of the connections to all servers together.
     pub max_connections: usize,
+    /// Memory for responses that are being received.
+    pub memory: ReceiveBudget,
 }
 
 /// Result of withdrawing an attempt.
@@ -154,9 +158,14 @@
 
 impl<H: Host> Servers<H> {
     pub fn new(host: H, limits: Limits, metrics: Arc<Metrics>, events: mpsc::Sender<Input>) -> Self {
-        let connect_timeout = limits.connect_timeout;
-        let connector =
-            Connector { host, connect_timeout, events, metrics, total_connections: Rc::default() };
+        let connector = Connector {
+            host,
+            connect_timeout: limits.connect_timeout,
+            events,
+            metrics,
+            total_connections: Rc::default(),
+            memory: limits.memory.clone(),
+        };
         Servers {
             connector,
             pools: BTreeMap::new(),
@@ -404,7 +413,8 @@
         // responses are still queued, and each of them must be delivered.
         match event {
             ConnectionEvent::Up => self.local_failures.record_success(),
-            ConnectionEvent::Response(attempt, frame) => {
+            // The caller handles the response at once.
+            ConnectionEvent::Response(attempt, frame, _memory) => {
                 let pool = self.pools.get_mut(&server);
                 if let Some(c) =
                     pool.and_then(|p| p.connections.iter_mut().find(|c| c.number == connection_number))
--- a/crates/node/src/servers/connection.rs
+++ b/crates/node/src/servers/connection.rs
@@ -19,6 +19,7 @@
 use super::{ConnectionEnd, ConnectionEvent, InterruptedCommand};
 use crate::duplicate_responses::{Doubt, VerificationState};
 use crate::input::Input;
+use crate::memory::ReceiveBudget;
 
 /// State shared between a connection and its task.
 pub(super) struct Shared {
@@ -29,6 +30,8 @@
     pub metrics: Arc<Metrics>,
     /// What is known about the responses of the server.
     pub verification: Rc<RefCell<VerificationState>>,
+    /// Memory for responses that are being received.
+    pub memory: ReceiveBudget,
 }
 
 /// A connection; its task ends when this is dropped.
@@ -86,6 +89,8 @@
     pub metrics: Arc<Metrics>,
     /// Number of connections to all servers.
     pub total_connections: Rc<Cell<usize>>,
+    /// Memory for responses that are being received.
+    pub memory: ReceiveBudget,
 }
 
 impl<H: Host> Connector<H> {
@@ -111,6 +116,7 @@
             abort_write: Notify::new(),
             metrics: self.metrics.clone(),
             verification,
+            memory: self.memory.clone(),
         });
         let (host, task_shared, events, connect_timeout) =
             (self.host.clone(), shared.clone(), self.events.clone(), self.connect_timeout);
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -11,8 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use mothpier_host::failure::ConnectFailure;
 use mothpier_host::{Host, Reading, Stream};
-use mothpier_ops::{HeldBytes, MemoryUse};
-use mothpier_resp as resp;
+use mothpier_resp::{self as resp, FrameExtent};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc;
@@ -27,9 +26,13 @@
 use crate::command::{LargeValue, MAX_CHUNK_BYTES, STREAM_STALL_TIMEOUT};
 use crate::duplicate_responses::{Doubt, Fingerprint, LARGE_VALUE_PREFIX_BYTES, LargeFingerprint};
 use crate::input::Input;
+use crate::memory::{OutOfMemory, ReceiveMemory};
 use crate::memory_shortage::RetryingStream;
 use crate::stream::{READ_SIZE_BYTES, read_more, read_more_within};
 
+/// A buffer with less room than this is enlarged before the next read.
+const MIN_READ_BYTES: usize = 512;
+
 /// A command whose first byte has been written.
 struct StartedWrite {
     command: AttemptCommand,
@@ -145,7 +148,7 @@
 ) -> ConnectionEnd {
     let notify = |event| events.send(Input::Server { server, connection: connection_number, event });
     let mut buffer = BytesMut::new();
-    let mut held = HeldBytes::new(&shared.metrics.memory, MemoryUse::ServerInput, 0);
+    let mut memory = shared.memory.buffer();
     loop {
         if take_fence_replies(&mut buffer, shared).is_err() {
             return ConnectionEnd::OutOfSync(None);
@@ -188,13 +191,17 @@
             if buffer.is_empty() {
                 buffer = BytesMut::new();
             }
-            held.set(buffer.capacity());
             let started = !buffer.is_empty();
+            if reserve_for_read(&mut buffer, &mut memory).await.is_err() {
+                host.log(format_args!(
+                    "{address}: closing the connection for lack of memory for its response"
+                ));
+                return ConnectionEnd::Broken;
+            }
             let read = match started {
-                true => read_more_within(reading, &mut buffer, READ_SIZE_BYTES, RESPONSE_STALL_TIMEOUT).await,
+                true => read_more_within(reading, &mut buffer, 1, RESPONSE_STALL_TIMEOUT).await,
                 false => read_more(reading, &mut buffer, READ_SIZE_BYTES).await,
             };
-            held.set(buffer.capacity());
             match read {
                 Ok(()) => continue,
                 Err(e) if e.kind() == ErrorKind::TimedOut && started => {}
@@ -204,7 +211,7 @@
         let mut may_be_duplicate = false;
         if let Ok(Some(frame)) = &received {
             let value = Fingerprint::of_response(frame);
-            if let Err(end) = verify(value, reading, &mut buffer, shared).await {
+            if let Err(end) = verify(value, reading, (&mut buffer, &mut memory), shared).await {
                 return end;
             }
             // Load reports are equal as often as loads are, so equality proves nothing.
@@ -219,7 +226,8 @@
             Ok(Some(frame))
                 if !is_untrusted_refusal && is_valid_response(&frame, sent.kind() == CommandKind::Probe) =>
             {
-                (ConnectionEvent::Response(sent.attempt(), frame), true)
+                let reserved = memory.take();
+                (ConnectionEvent::Response(sent.attempt(), frame, reserved), true)
             }
             _ => (ConnectionEvent::InvalidResponse(sent.attempt()), false),
         };
@@ -242,6 +250,28 @@
     }
 }
 
+/// Makes room in a buffer for the next read: for the rest of a value that has begun, in one piece, or for a read of the
+/// usual size.
+///
+/// # Errors
+/// There is no memory for it.
+async fn reserve_for_read(buffer: &mut BytesMut, memory: &mut ReceiveMemory) -> Result<(), OutOfMemory> {
+    if buffer.is_empty() {
+        memory.release();
+        return Ok(());
+    }
+    let spare = buffer.capacity() - buffer.len();
+    let capacity = match resp::frame_extent(buffer, resp::MAX_BUFFERED_VALUE_BYTES) {
+        // What follows the value fits into one more read.
+        Ok(FrameExtent::InValue { end, .. }) => end + READ_SIZE_BYTES,
+        _ if spare >= MIN_READ_BYTES => buffer.capacity(),
+        _ => buffer.len() + READ_SIZE_BYTES,
+    };
+    memory.reserve(capacity.max(buffer.capacity()), RESPONSE_STALL_TIMEOUT).await?;
+    buffer.reserve(capacity - buffer.len());
+    Ok(())
+}
+
 /// Classifies a connect error.
 fn connect_failure(error: std::io::Error) -> ConnectionEnd {
     match ConnectFailure::from_error(&error) {
--- a/crates/node/src/servers/verification.rs
+++ b/crates/node/src/servers/verification.rs
@@ -13,6 +13,7 @@
 use super::pipeline::Pipeline;
 use super::{ConnectionEnd, RESPONSE_STALL_TIMEOUT};
 use crate::duplicate_responses::{Doubt, Fingerprint};
+use crate::memory::ReceiveMemory;
 use crate::stream::{READ_SIZE_BYTES, read_more_within};
 
 /// A response is held back only while at most this many bytes have arrived behind it.
@@ -41,7 +42,7 @@
 pub(super) async fn verify(
     value: Option<Fingerprint>,
     reading: &impl Reading,
-    buffer: &mut BytesMut,
+    input: (&mut BytesMut, &mut ReceiveMemory),
     shared: &Shared,
 ) -> Result<(), ConnectionEnd> {
     resolve_earlier_doubt(value, shared);
@@ -49,7 +50,7 @@
         Verdict::Accept => {}
         Verdict::Resend(doubt) => return Err(ConnectionEnd::OutOfSync(Some(doubt))),
         Verdict::AwaitFence(doubt) => {
-            await_fence(doubt, reading, buffer, shared).await?;
+            await_fence(doubt, reading, input, shared).await?;
             shared.verification.borrow_mut().confirm(doubt);
         }
     }
@@ -140,7 +141,7 @@
 async fn await_fence(
     doubt: Doubt,
     reading: &impl Reading,
-    buffer: &mut BytesMut,
+    (buffer, memory): (&mut BytesMut, &mut ReceiveMemory),
     shared: &Shared,
 ) -> Result<(), ConnectionEnd> {
     shared.metrics.answer_held_back();
@@ -155,6 +156,8 @@
         let may_run_twice = payload.is_some_and(Payload::may_run_twice);
         (deadline, may_run_twice.then_some(RESPONSE_STALL_TIMEOUT))
     };
+    // The response that is held back has left the buffer.
+    let held_back = memory.reserved_bytes();
     let unresolved = || Err(ConnectionEnd::OutOfSync(Some(doubt)));
     loop {
         let order = check_order(&shared.pipeline.borrow(), buffer);
@@ -177,6 +180,10 @@
             return unresolved();
         }
         let within = stall_timeout.map_or(remaining, |stall_timeout| stall_timeout.min(remaining));
+        let needed = held_back + buffer.len() + READ_SIZE_BYTES;
+        if memory.reserve(needed, within).await.is_err() {
+            return unresolved();
+        }
         // A server that delays small writes sends the fence reply only after this acknowledgement.
         reading.acknowledge_at_once();
         match read_more_within(reading, buffer, READ_SIZE_BYTES, within).await {
--- a/crates/node/src/service/assembly.rs
+++ b/crates/node/src/service/assembly.rs
@@ -21,6 +21,7 @@
 use crate::handover::{self, DescriptorBudget, HandoverParticipant};
 use crate::input::Input;
 use crate::locality::LocalityController;
+use crate::memory::MemoryBudget;
 use crate::node::{Clock, Components, Node, ResumedState, cache_server_descriptors};
 use crate::storm_monitor::StormMonitor;
 use crate::{agreement, discovery, ops, origin, peers, servers};
@@ -94,6 +95,7 @@
     let for_servers =
         server_descriptors(available, config.cached_list.as_ref().map_or(0, |list| list.members.len()));
     let client_descriptors = available - for_servers;
+    let memory = MemoryBudget::new(config.memory_bytes, ops_endpoint.metrics.memory.clone());
     let limits = servers::Limits {
         node_count: settings.policy.node_count as usize,
         // A request with only one attempt allowed at a time must close the connection of a given-up attempt, so no other
@@ -106,6 +108,7 @@
         idle_close,
         connect_timeout,
         max_connections: cache_server_descriptors(for_servers),
+        memory: memory.receive_budget(),
     };
     let peers = match config.peer_listen.filter(|_| settings.policy.may_send_to_peers) {
         Some(listen) => peers::Peers::open(
@@ -140,7 +143,10 @@
             host.clone(),
             idle_close,
             connect_timeout,
-            for_servers - cache_server_descriptors(for_servers),
+            origin::Limits {
+                max_connections: for_servers - cache_server_descriptors(for_servers),
+                memory: memory.receive_budget(),
+            },
             ops_endpoint.metrics.clone(),
             events.clone(),
         ),
@@ -210,7 +216,7 @@
     let longest_deadline = Duration::from_micros(longest);
     let client_limits = ClientLimits {
         max_connections: client_descriptors,
-        memory_bytes: config.memory_bytes / 2,
+        memory,
         admission: ConnectionAdmission::new(&storm.tuning, client_descriptors),
     };
     let clients = Clients::new(
--- /dev/null
+++ b/crates/node/tests/unit/memory.rs
@@ -0,0 +1,76 @@
+//! The account of memory without the node that uses it.
+
+use super::*;
+
+const MIB: usize = 1024 * 1024;
+/// Long enough for what needs no wait, and short for what waits in vain.
+const SHORT: Duration = Duration::from_millis(20);
+
+fn budget(limit_bytes: usize) -> Rc<MemoryBudget> {
+    MemoryBudget::new(limit_bytes, Arc::default())
+}
+
+/// Reserves as many replies of the usual size as there is room for.
+fn fill(budget: &MemoryBudget) -> Vec<ReplyMemory> {
+    let next = || budget.reserve_for_request(USUAL_REPLY_BYTES).ok();
+    std::iter::from_fn(next).map(|permit| ReplyMemory::new(permit, &Arc::default())).collect()
+}
+
+/// As many requests are admitted as half of the memory holds replies of the usual size, at each limit that a node may have.
+#[test]
+fn requests_are_admitted_to_half_of_the_memory() {
+    for mib in [32, 48, 64, 128, 192] {
+        assert_eq!(fill(&budget(mib * MIB)).len(), mib * 16, "{mib} MiB");
+    }
+}
+
+#[test]
+fn a_small_reply_makes_room_for_other_requests() {
+    let budget = budget(32 * MIB);
+    let mut replies = fill(&budget);
+    replies.iter_mut().for_each(|reply| reply.hold(100).unwrap());
+    assert!(fill(&budget).len() > 450);
+}
+
+/// Replies of any size stay within the shares of requests and large replies, and one that finds no room keeps none.
+#[test]
+fn large_replies_are_held_while_there_is_room() {
+    let budget = budget(32 * MIB);
+    let mut replies = fill(&budget);
+    let size = 64 * 1024;
+    let held = replies.iter_mut().filter_map(|reply| reply.hold(size).ok()).count();
+    assert!(held * size <= 18 * MIB, "{held}");
+    // Those refused have released what they had, so that nearly all of it holds replies.
+    assert!(held * size > 17 * MIB, "{held}");
+    drop(replies);
+    assert_eq!(fill(&budget).len(), 512);
+}
+
+#[test]
+fn two_processes_share_the_memory() {
+    let budget = budget(64 * MIB);
+    let half = budget.share_half();
+    assert_eq!(fill(&budget).len(), 512);
+    drop(half);
+    assert_eq!(fill(&budget).len(), 1024);
+}
+
+#[tokio::test]
+async fn receive_buffers_wait_for_memory_and_no_longer_than_allowed() {
+    let receive = budget(32 * MIB).receive_budget();
+    let (mut all, mut next) = (receive.buffer(), receive.buffer());
+    all.reserve(4 * MIB, SHORT).await.unwrap();
+    assert_eq!(next.reserve(64 * 1024, SHORT).await, Err(OutOfMemory));
+    assert_eq!(
+        next.reserve(UNRESERVED_BUFFER_BYTES, SHORT).await,
+        Ok(()),
+        "a small buffer needs no reservation"
+    );
+    let response = all.take();
+    assert_eq!(next.reserve(64 * 1024, SHORT).await, Err(OutOfMemory), "the response still holds it");
+    drop(response);
+    assert_eq!(next.reserve(64 * 1024, SHORT).await, Ok(()));
+    assert_eq!(next.reserved_bytes(), 64 * 1024);
+    next.release();
+    assert_eq!(all.reserve(4 * MIB, SHORT).await, Ok(()));
+}
--- a/crates/node/tests/unit/node.rs
+++ b/crates/node/tests/unit/node.rs
@@ -5,6 +5,7 @@
 use mothpier_host::SystemHost;
 
 use super::*;
+use crate::memory::MemoryBudget;
 
 const HOST: SystemHost = SystemHost { program: "test" };
 
@@ -24,12 +25,14 @@
 /// A node without peers, with state from a predecessor process; nobody reads its inputs.
 fn test_node(clock: Clock, predecessor: Option<ResumedState>) -> (Node<SystemHost>, mpsc::Receiver<Input>) {
     let (events, inputs) = mpsc::channel(8);
+    let memory = MemoryBudget::new(32 << 20, Arc::default());
     let limits = servers::Limits {
         node_count: 1,
         attempts_per_connection: 32,
         idle_close: Duration::from_secs(60),
         connect_timeout: Duration::from_secs(30),
         max_connections: 8,
+        memory: memory.receive_budget(),
     };
     let ops_endpoint = OpsEndpoint::new(["read"]);
     let components = Components {
@@ -38,7 +41,7 @@
             HOST,
             Duration::from_secs(60),
             Duration::from_secs(30),
-            8,
+            origin::Limits { max_connections: 8, memory: memory.receive_budget() },
             ops_endpoint.metrics.clone(),
             events,
         ),
--- a/crates/node/tests/unit/origin.rs
+++ b/crates/node/tests/unit/origin.rs
@@ -6,10 +6,17 @@
 use super::*;
 use crate::command::{RequestIdGuard, RequestIds};
 use crate::failing_host::{FailingHost, LOCAL_ERRORS, REMOTE_ERRORS};
+use crate::memory::MemoryBudget;
 
 /// Time limit that only a hanging test reaches.
 const HANG_LIMIT: Duration = Duration::from_secs(10);
 
+/// Limits that no test reaches.
+fn limits() -> Limits {
+    let memory = MemoryBudget::new(32 << 20, Arc::default()).receive_budget();
+    Limits { max_connections: 8, memory }
+}
+
 /// With no time left there is none to state: nothing is sent to the origin, and the node is informed.
 #[test]
 fn call_without_time_left_is_not_sent() {
@@ -20,8 +27,14 @@
         let (events, mut inputs) = mpsc::channel(8);
         let metrics = OpsEndpoint::new(["read"]).metrics.clone();
         let (idle_timeout, connect_timeout) = (Duration::from_secs(60), Duration::from_secs(30));
-        let mut origins =
-            Origins::new(SystemHost { program: "test" }, idle_timeout, connect_timeout, 8, metrics, events);
+        let mut origins = Origins::new(
+            SystemHost { program: "test" },
+            idle_timeout,
+            connect_timeout,
+            limits(),
+            metrics,
+            events,
+        );
         origins.update_origin(7, Some(address), true);
         let command = Command {
             name: "CACHE.SET".into(),
@@ -30,6 +43,7 @@
             extras: "c=read,d=9000".into(),
             value: Some("value".into()),
             write: true,
+            memory: None,
             _held: HeldBytes::new(&Arc::default(), MemoryUse::WriteValues, 0),
             _id_guard: RequestIdGuard::acquire(&RequestIds::default(), &"i".into()).unwrap(),
         };
@@ -53,7 +67,7 @@
     let (events, mut inputs) = mpsc::channel(8);
     let metrics = OpsEndpoint::new(["read"]).metrics.clone();
     let (idle_timeout, connect_timeout) = (Duration::from_secs(60), Duration::from_secs(30));
-    let mut origins = Origins::new(host.clone(), idle_timeout, connect_timeout, 8, metrics, events);
+    let mut origins = Origins::new(host.clone(), idle_timeout, connect_timeout, limits(), metrics, events);
     origins.update_origin(7, Some("127.0.0.1:1".parse().unwrap()), true);
     assert!(origins.probe(7, 1).is_some());
     let status = next_status(&mut inputs).await;
--- a/crates/node/tests/unit/servers.rs
+++ b/crates/node/tests/unit/servers.rs
@@ -10,6 +10,7 @@
 use super::*;
 use crate::command::{Command as ClientCommand, RequestIdGuard, RequestIds};
 use crate::failing_host::{EMFILE, ENETUNREACH, FailingHost, LOCAL_ERRORS, REMOTE_ERRORS};
+use crate::memory::MemoryBudget;
 
 /// The connections of one of this many nodes, with this connection limit, and their events.
 fn servers(node_count: usize, max_connections: usize) -> (Servers<SystemHost>, mpsc::Receiver<Input>) {
@@ -29,6 +30,7 @@
         idle_close: Duration::from_secs(60),
         connect_timeout: Duration::from_secs(30),
         max_connections,
+        memory: MemoryBudget::new(32 << 20, Arc::default()).receive_budget(),
     };
     let metrics = OpsEndpoint::new(["read"]).metrics.clone();
     (Servers::new(host, limits, metrics, events), inputs)
@@ -151,6 +153,7 @@
         extras: "c=read,d=9000".into(),
         value: None,
         write: false,
+        memory: None,
         _held: HeldBytes::new(&Arc::default(), MemoryUse::WriteValues, 0),
         _id_guard: RequestIdGuard::acquire(&RequestIds::default(), &id).unwrap(),
     };
--- a/crates/ops/src/memory.rs
+++ b/crates/ops/src/memory.rs
@@ -12,12 +12,10 @@
         ClientInput = "client_input",
         /// Values of writes.
         WriteValues = "write_values",
-        /// Bytes from cache servers that are not yet a complete response.
+        /// Buffers for responses of cache servers and origins.
         ServerInput = "server_input",
         /// Replies that are complete and not yet written.
         Replies = "replies",
-        /// Replies that are copied together to be written at once.
-        WriteBatches = "write_batches",
     }
 }
 
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use redis_protocol::resp2::types::BytesFrame;
 use redis_protocol::resp2::{decode, encode};
 
@@ -14,6 +14,10 @@
 const MAX_LINE_BYTES: usize = 1024;
 /// The longest number in a header, in bytes, with its end of line.
 const MAX_NUMBER_BYTES: usize = 12;
+/// The end of a line and of a value.
+const END_OF_LINE: &[u8] = b"\r\n";
+/// A frame of up to this many bytes is copied off its buffer. A slice would keep the whole buffer alive.
+const MAX_COPIED_FRAME_BYTES: usize = 4096;
 /// The most elements of one frame, nested ones included: also bounds the recursion of the decoder.
 const MAX_ELEMENTS: usize = 32;
 
@@ -45,7 +49,14 @@
 /// The frame's extent can't be determined.
 pub fn take_bytes(buffer: &mut BytesMut, max_value: usize) -> Result<Option<Bytes>, Malformed> {
     let length = first_frame(buffer, max_value)?.map(<[u8]>::len);
-    Ok(length.map(|length| buffer.split_to(length).freeze()))
+    Ok(length.map(|length| {
+        if length > MAX_COPIED_FRAME_BYTES {
+            return buffer.split_to(length).freeze();
+        }
+        let frame = Bytes::copy_from_slice(&buffer[..length]);
+        buffer.advance(length);
+        frame
+    }))
 }
 
 /// The bytes of the first complete frame; `None` while it is incomplete. Values may have `max_value` bytes.
@@ -163,6 +174,16 @@
     }
 }
 
+/// Serializes a value into a buffer of exactly its size.
+pub fn encode_value(value: &[u8]) -> Bytes {
+    let header = value_header(value.len());
+    let mut out = BytesMut::with_capacity(header.len() + value.len() + END_OF_LINE.len());
+    out.extend_from_slice(&header);
+    out.extend_from_slice(value);
+    out.extend_from_slice(END_OF_LINE);
+    out.freeze()
+}
+
 /// Serializes a frame.
 pub fn encode(frame: &BytesFrame) -> Bytes {
     let mut out = BytesMut::new();
