Memory: an incomplete command reserves what it will need, and only its value may be large

Callers' view: none of their own; a node of 32 MB is killed as 200 peers each send a command with 29 arguments of 60 KB, or 500 peers the begin of a write of 64 KB, and everything that it had taken is lost.

Cause: an argument of up to 64 KiB was in no account until its command was complete. A command may have 31 arguments, so that 1.8 MB of each connection were kept beside the limit; that no command of a client has more than five, four of them short, was seen at its end.

Change: what comes before the value may have 8 KiB together, which holds key, id and extras of the greatest length; a value that is more than one read of 4 KiB is reserved as its length is known, as one over 64 KiB was, and read and dropped where there is no room.

--- a/crates/mothpier/tests/memory_limit.rs
+++ b/crates/mothpier/tests/memory_limit.rs
@@ -220,6 +220,49 @@
     assert!(check(node_with_memory("writes", 32, &servers), 32, crowd) > 0);
 }
 
+/// Sends a part of a command on each of many connections and waits until each has been answered or closed. Returns the
+/// first bytes of the answers.
+fn send_on_many_connections(node: SocketAddr, connections: usize, part: &'static [u8]) -> Vec<String> {
+    let peer = move |_| {
+        thread::spawn(move || {
+            let mut peer = Client::connect(node);
+            // The node may close the connection before all has been written.
+            let _ = peer.sending_side().write_all(part);
+            peer.answer()
+        })
+    };
+    let peers: Vec<_> = (0..connections).map(peer).collect();
+    peers.into_iter().map(|peer| peer.join().unwrap()).collect()
+}
+
+/// Guards against arguments of incomplete commands that are kept beside the account of memory.
+#[test]
+fn many_large_arguments_stay_within_the_memory_limit() {
+    let node = node_with_memory("arguments", 32, &cache_servers(|| hit("v")));
+    let argument = format!("$60000\r\n{}\r\n", "v".repeat(60_000));
+    let part = format!("*30\r\n{}", argument.repeat(29)).into_bytes().leak();
+    let memory = MemoryWatch::start(&node);
+    let answers = send_on_many_connections(node.address, 200, part);
+    let peak = memory.peak_kib();
+    assert!(answers.iter().all(|answer| answer == "end" || answer.starts_with("-ERR")), "{answers:?}");
+    assert!(peak <= 32 * KIB_PER_MIB, "{peak} KiB");
+}
+
+/// Guards against values that are kept beside the account of memory while their commands are incomplete.
+#[test]
+fn incomplete_values_stay_within_the_memory_limit() {
+    let node = node_with_memory("incomplete", 32, &cache_servers(|| hit("v")));
+    let head = "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$7\r\nc=write\r\n$65000\r\n";
+    let part = format!("{head}{}", "v".repeat(64_000)).into_bytes().leak();
+    let memory = MemoryWatch::start(&node);
+    let answers = send_on_many_connections(node.address, 500, part);
+    let peak = memory.peak_kib();
+    let is_final =
+        |answer: &String| answer == "end" || answer.starts_with("-ERR") || answer.starts_with("-BUSY");
+    assert!(answers.iter().all(is_final), "{answers:?}");
+    assert!(peak <= 32 * KIB_PER_MIB, "{peak} KiB");
+}
+
 /// Guards against an account of memory that admits fewer reads of small values than half of the memory holds replies of
 /// 32 KiB.
 #[test]
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -15,14 +15,16 @@
 use crate::command::{Command, REFUSED_RETRY_AFTER_MS};
 use crate::event_log::EventKind;
 use crate::input::{ClientEvent, Input};
-use crate::memory::{MemoryPermit, ReplyMemory, USUAL_REPLY_BYTES, permits};
+use crate::memory::{MemoryPermit, ReplyMemory, UNRESERVED_BUFFER_BYTES, USUAL_REPLY_BYTES, permits};
 use crate::stream::READ_SIZE_BYTES;
 
 /// Limit of open requests on one connection; further ones are refused.
 const MAX_PIPELINE: usize = 128;
+/// Limit of a command without its value. Key, id and extras of the greatest length fit into it.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
 impl<H: Host> Session<H> {
-    /// Inspects a command whose value is still arriving. Memory for a large value is reserved before it is read; if there is
-    /// none, the value will be discarded and the request refused.
+    /// Inspects a command whose value is still arriving. Memory for a value that is more than one read is reserved before it
+    /// is read; if there is none, the value will be discarded and the request refused.
     pub(super) fn handle_incomplete_command(&mut self, buffer: &mut BytesMut, received_at: Micros) {
         let Ok(FrameExtent::InValue { header, end, last }) = resp::frame_extent(buffer, MAX_VALUE_BYTES)
         else {
@@ -32,12 +34,12 @@
             true => self.input.expect_value(),
             false => self.input.expect_head(),
         }
-        if end - header <= MAX_BUFFERED_VALUE_BYTES || self.input.has_reservation() {
-            return;
-        }
-        if !last {
+        if !last && end > MAX_HEAD_BYTES {
             return self.protocol_error(Malformed("only a value may be so large"));
         }
+        if !last || end <= UNRESERVED_BUFFER_BYTES || self.input.has_reservation() {
+            return;
+        }
         if let Ok(reservation) = self.clients.memory.reserve_for_request(end) {
             self.input.reserve(reservation);
             // With room for one more read, so that the buffer does not grow again at the end of the value.
