Memory: refusals in a row share one entry of a connection's queue of replies

Cause: each refusal that waits for its turn had an entry of its own, with a buffer, a ticket and the room of a reply, about 150 bytes; their number was bounded at 1,024 on each connection, by ending it, and on all connections together by nothing. The queue kept the size of its busiest time.

Change: refusals in a row are one entry, with a ticket for each class, up to 1,024; its replies are made as they are written. A queue that is empty gives its room back.

--- a/crates/mothpier/tests/memory_limit.rs
+++ b/crates/mothpier/tests/memory_limit.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -263,6 +263,60 @@
     assert!(peak <= 32 * KIB_PER_MIB, "{peak} KiB");
 }
 
+/// A cache server that answers nothing until it is opened.
+#[derive(Clone, Default)]
+struct ClosedServer(Arc<(Mutex<bool>, Condvar)>);
+
+impl ClosedServer {
+    fn start(&self) -> SocketAddr {
+        let state = self.0.clone();
+        serve(read_command, move |_| {
+            let (open, opened) = &*state;
+            drop(opened.wait_while(open.lock().unwrap(), |open| !*open).unwrap());
+            hit("v")
+        })
+    }
+
+    fn open(&self) {
+        *self.0.0.lock().unwrap() = true;
+        self.0.1.notify_all();
+    }
+}
+
+/// Guards against refusals that cost memory while they wait behind a slow reply on many connections.
+#[test]
+fn refusals_behind_slow_replies_stay_within_the_memory_limit() {
+    let server = ClosedServer::default();
+    let node = node_with_memory("refusals", 32, &[member("s-1", server.start(), "m", "ready")]);
+    let memory = MemoryWatch::start(&node);
+    let (clients, first, refused) = (300, 1, 900);
+    let mut connections: Vec<Client> = (0..clients).map(|_| node.client()).collect();
+    for (number, client) in connections.iter_mut().enumerate() {
+        client.write(Commands::Reads.encode(number, first));
+    }
+    // Every connection has a request that is served late, and waits for it.
+    node.wait_for_metric("edge_router_in_flight", (clients * first) as u64);
+    for (number, client) in connections.iter_mut().enumerate() {
+        client.write(Commands::Reads.encode(clients + number, refused));
+    }
+    node.wait_for_metric("edge_router_in_flight", (clients * (first + refused)) as u64);
+    server.open();
+    for client in &mut connections {
+        for _ in 0..first + refused {
+            let answer = client.answer();
+            assert!(["served", "refused"].contains(&end(&answer)), "{answer}");
+        }
+    }
+    let peak = memory.peak_kib();
+    assert!(peak <= 32 * KIB_PER_MIB, "{peak} KiB");
+}
+
+/// Guards against a connection that ends with requests unanswered because many of them were refused.
+#[test]
+fn all_of_many_reads_on_one_connection_are_answered() {
+    assert!(check_reads("one-connection", 48, 100, Crowd::reads(1, 5000)) >= 128);
+}
+
 /// Guards against an account of memory that admits fewer reads of small values than half of the memory holds replies of
 /// 32 KiB.
 #[test]
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -3,14 +3,14 @@
 use brassrouter::{Micros, Request};
 use bytes::{Bytes, BytesMut};
 use mothpier_host::{Host, Reading};
-use mothpier_ops::{CloseReason, Lifecycle, Phase, Reason, RefuseReason, RequestEnd};
+use mothpier_ops::{CloseReason, Lifecycle, Phase, Reason, RefuseReason};
 use mothpier_resp::{self as resp, FrameExtent, MAX_BUFFERED_VALUE_BYTES, MAX_VALUE_BYTES, Malformed};
 use redis_protocol::resp2::types::BytesFrame;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::parsing::command_arguments;
-use super::pending_replies::{PendingReply, ReplyState};
+use super::pending_replies::PendingReply;
 use super::session::Session;
 use crate::command::{Command, REFUSED_RETRY_AFTER_MS};
 use crate::event_log::EventKind;
@@ -120,9 +120,14 @@
                 self.number
             ),
         );
-        let state = ReplyState::Ready(resp::encode_error(&format!("BUSY {REFUSED_RETRY_AFTER_MS}")));
-        let ticket = Some((self.count_request(class), RequestEnd::Refused));
-        self.pending.push_back(PendingReply { state, forwarded: false, memory: None, ticket });
+        let ticket = self.count_request(class);
+        let ticket = match self.pending.back_mut() {
+            Some(last) => last.add_refusal(ticket),
+            None => Err(ticket),
+        };
+        if let Err(ticket) = ticket {
+            self.pending.push_back(PendingReply::refusal(ticket));
+        }
     }
 
     /// Forwards a request to the node.
@@ -148,13 +153,7 @@
             return self.push_reply(resp::encode_error("ERR stopping"));
         }
         self.forwarded_requests += 1;
-        let ticket = Some((ticket, RequestEnd::Failed));
-        self.pending.push_back(PendingReply {
-            state: ReplyState::Pending(id, receiver),
-            forwarded: true,
-            memory: None,
-            ticket,
-        });
+        self.pending.push_back(PendingReply::forwarded(id, receiver, ticket));
     }
 }
 
--- a/crates/node/src/clients/serving.rs
+++ b/crates/node/src/clients/serving.rs
@@ -21,8 +21,8 @@
 use crate::memory_shortage::RetryingStream;
 use crate::stream::{CLOSE_TIMEOUT, close_gracefully};
 
-/// Limit of the pending replies of one connection, including refusals and errors; a client that exceeds it is
-/// disconnected.
+/// Limit of the pending replies of one connection, including errors; refusals in a row count as one. A client that exceeds
+/// it is disconnected.
 const MAX_PENDING_REPLIES: usize = 1024;
 
 /// How a session ends.
--- a/crates/node/src/clients/writing.rs
+++ b/crates/node/src/clients/writing.rs
@@ -24,6 +24,8 @@
 /// memory used for a client that does not read its replies.
 const READ_AHEAD_BYTES: usize = 16 * 1024;
 
+/// Length of the queue of replies that a connection keeps while it has no request.
+const RETAINED_QUEUE_LENGTH: usize = 16;
 /// While no more is read, a closed connection is checked for at this interval: attempts of the client's requests may
 /// still start for 0.1 s after it has gone.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -99,11 +101,14 @@
         let result = self.write_bytes(&bytes, WriteKind::Replies, inbox, writing).await;
         for reply in self.pending.drain(..ready) {
             // A request whose reply could not be written was abandoned and has no end.
-            if let Some((ticket, end)) = reply.ticket.filter(|_| result.is_ok()) {
-                self.replies += 1;
-                ticket.end(end);
+            if result.is_ok() {
+                self.replies += reply.count_end();
             }
         }
+        // An idle connection must not keep the queue that its busiest time needed.
+        if self.pending.is_empty() {
+            self.pending.shrink_to(RETAINED_QUEUE_LENGTH);
+        }
         result
     }
 
@@ -198,9 +203,7 @@
         let mut taken = Vec::with_capacity(ready);
         for reply in self.pending.iter_mut().take(ready) {
             self.forwarded_requests -= usize::from(reply.forwarded);
-            if let ReplyState::Ready(bytes) = &mut reply.state {
-                taken.push(std::mem::take(bytes));
-            }
+            taken.push(reply.take_bytes());
         }
         match taken.len() {
             1 => taken.swap_remove(0),
@@ -217,8 +220,8 @@
     /// Replies to a command with an error.
     pub(super) fn reject(&mut self, rejected: Rejected) {
         let ticket = rejected.class.map(|class| (self.count_request(class), RequestEnd::Failed));
-        let state = ReplyState::Ready(resp::encode_error(&format!("ERR {}", rejected.message)));
-        self.pending.push_back(PendingReply { state, forwarded: false, memory: None, ticket });
+        let reply = resp::encode_error(&format!("ERR {}", rejected.message));
+        self.pending.push_back(PendingReply::ready(reply, ticket));
     }
 
     /// Reports a protocol error behind the pending replies, and stops reading commands.
@@ -229,11 +232,6 @@
 
     /// Queues a reply to a command that is not a request.
     pub(super) fn push_reply(&mut self, bytes: Bytes) {
-        self.pending.push_back(PendingReply {
-            state: ReplyState::Ready(bytes),
-            forwarded: false,
-            memory: None,
-            ticket: None,
-        });
+        self.pending.push_back(PendingReply::ready(bytes, None));
     }
 }
--- a/crates/ops/src/metrics.rs
+++ b/crates/ops/src/metrics.rs
@@ -127,7 +127,7 @@
     /// A request of a class (by its index) was accepted.
     pub fn request_started(self: &Arc<Self>, class: usize) -> RequestTicket {
         self.in_flight.fetch_add(1, Relaxed);
-        RequestTicket { metrics: self.clone(), class }
+        RequestTicket { metrics: self.clone(), class, requests: 1 }
     }
 
     /// An attempt was written to a cache server or to the origin.
@@ -221,15 +221,32 @@
     }
 }
 
-/// An accepted request, counted once when it ends. Dropped without an outcome, it counts as abandoned.
+/// Accepted requests of one class, counted once when they end. Dropped without an outcome, they count as abandoned.
 #[derive(Debug)]
 pub struct RequestTicket {
     metrics: Arc<Metrics>,
     class: usize,
+    requests: u64,
 }
 
 impl RequestTicket {
-    /// Counts how the request ended.
+    /// Adds the requests of another ticket of the same class, which will end in the same way.
+    pub fn absorb(&mut self, mut other: RequestTicket) {
+        debug_assert_eq!(self.class, other.class, "tickets of different classes");
+        self.requests += std::mem::take(&mut other.requests);
+    }
+
+    /// Index of the class.
+    pub fn class(&self) -> usize {
+        self.class
+    }
+
+    /// Number of requests.
+    pub fn requests(&self) -> u64 {
+        self.requests
+    }
+
+    /// Counts how the requests ended.
     pub fn end(self, end: RequestEnd) {
         if let Some((_, ends)) = self.metrics.classes.get(self.class) {
             let count = match end {
@@ -237,13 +254,33 @@
                 RequestEnd::Refused => &ends.refused,
                 RequestEnd::Failed => &ends.failed,
             };
-            count.fetch_add(1, Relaxed);
+            count.fetch_add(self.requests, Relaxed);
         }
     }
 }
 
 impl Drop for RequestTicket {
     fn drop(&mut self) {
-        self.metrics.in_flight.fetch_sub(1, Relaxed);
+        self.metrics.in_flight.fetch_sub(self.requests, Relaxed);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn requests_of_one_class_end_together_and_each_is_counted() {
+        let metrics = Arc::new(Metrics::new(["read", "write"]));
+        let mut reads = metrics.request_started(0);
+        reads.absorb(metrics.request_started(0));
+        let write = metrics.request_started(1);
+        assert_eq!((reads.requests(), write.requests(), metrics.in_flight()), (2, 1, 3));
+        reads.end(RequestEnd::Refused);
+        assert_eq!(metrics.in_flight(), 1);
+        drop(write);
+        assert_eq!(metrics.in_flight(), 0);
+        let refused: Vec<_> = metrics.classes.iter().map(|(_, ends)| ends.refused.load(Relaxed)).collect();
+        assert_eq!(refused, [2, 0]);
     }
 }
