Memory: short replies that wait for their turn are reserved for

Callers' view: none of their own; a node of 32 MB is killed as 300 clients wait for one read each and send 1,000 `PING`s, or commands that are answered with an error, behind it.

Cause: such replies were bounded at 1,024 on each connection, about 130 KB, and by nothing on all of them. The same as for refusals, which now share an entry; replies to other commands differ, and each needs its own.

Change: beyond 16 such replies a connection reserves 256 bytes for each from the share of requests. Where there is no room its commands are read no more, with the error that a queue over 1,024 replies gets; what it sent before is answered.

--- a/crates/mothpier/tests/memory_limit.rs
+++ b/crates/mothpier/tests/memory_limit.rs
@@ -19,6 +19,8 @@
 const ANSWER_DELAY: Duration = Duration::from_millis(80);
 /// The same for those behind which other replies wait for their turn.
 const LONG_ANSWER_DELAY: Duration = Duration::from_millis(400);
+/// A node that uses no processor time for this long has nothing left to handle.
+const IDLE_TIME: Duration = Duration::from_millis(200);
 /// The largest value that a node holds whole; a larger one is streamed.
 const MAX_BUFFERED_VALUE_BYTES: usize = 64 * 1024;
 const KIB_PER_MIB: u64 = 1024;
@@ -311,6 +313,46 @@
     assert!(peak <= 32 * KIB_PER_MIB, "{peak} KiB");
 }
 
+/// Waits until a node has used no processor time for a while: it has handled all that it was sent.
+fn wait_until_idle(node: &Node) {
+    let mut ticks = node.cpu_ticks();
+    loop {
+        thread::sleep(IDLE_TIME);
+        match node.cpu_ticks() {
+            same if same == ticks => return,
+            more => ticks = more,
+        }
+    }
+}
+
+/// Guards against replies to commands that are no requests, which wait behind slow replies on many connections.
+#[test]
+fn short_replies_behind_slow_replies_stay_within_the_memory_limit() {
+    let server = ClosedServer::default();
+    let node = node_with_memory("short-replies", 32, &[member("s-1", server.start(), "m", "ready")]);
+    let memory = MemoryWatch::start(&node);
+    let (clients, pings) = (400, 1000);
+    let mut connections: Vec<Client> = (0..clients).map(|_| node.client()).collect();
+    for (number, client) in connections.iter_mut().enumerate() {
+        client.write(Commands::Reads.encode(number, 1));
+    }
+    node.wait_for_metric("edge_router_in_flight", clients as u64);
+    for client in &mut connections {
+        client.write("*1\r\n$4\r\nPING\r\n".repeat(pings));
+    }
+    wait_until_idle(&node);
+    server.open();
+    for client in &mut connections {
+        let answer = client.answer();
+        assert_eq!(end(&answer), "served", "{answer}");
+        let is_pong = |answer: &String| answer == "+PONG";
+        let last = (0..pings).map(|_| client.answer()).find(|answer| !is_pong(answer));
+        assert!(last.is_none_or(|last| last.starts_with("-ERR protocol")));
+    }
+    let peak = memory.peak_kib();
+    assert!(peak <= 32 * KIB_PER_MIB, "{peak} KiB");
+}
+
 /// Guards against a connection that ends with requests unanswered because many of them were refused.
 #[test]
 fn all_of_many_reads_on_one_connection_are_answered() {
--- a/crates/node/src/clients/serving.rs
+++ b/crates/node/src/clients/serving.rs
@@ -22,7 +22,7 @@
 use crate::stream::{CLOSE_TIMEOUT, close_gracefully};
 
 /// Limit of the pending replies of one connection, including errors; refusals in a row count as one. A client that exceeds
-/// it is disconnected.
+/// it, or whose queue finds no memory, is disconnected.
 const MAX_PENDING_REPLIES: usize = 1024;
 
 /// How a session ends.
@@ -190,7 +190,7 @@
                 }
                 Err(e) => self.protocol_error(e),
             }
-            if self.pending.len() > MAX_PENDING_REPLIES {
+            if self.pending.len() > MAX_PENDING_REPLIES || self.reserve_queue().is_err() {
                 self.protocol_error(Malformed("too many commands at once"));
             }
         }
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -10,6 +10,7 @@
 use super::connection_state::ConnectionState;
 use super::input_state::InputState;
 use super::pending_replies::PendingReply;
+use crate::memory::{OutOfMemory, QueueMemory};
 
 /// Counts a connection that has not sent a complete command yet; uncounted when dropped.
 pub(super) struct Newcomer(Rc<Cell<usize>>);
@@ -34,6 +35,8 @@
     pub(super) number: u64,
     /// In the order of the commands.
     pub(super) pending: VecDeque<PendingReply>,
+    /// Memory for those that are not replies of the node.
+    pub(super) queue_memory: QueueMemory,
     /// How many of them belong to requests that were forwarded.
     pub(super) forwarded_requests: usize,
     /// Until it has sent a valid command.
@@ -52,6 +55,7 @@
     pub(super) fn new(clients: Rc<Clients<H>>, number: u64) -> Self {
         let newcomer = Some(Newcomer::count(&clients.newcomers));
         Session {
+            queue_memory: QueueMemory::new(clients.memory.clone()),
             clients,
             number,
             pending: VecDeque::new(),
@@ -70,6 +74,11 @@
         self.input.finish();
     }
 
+    /// Reserves memory for the queued replies that have no reservation of their own.
+    pub(super) fn reserve_queue(&mut self) -> Result<(), OutOfMemory> {
+        self.queue_memory.hold(self.pending.len().saturating_sub(self.forwarded_requests))
+    }
+
     /// Publishes the state of the connection.
     pub(super) fn publish_state(&self, state: ConnectionState) {
         if let Some(entry) = self.clients.open_connections.borrow_mut().get_mut(&self.number) {
--- a/crates/node/src/clients/writing.rs
+++ b/crates/node/src/clients/writing.rs
@@ -105,6 +105,8 @@
                 self.replies += reply.count_end();
             }
         }
+        // A shorter queue always finds room.
+        let _ = self.reserve_queue();
         // An idle connection must not keep the queue that its busiest time needed.
         if self.pending.is_empty() {
             self.pending.shrink_to(RETAINED_QUEUE_LENGTH);
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -32,6 +32,10 @@
 pub const USUAL_REPLY_BYTES: usize = 32 * 1024;
 /// Memory held for each open request and each reply beside its bytes.
 const REPLY_OVERHEAD_BYTES: usize = 1024;
+/// Memory for a short reply in the queue of a connection.
+const QUEUED_REPLY_BYTES: usize = 256;
+/// A queue of up to this many short replies needs no reservation.
+const UNRESERVED_REPLIES: usize = 16;
 /// A buffer of up to this size, that of one read, needs no reservation.
 pub const UNRESERVED_BUFFER_BYTES: usize = READ_SIZE_BYTES;
 
@@ -165,6 +169,43 @@
     }
 }
 
+/// Memory reserved for the short replies that wait for their turn on one connection.
+pub struct QueueMemory {
+    budget: Rc<MemoryBudget>,
+    permit: Option<MemoryPermit>,
+}
+
+impl QueueMemory {
+    /// Memory for an empty queue.
+    pub fn new(budget: Rc<MemoryBudget>) -> Self {
+        QueueMemory { budget, permit: None }
+    }
+
+    /// Changes the reservation to that of a queue of this length; a short queue needs none.
+    ///
+    /// # Errors
+    /// A longer queue finds no room; the reservation is left as it is.
+    pub fn hold(&mut self, replies: usize) -> Result<(), OutOfMemory> {
+        let needed = if replies <= UNRESERVED_REPLIES { 0 } else { permits(replies * QUEUED_REPLY_BYTES) };
+        let reserved = self.permit.as_ref().map_or(0, MemoryPermit::num_permits);
+        if needed > reserved {
+            let more = self.budget.reserve_for_request((needed - reserved) * PERMIT_BYTES)?;
+            merge(&mut self.permit, more);
+        } else if let Some(permit) = &mut self.permit {
+            drop(permit.split(reserved - needed));
+        }
+        Ok(())
+    }
+}
+
+/// Adds a permit to a reservation.
+fn merge(reservation: &mut Option<MemoryPermit>, more: MemoryPermit) {
+    match reservation {
+        Some(permit) => permit.merge(more),
+        None => *reservation = Some(more),
+    }
+}
+
 /// The budget of the buffers in which responses are received.
 #[derive(Clone)]
 pub struct ReceiveBudget {
@@ -212,10 +253,7 @@
         let missing = u32::try_from(missing).map_err(|_| OutOfMemory)?;
         let acquired = timeout(within, self.budget.clone().acquire_many_owned(missing)).await;
         let more = acquired.map_err(|_| OutOfMemory)?.map_err(|_| OutOfMemory)?;
-        match &mut self.permit {
-            Some(permit) => permit.merge(more),
-            None => self.permit = Some(more),
-        }
+        merge(&mut self.permit, more);
         Ok(())
     }
 
--- a/crates/node/tests/unit/memory.rs
+++ b/crates/node/tests/unit/memory.rs
@@ -74,3 +74,16 @@
     next.release();
     assert_eq!(all.reserve(4 * MIB, SHORT).await, Ok(()));
 }
+
+#[test]
+fn a_long_queue_reserves_memory_until_it_is_short_again() {
+    let budget = budget(32 * MIB);
+    let mut queue = QueueMemory::new(budget.clone());
+    assert_eq!(queue.hold(1000), Ok(()));
+    let others = fill(&budget);
+    assert_eq!(others.len(), 504, "250 KiB are for the queue");
+    assert_eq!(queue.hold(2000), Err(OutOfMemory));
+    assert_eq!(queue.hold(UNRESERVED_REPLIES), Ok(()));
+    drop(others);
+    assert_eq!(fill(&budget).len(), 512);
+}
