Memory: a response is received against its request's reservation first

Cause: receive buffers reserved all of a value from a share of their own, an eighth of the limit, while the 32 KiB that each open request reserves for its reply lay idle.

Change: one pool for requests, replies and receive buffers. The reservation of a request serves for receiving its response, and stays with its command for as long as an attempt is out; a receive buffer reserves what is beyond it, from all that is free. New requests leave one sixteenth of the limit to large replies, and both leave one sixteenth to receive buffers, so that replies that wait for their turn can't keep the response from arriving that they wait for. A response without memory waits in its socket, as if its server were slow, until the deadlines of its attempts; 10 s at the most.

--- a/crates/mothpier/tests/memory_limit.rs
+++ b/crates/mothpier/tests/memory_limit.rs
@@ -4,8 +4,8 @@
 mod harness;
 
 use std::collections::BTreeMap;
-use std::io::Write;
-use std::net::SocketAddr;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::{self, JoinHandle};
@@ -19,6 +19,8 @@
 const ANSWER_DELAY: Duration = Duration::from_millis(80);
 /// The same for those behind which other replies wait for their turn.
 const LONG_ANSWER_DELAY: Duration = Duration::from_millis(400);
+/// Pause between the pieces of an answer that is written slowly.
+const PIECE_DELAY: Duration = Duration::from_millis(50);
 /// A node that uses no processor time for this long has nothing left to handle.
 const IDLE_TIME: Duration = Duration::from_millis(200);
 /// The largest value that a node holds whole; a larger one is streamed.
@@ -189,6 +191,43 @@
     assert!(check_reads("late", 32, MAX_BUFFERED_VALUE_BYTES, crowd) > 0);
 }
 
+/// A cache server that writes each answer in this many pieces, with pauses between them.
+fn slowly_writing_server(value_bytes: usize, pieces: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let serve_connection = move |mut stream: TcpStream| {
+        let Reaction::Answer(answer) = hit(&"v".repeat(value_bytes)) else { return };
+        let mut commands = BufReader::new(stream.try_clone().unwrap());
+        while let Some(command) = read_command(&mut commands) {
+            let answer = if command == ["PING"] { b"+PONG\r\n" } else { answer.as_slice() };
+            for piece in answer.chunks(answer.len().div_ceil(pieces)) {
+                if stream.write_all(piece).is_err() {
+                    return;
+                }
+                thread::sleep(PIECE_DELAY);
+            }
+        }
+    };
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || serve_connection(stream));
+        }
+    });
+    address
+}
+
+/// Guards against responses that are given up for lack of memory although all memory together holds them.
+#[test]
+fn all_values_that_arrive_slowly_are_served_where_memory_holds_them() {
+    let server = |number| {
+        let address = slowly_writing_server(MAX_BUFFERED_VALUE_BYTES, 8);
+        member(&format!("s-{number}"), address, "m", "ready")
+    };
+    let node = node_with_memory("slow-values", 48, &(0..9).map(server).collect::<Vec<_>>());
+    let crowd = Crowd::reads(12, 30);
+    assert_eq!(check(node, 48, crowd), crowd.clients * crowd.commands_per_client);
+}
+
 /// Guards against chunks of streamed values that cost more than is reserved for them.
 #[test]
 fn streamed_values_stay_within_the_memory_limit() {
--- a/crates/node/src/clients/parsing.rs
+++ b/crates/node/src/clients/parsing.rs
@@ -1,6 +1,7 @@
 //! Parses a client's command into a request of the decision module.
 
 use std::borrow::Cow;
+use std::cell::Cell;
 
 use brassrouter::settings::DeploymentSettings;
 use brassrouter::{Micros, Request};
@@ -90,7 +91,8 @@
                 if v.len() > MAX_BUFFERED_VALUE_BYTES { v.clone() } else { Bytes::copy_from_slice(v) }
             }),
             write,
-            memory: None,
+            value_memory: None,
+            reply_memory: Cell::default(),
             _held: held,
             _id_guard: id_guard,
         }
--- a/crates/node/src/clients/pending_replies.rs
+++ b/crates/node/src/clients/pending_replies.rs
@@ -135,7 +135,7 @@
             self.state = ReplyState::Ready(resp::encode_error("ERR failed"));
             return;
         };
-        self.memory = Some(memory);
+        self.memory = memory;
         if let Some((_, ticket_end)) = &mut self.ticket {
             *ticket_end = end;
         }
--- a/crates/node/src/clients/reading.rs
+++ b/crates/node/src/clients/reading.rs
@@ -15,7 +15,7 @@
 use crate::command::{Command, REFUSED_RETRY_AFTER_MS};
 use crate::event_log::EventKind;
 use crate::input::{ClientEvent, Input};
-use crate::memory::{MemoryPermit, ReplyMemory, UNRESERVED_BUFFER_BYTES, USUAL_REPLY_BYTES, permits};
+use crate::memory::{MemoryPermit, ReplyMemory, UNRESERVED_BUFFER_BYTES, USUAL_RESPONSE_BYTES, permits};
 use crate::stream::READ_SIZE_BYTES;
 
 /// Limit of open requests on one connection; further ones are refused.
@@ -138,17 +138,17 @@
         // Memory is bounded by what open requests may hold, and each connection by its own share of them. Requests beyond
         // that are refused instead of being left unread.
         let value = command.value.as_ref().filter(|_| reserved.is_none()).map_or(0, Bytes::len);
-        let mut memory = match self.acquire_memory(USUAL_REPLY_BYTES + value) {
+        let mut memory = match self.acquire_memory(USUAL_RESPONSE_BYTES + value) {
             Ok(memory) => memory,
             Err(reason) => return self.refuse(request.class, reason),
         };
-        let for_value = memory.num_permits().saturating_sub(permits(USUAL_REPLY_BYTES));
-        command.memory = reserved.or_else(|| memory.split(for_value));
-        let memory = ReplyMemory::new(memory, &self.clients.ops_endpoint.metrics.memory);
+        let for_value = memory.num_permits().saturating_sub(permits(USUAL_RESPONSE_BYTES));
+        command.value_memory = reserved.or_else(|| memory.split(for_value));
+        command.reply_memory.set(Some(ReplyMemory::new(self.clients.memory.clone(), memory)));
         let ticket = self.count_request(request.class);
         let (reply, receiver) = oneshot::channel();
         let id = request.id;
-        let event = ClientEvent::Request { request, connection: self.number, command, memory, reply };
+        let event = ClientEvent::Request { request, connection: self.number, command, reply };
         if self.clients.events.send(Input::Client(event)).await.is_err() {
             return self.push_reply(resp::encode_error("ERR stopping"));
         }
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -1,6 +1,6 @@
 //! A client's command, the final reply to it, and the identifiers of both inside the node.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,7 +32,6 @@
 pub type AttemptId = u64;
 
 /// A client's command as received; the commands to servers are derived from it.
-#[derive(Debug)]
 pub struct Command {
     pub name: Bytes,
     pub key: Bytes,
@@ -41,7 +40,10 @@
     pub value: Option<Bytes>,
     pub write: bool,
     /// Memory reserved for the value.
-    pub(crate) memory: Option<MemoryPermit>,
+    pub(crate) value_memory: Option<MemoryPermit>,
+    /// Memory reserved for the response, until the reply takes it. Attempts that outlive their request keep the command,
+    /// and with it the memory for their responses.
+    pub(crate) reply_memory: Cell<Option<ReplyMemory>>,
     /// Counts the value as held.
     pub(crate) _held: HeldBytes,
     /// Released with the command; until then no other request may use the same id.
@@ -199,5 +201,6 @@
 pub struct Delivery {
     pub reply: EncodedReply,
     pub end: RequestEnd,
-    pub memory: ReplyMemory,
+    /// Released once the reply is written.
+    pub memory: Option<ReplyMemory>,
 }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -11,7 +11,6 @@
 
 use crate::command::{AttemptId, Command, Delivery};
 use crate::discovery::ServerList;
-use crate::memory::ReplyMemory;
 use crate::{origin, servers};
 
 /// A message to the node from one of its other parts.
@@ -78,8 +77,6 @@
         /// The connection that the request arrived on.
         connection: u64,
         command: Box<Command>,
-        /// Memory for the reply.
-        memory: ReplyMemory,
         reply: oneshot::Sender<Delivery>,
     },
     Disconnected(RequestId),
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -1,10 +1,14 @@
 //! The memory that requests, replies and receive buffers may hold: an account against the memory limit of the process.
 //!
-//! Each open request reserves memory for a reply of the usual size. Once the reply has arrived, the reservation is
-//! changed to its actual size: a smaller one makes room for other requests, a larger one has to find room. Responses of
-//! servers are received against a share of their own, so that replies waiting for slow clients can't stop them.
+//! Each open request reserves memory for a response of the usual size, which serves for receiving it and then for the
+//! reply. What a larger response needs beyond that is reserved as soon as its size is known, and again for the reply once
+//! it is complete. A smaller reply makes room for other requests.
+//!
+//! New requests leave room for large replies, and replies leave room for responses that are being received: replies that
+//! wait for their turn can't keep the response from arriving that they wait for.
 
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,15 +25,15 @@
 /// The memory limit is divided into this many equal shares. Those not named below are left to the process itself, to
 /// buffers too small to be accounted for, and to the allocator.
 const SHARES: usize = 16;
-/// Shares for the commands of open requests and for replies of the usual size.
+/// Shares for open requests: their values, and responses of the usual size.
 const REQUEST_SHARES: usize = 8;
-/// Shares for what larger replies need beyond the usual size.
+/// Shares that new requests leave to replies larger than usual.
 const LARGE_REPLY_SHARES: usize = 1;
-/// Shares for responses that are being received.
-const RECEIVE_SHARES: usize = 2;
+/// Shares that new requests and replies leave to responses that are being received.
+const RECEIVE_SHARES: usize = 1;
 
-/// Size of a reply for which memory is reserved before its actual size is known.
-pub const USUAL_REPLY_BYTES: usize = 32 * 1024;
+/// Size of a response for which memory is reserved before its actual size is known.
+pub const USUAL_RESPONSE_BYTES: usize = 32 * 1024;
 /// Memory held for each open request and each reply beside its bytes.
 const REPLY_OVERHEAD_BYTES: usize = 1024;
 /// Memory for a short reply in the queue of a connection.
@@ -53,94 +57,104 @@
 
 /// Memory of one process for requests, replies and receive buffers.
 pub struct MemoryBudget {
-    requests: Arc<Semaphore>,
-    receive: ReceiveBudget,
-    request_permits: usize,
-    receive_permits: usize,
-    /// Permits that no new request may take: they are for large replies.
+    semaphore: Arc<Semaphore>,
+    total_permits: usize,
+    /// Permits that new requests and replies leave to receive buffers, those that the buffers hold among them.
+    receive_permits: Cell<usize>,
+    /// Permits that receive buffers hold.
+    received_permits: Cell<usize>,
+    /// Permits that new requests leave to large replies, beside those.
     large_reply_permits: Cell<usize>,
+    gauges: Arc<MemoryGauges>,
 }
 
 impl MemoryBudget {
     /// The budget of a process with this memory limit.
     pub fn new(limit_bytes: usize, gauges: Arc<MemoryGauges>) -> Rc<Self> {
-        let share = limit_bytes / SHARES;
-        let large_reply_permits = permits(share * LARGE_REPLY_SHARES);
-        let request_permits = permits(share * REQUEST_SHARES) + large_reply_permits;
-        let receive_permits = permits(share * RECEIVE_SHARES);
+        let permits_of = |shares: usize| permits(limit_bytes / SHARES * shares);
+        let total_permits = permits_of(REQUEST_SHARES + LARGE_REPLY_SHARES + RECEIVE_SHARES);
         Rc::new(MemoryBudget {
-            requests: Arc::new(Semaphore::new(request_permits)),
-            receive: ReceiveBudget { permits: Arc::new(Semaphore::new(receive_permits)), gauges },
-            request_permits,
-            receive_permits,
-            large_reply_permits: Cell::new(large_reply_permits),
+            semaphore: Arc::new(Semaphore::new(total_permits)),
+            total_permits,
+            receive_permits: Cell::new(permits_of(RECEIVE_SHARES)),
+            received_permits: Cell::new(0),
+            large_reply_permits: Cell::new(permits_of(LARGE_REPLY_SHARES)),
+            gauges,
         })
     }
 
     /// Reserves memory for a new request or a part of it.
     ///
     /// # Errors
-    /// Too little is left beside the share for large replies.
+    /// Too little is left.
     pub fn reserve_for_request(&self, bytes: usize) -> Result<MemoryPermit, OutOfMemory> {
-        let free = self.requests.available_permits().saturating_sub(self.large_reply_permits.get());
-        if permits(bytes) > free {
-            return Err(OutOfMemory);
-        }
-        try_acquire(&self.requests, permits(bytes))
-    }
-
-    /// The budget of receive buffers.
-    pub fn receive_budget(&self) -> ReceiveBudget {
-        self.receive.clone()
+        self.try_acquire(permits(bytes), self.left_to_receive() + self.large_reply_permits.get())
     }
 
     /// Sets aside half of the memory, or as much of that half as is free, for another process of this node.
     pub fn share_half(self: &Rc<Self>) -> SharedHalf {
-        let half_of = |semaphore: &Arc<Semaphore>, total: usize| {
-            try_acquire(semaphore, (total / 2).min(semaphore.available_permits()))
-        };
-        let half = SharedHalf {
-            _requests: half_of(&self.requests, self.request_permits),
-            _receive: half_of(&self.receive.permits, self.receive_permits),
-            large_reply_permits: self.large_reply_permits.get(),
+        let half = (self.total_permits / 2).min(self.semaphore.available_permits());
+        let (receive, large_reply) = (self.receive_permits.get(), self.large_reply_permits.get());
+        let shared = SharedHalf {
+            _permit: self.try_acquire(half, 0),
+            receive_permits: receive,
+            large_reply_permits: large_reply,
             budget: self.clone(),
         };
-        self.large_reply_permits.set(half.large_reply_permits / 2);
-        half
+        self.receive_permits.set(receive / 2);
+        self.large_reply_permits.set(large_reply / 2);
+        shared
+    }
+
+    /// Permits that must be left to receive buffers.
+    fn left_to_receive(&self) -> usize {
+        self.receive_permits.get().saturating_sub(self.received_permits.get())
     }
-}
 
-fn try_acquire(semaphore: &Arc<Semaphore>, permits: usize) -> Result<MemoryPermit, OutOfMemory> {
-    let permits = u32::try_from(permits).map_err(|_| OutOfMemory)?;
-    semaphore.clone().try_acquire_many_owned(permits).map_err(|_| OutOfMemory)
+    /// Acquires permits if this many others are left.
+    fn try_acquire(&self, permits: usize, left: usize) -> Result<MemoryPermit, OutOfMemory> {
+        if permits + left > self.semaphore.available_permits() {
+            return Err(OutOfMemory);
+        }
+        let permits = u32::try_from(permits).map_err(|_| OutOfMemory)?;
+        self.semaphore.clone().try_acquire_many_owned(permits).map_err(|_| OutOfMemory)
+    }
 }
 
 /// Memory that is set aside for another process of this node, until this is dropped.
 pub struct SharedHalf {
-    _requests: Result<MemoryPermit, OutOfMemory>,
-    _receive: Result<MemoryPermit, OutOfMemory>,
-    /// The share for large replies before.
+    _permit: Result<MemoryPermit, OutOfMemory>,
+    /// What was left to receive buffers and large replies before.
+    receive_permits: usize,
     large_reply_permits: usize,
     budget: Rc<MemoryBudget>,
 }
 
 impl Drop for SharedHalf {
     fn drop(&mut self) {
+        self.budget.receive_permits.set(self.receive_permits);
         self.budget.large_reply_permits.set(self.large_reply_permits);
     }
 }
 
-/// Memory reserved for the reply to a request, from its arrival until the reply is written.
-#[derive(Debug)]
+/// Memory reserved for the response to a request, from its arrival until the reply is written.
 pub struct ReplyMemory {
+    budget: Rc<MemoryBudget>,
     permit: MemoryPermit,
     held: HeldBytes,
 }
 
+impl fmt::Debug for ReplyMemory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ReplyMemory").field("permit", &self.permit).field("held", &self.held).finish()
+    }
+}
+
 impl ReplyMemory {
-    /// Memory for a reply that has not arrived yet.
-    pub fn new(permit: MemoryPermit, gauges: &Arc<MemoryGauges>) -> Self {
-        ReplyMemory { permit, held: HeldBytes::new(gauges, MemoryUse::Replies, 0) }
+    /// Memory for a response that has not arrived yet.
+    pub fn new(budget: Rc<MemoryBudget>, permit: MemoryPermit) -> Self {
+        let held = HeldBytes::new(&budget.gauges, MemoryUse::Replies, 0);
+        ReplyMemory { budget, permit, held }
     }
 
     /// Changes the reservation to that of a reply of this size.
@@ -150,7 +164,7 @@
     pub fn hold(&mut self, bytes: usize) -> Result<(), OutOfMemory> {
         let (needed, reserved) = (permits(bytes + REPLY_OVERHEAD_BYTES), self.permit.num_permits());
         if needed > reserved {
-            match try_acquire(self.permit.semaphore(), needed - reserved) {
+            match self.budget.try_acquire(needed - reserved, self.budget.left_to_receive()) {
                 Ok(more) => self.permit.merge(more),
                 Err(OutOfMemory) => {
                     self.shrink_to(permits(REPLY_OVERHEAD_BYTES));
@@ -190,7 +204,10 @@
         let reserved = self.permit.as_ref().map_or(0, MemoryPermit::num_permits);
         if needed > reserved {
             let more = self.budget.reserve_for_request((needed - reserved) * PERMIT_BYTES)?;
-            merge(&mut self.permit, more);
+            match &mut self.permit {
+                Some(permit) => permit.merge(more),
+                None => self.permit = Some(more),
+            }
         } else if let Some(permit) = &mut self.permit {
             drop(permit.split(reserved - needed));
         }
@@ -198,80 +215,65 @@
     }
 }
 
-/// Adds a permit to a reservation.
-fn merge(reservation: &mut Option<MemoryPermit>, more: MemoryPermit) {
-    match reservation {
-        Some(permit) => permit.merge(more),
-        None => *reservation = Some(more),
-    }
+/// Memory that a receive buffer holds, or a complete response on its way to its request.
+pub struct ReceivePermit {
+    budget: Rc<MemoryBudget>,
+    permit: MemoryPermit,
 }
 
-/// The budget of the buffers in which responses are received.
-#[derive(Clone)]
-pub struct ReceiveBudget {
-    permits: Arc<Semaphore>,
-    gauges: Arc<MemoryGauges>,
+impl ReceivePermit {
+    fn new(budget: Rc<MemoryBudget>, permit: MemoryPermit) -> Self {
+        budget.received_permits.set(budget.received_permits.get() + permit.num_permits());
+        ReceivePermit { budget, permit }
+    }
 }
 
-impl ReceiveBudget {
-    /// Memory for one buffer, none of it reserved yet.
-    pub fn buffer(&self) -> ReceiveMemory {
-        ReceiveMemory {
-            budget: self.permits.clone(),
-            permit: None,
-            held: HeldBytes::new(&self.gauges, MemoryUse::ServerInput, 0),
-        }
+impl Drop for ReceivePermit {
+    fn drop(&mut self) {
+        let received = &self.budget.received_permits;
+        received.set(received.get().saturating_sub(self.permit.num_permits()));
     }
 }
 
-/// Memory reserved for one receive buffer.
+/// Memory reserved for one buffer in which responses are received, beyond that of a response of the usual size, which is
+/// reserved with its request.
 pub struct ReceiveMemory {
-    budget: Arc<Semaphore>,
-    permit: Option<MemoryPermit>,
+    budget: Rc<MemoryBudget>,
+    permits: Vec<ReceivePermit>,
     held: HeldBytes,
 }
 
 impl ReceiveMemory {
-    /// Changes the reservation to that of a buffer of this size. Waits while there is too little memory, which other
-    /// buffers free as soon as their responses are complete.
+    /// Memory for an empty buffer.
+    pub fn new(budget: Rc<MemoryBudget>) -> Self {
+        let held = HeldBytes::new(&budget.gauges, MemoryUse::ServerInput, 0);
+        ReceiveMemory { budget, permits: Vec::new(), held }
+    }
+
+    /// Reserves memory for a buffer of this size, unless as much is reserved already. Waits while there is too little, for
+    /// other buffers free theirs as soon as their responses are complete.
     ///
     /// # Errors
     /// There was too little for this long.
     pub async fn reserve(&mut self, bytes: usize, within: Duration) -> Result<(), OutOfMemory> {
-        let needed = if bytes <= UNRESERVED_BUFFER_BYTES { 0 } else { permits(bytes) };
-        let reserved = self.permit.as_ref().map_or(0, MemoryPermit::num_permits);
+        let needed = permits(bytes.saturating_sub(USUAL_RESPONSE_BYTES));
+        let reserved: usize = self.permits.iter().map(|held| held.permit.num_permits()).sum();
         if needed > reserved {
-            self.acquire(needed - reserved, within).await?;
-        } else if let Some(permit) = &mut self.permit {
-            drop(permit.split(reserved - needed));
+            let missing = u32::try_from(needed - reserved).map_err(|_| OutOfMemory)?;
+            let acquired = self.budget.semaphore.clone().acquire_many_owned(missing);
+            let permit =
+                timeout(within, acquired).await.map_err(|_| OutOfMemory)?.map_err(|_| OutOfMemory)?;
+            self.permits.push(ReceivePermit::new(self.budget.clone(), permit));
         }
         self.held.set(bytes);
         Ok(())
     }
 
-    async fn acquire(&mut self, missing: usize, within: Duration) -> Result<(), OutOfMemory> {
-        let missing = u32::try_from(missing).map_err(|_| OutOfMemory)?;
-        let acquired = timeout(within, self.budget.clone().acquire_many_owned(missing)).await;
-        let more = acquired.map_err(|_| OutOfMemory)?.map_err(|_| OutOfMemory)?;
-        merge(&mut self.permit, more);
-        Ok(())
-    }
-
-    /// Releases the reservation of an empty buffer.
-    pub fn release(&mut self) {
-        self.permit = None;
+    /// Takes the reservation, for a complete response that leaves the buffer, or because the buffer is empty. What stays
+    /// in the buffer is reserved for with the next read.
+    pub fn take(&mut self) -> Vec<ReceivePermit> {
         self.held.set(0);
-    }
-
-    /// Bytes reserved.
-    pub fn reserved_bytes(&self) -> usize {
-        self.permit.as_ref().map_or(0, MemoryPermit::num_permits) * PERMIT_BYTES
-    }
-
-    /// Takes the reservation, for a complete response that leaves the buffer. What stays in the buffer is reserved for
-    /// with the next read.
-    pub fn take(&mut self) -> Option<MemoryPermit> {
-        self.permit.take()
+        std::mem::take(&mut self.permits)
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -85,8 +85,6 @@
 struct PendingRequest {
     command: Rc<Command>,
     reply: oneshot::Sender<Delivery>,
-    /// Memory for the reply.
-    memory: ReplyMemory,
     deadline: Instant,
     /// Attempts so far (the next attempt gets this number), and how many of them failed on this machine.
     attempts: u16,
@@ -496,7 +494,7 @@
                 self.agreement_due = None;
             }
             Input::Shutdown => {}
-            Input::Client(ClientEvent::Request { mut request, connection, command, memory, reply }) => {
+            Input::Client(ClientEvent::Request { mut request, connection, command, reply }) => {
                 let deadline = Instant::now() + Duration::from_micros(request.time_left);
                 let now = self.clock.now();
                 let monitor = self.components.storm_monitor.as_mut();
@@ -506,7 +504,6 @@
                     may_run_twice: class.is_some_and(|class| class.effect == Effect::Idempotent),
                     command: command.into(),
                     reply,
-                    memory,
                     deadline,
                     attempts: 0,
                     local_failures: 0,
@@ -533,9 +530,9 @@
             }
             Input::Origin { attempt, result } => {
                 let load = parse_load_report(&self.settings, &result.load);
-                self.finish_attempt(attempt, result.status, CacheResult::None, load, result.value);
-                // The reply has a reservation of its own.
+                // The reply takes a reservation of its own.
                 drop(result.memory);
+                self.finish_attempt(attempt, result.status, CacheResult::None, load, result.value);
             }
             Input::Discovery(DiscoveryEvent::List(list)) => {
                 self.components.ops_endpoint.lifecycle.apply(LifecycleEvent::Ready);
@@ -771,8 +768,15 @@
 
     /// Reserves the memory for a reply of this size. Where there is none, a request that may run twice is refused, and any
     /// other fails, because it has run.
-    fn fit_reply(&mut self, request: RequestId, reply: Reply, pending: &mut PendingRequest) -> Reply {
-        if pending.memory.hold(reply.held_bytes()).is_ok() {
+    fn fit_reply(
+        &self,
+        request: RequestId,
+        reply: Reply,
+        pending: &PendingRequest,
+        memory: &mut Option<ReplyMemory>,
+    ) -> Reply {
+        let held = memory.as_mut().map_or(Ok(()), |memory| memory.hold(reply.held_bytes()));
+        if held.is_ok() {
             return reply;
         }
         if !pending.may_run_twice {
@@ -789,8 +793,9 @@
 
     /// Sends the final reply to a request and returns its attempts that are still in flight.
     fn send_reply(&mut self, request: RequestId, reply: Reply) -> Vec<AttemptId> {
-        let Some(mut pending) = self.pending.remove(&request) else { return Vec::new() };
-        let reply = self.fit_reply(request, reply, &mut pending);
+        let Some(pending) = self.pending.remove(&request) else { return Vec::new() };
+        let mut memory = pending.command.reply_memory.take();
+        let reply = self.fit_reply(request, reply, &pending, &mut memory);
         if let Some(monitor) = self.components.storm_monitor.as_mut().filter(|_| !reply.carries_value()) {
             monitor.request_unserved(self.clock.now(), pending.fingerprint);
         }
@@ -804,7 +809,7 @@
         }
         // The client may have disconnected meanwhile.
         let end = reply.request_end();
-        let _ = pending.reply.send(Delivery { reply: reply.into(), end, memory: pending.memory });
+        let _ = pending.reply.send(Delivery { reply: reply.into(), end, memory });
         pending.in_flight
     }
 
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -29,7 +29,7 @@
 use crate::http::{self, Connection};
 use crate::input::Input;
 use crate::local_failures::LocalFailures;
-use crate::memory::{MemoryPermit, ReceiveBudget};
+use crate::memory::{MemoryBudget, ReceiveMemory, ReceivePermit};
 
 /// A connection that has been idle for this share of the idle time-out is not used again.
 const REUSABLE_IDLE_SHARE: f64 = 0.7;
@@ -64,12 +64,12 @@
     /// The load report as received.
     pub load: String,
     /// Memory reserved for the value.
-    pub memory: Option<MemoryPermit>,
+    pub memory: Vec<ReceivePermit>,
 }
 
 impl CallResult {
     fn from_status(status: Status) -> Self {
-        CallResult { status, value: None, load: String::new(), memory: None }
+        CallResult { status, value: None, load: String::new(), memory: Vec::new() }
     }
 }
 
@@ -223,7 +223,7 @@
     /// A shortage on this machine affects the connections to all origins.
     local_failures: Rc<RefCell<LocalFailures>>,
     /// Memory for responses that are being received.
-    memory: ReceiveBudget,
+    memory: Rc<MemoryBudget>,
 }
 
 impl<H: Host> Connector<H> {
@@ -257,7 +257,7 @@
     /// Limit of the connections to all origins together; at least one may be open.
     pub max_connections: usize,
     /// Memory for responses that are being received.
-    pub memory: ReceiveBudget,
+    pub memory: Rc<MemoryBudget>,
 }
 
 /// The origins in the server list.
@@ -456,11 +456,11 @@
         let (chunks, stream) = LargeValue::new(length);
         let large = LargeValueTransfer { body: response.into_body(), chunks, _connection: pooled };
         return Ok((
-            CallResult { status, value: Some(Reply::Stream(stream)), load, memory: None },
+            CallResult { status, value: Some(Reply::Stream(stream)), load, memory: Vec::new() },
             Some(large),
         ));
     }
-    let mut memory = connector.memory.buffer();
+    let mut memory = ReceiveMemory::new(connector.memory.clone());
     let expected = length.unwrap_or(MAX_BUFFERED_VALUE_BYTES).min(MAX_BUFFERED_VALUE_BYTES);
     memory.reserve(expected, BODY_STALL_TIMEOUT).await.map_err(|_| Status::Reset)?;
     // A body that stalls, or that is too long without a stated length, is no response; its connection is
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -25,7 +25,7 @@
 use crate::duplicate_responses::Doubt;
 use crate::input::Input;
 use crate::local_failures::LocalFailures;
-use crate::memory::{MemoryPermit, ReceiveBudget};
+use crate::memory::{MemoryBudget, ReceivePermit};
 
 mod connection;
 mod driver;
@@ -105,7 +105,7 @@
 pub enum ConnectionEvent {
     Up,
     /// A response, with the memory reserved for it.
-    Response(AttemptId, BytesFrame, Option<MemoryPermit>),
+    Response(AttemptId, BytesFrame, Vec<ReceivePermit>),
     StreamStarted(AttemptId, LargeValue),
     /// The frame received for this attempt cannot be its response; the connection ends next.
     InvalidResponse(AttemptId),
@@ -131,7 +131,7 @@
     /// Limit of the connections to all servers together.
     pub max_connections: usize,
     /// Memory for responses that are being received.
-    pub memory: ReceiveBudget,
+    pub memory: Rc<MemoryBudget>,
 }
 
 /// Result of withdrawing an attempt.
@@ -413,8 +413,9 @@
         // responses are still queued, and each of them must be delivered.
         match event {
             ConnectionEvent::Up => self.local_failures.record_success(),
-            // The caller handles the response at once.
-            ConnectionEvent::Response(attempt, frame, _memory) => {
+            ConnectionEvent::Response(attempt, frame, memory) => {
+                // The reply takes a reservation of its own.
+                drop(memory);
                 let pool = self.pools.get_mut(&server);
                 if let Some(c) =
                     pool.and_then(|p| p.connections.iter_mut().find(|c| c.number == connection_number))
--- a/crates/node/src/servers/connection.rs
+++ b/crates/node/src/servers/connection.rs
@@ -19,7 +19,7 @@
 use super::{ConnectionEnd, ConnectionEvent, InterruptedCommand};
 use crate::duplicate_responses::{Doubt, VerificationState};
 use crate::input::Input;
-use crate::memory::ReceiveBudget;
+use crate::memory::MemoryBudget;
 
 /// State shared between a connection and its task.
 pub(super) struct Shared {
@@ -31,7 +31,7 @@
     /// What is known about the responses of the server.
     pub verification: Rc<RefCell<VerificationState>>,
     /// Memory for responses that are being received.
-    pub memory: ReceiveBudget,
+    pub memory: Rc<MemoryBudget>,
 }
 
 /// A connection; its task ends when this is dropped.
@@ -90,7 +90,7 @@
     /// Number of connections to all servers.
     pub total_connections: Rc<Cell<usize>>,
     /// Memory for responses that are being received.
-    pub memory: ReceiveBudget,
+    pub memory: Rc<MemoryBudget>,
 }
 
 impl<H: Host> Connector<H> {
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -30,6 +30,9 @@
 use crate::memory_shortage::RetryingStream;
 use crate::stream::{READ_SIZE_BYTES, read_more, read_more_within};
 
+/// A response for which there is no memory waits in its socket for this long, as if its server were slow. The deadlines
+/// of attempts end most waits before.
+const MEMORY_TIMEOUT: Duration = Duration::from_secs(10);
 /// A buffer with less room than this is enlarged before the next read.
 const MIN_READ_BYTES: usize = 512;
 
@@ -148,7 +151,7 @@
 ) -> ConnectionEnd {
     let notify = |event| events.send(Input::Server { server, connection: connection_number, event });
     let mut buffer = BytesMut::new();
-    let mut memory = shared.memory.buffer();
+    let mut memory = ReceiveMemory::new(shared.memory.clone());
     loop {
         if take_fence_replies(&mut buffer, shared).is_err() {
             return ConnectionEnd::OutOfSync(None);
@@ -182,6 +185,7 @@
                 RelayResult::Doubted(doubt) => return ConnectionEnd::OutOfSync(Some(doubt)),
             }
         }
+        let received_bytes = buffer.len();
         let received = match fence_awaited {
             // No complete fence reply has arrived.
             true => Ok(None),
@@ -211,7 +215,9 @@
         let mut may_be_duplicate = false;
         if let Ok(Some(frame)) = &received {
             let value = Fingerprint::of_response(frame);
-            if let Err(end) = verify(value, reading, (&mut buffer, &mut memory), shared).await {
+            let response_bytes = received_bytes - buffer.len();
+            let input = (&mut buffer, &mut memory);
+            if let Err(end) = verify((value, response_bytes), reading, input, shared).await {
                 return end;
             }
             // Load reports are equal as often as loads are, so equality proves nothing.
@@ -257,7 +263,7 @@
 /// There is no memory for it.
 async fn reserve_for_read(buffer: &mut BytesMut, memory: &mut ReceiveMemory) -> Result<(), OutOfMemory> {
     if buffer.is_empty() {
-        memory.release();
+        drop(memory.take());
         return Ok(());
     }
     let spare = buffer.capacity() - buffer.len();
@@ -267,7 +273,7 @@
         _ if spare >= MIN_READ_BYTES => buffer.capacity(),
         _ => buffer.len() + READ_SIZE_BYTES,
     };
-    memory.reserve(capacity.max(buffer.capacity()), RESPONSE_STALL_TIMEOUT).await?;
+    memory.reserve(capacity.max(buffer.capacity()), MEMORY_TIMEOUT).await?;
     buffer.reserve(capacity - buffer.len());
     Ok(())
 }
--- a/crates/node/src/servers/verification.rs
+++ b/crates/node/src/servers/verification.rs
@@ -40,7 +40,7 @@
 /// # Errors
 /// How the connection ends if the response is not accepted.
 pub(super) async fn verify(
-    value: Option<Fingerprint>,
+    (value, response_bytes): (Option<Fingerprint>, usize),
     reading: &impl Reading,
     input: (&mut BytesMut, &mut ReceiveMemory),
     shared: &Shared,
@@ -50,7 +50,7 @@
         Verdict::Accept => {}
         Verdict::Resend(doubt) => return Err(ConnectionEnd::OutOfSync(Some(doubt))),
         Verdict::AwaitFence(doubt) => {
-            await_fence(doubt, reading, input, shared).await?;
+            await_fence(doubt, reading, input, response_bytes, shared).await?;
             shared.verification.borrow_mut().confirm(doubt);
         }
     }
@@ -142,6 +142,7 @@
     doubt: Doubt,
     reading: &impl Reading,
     (buffer, memory): (&mut BytesMut, &mut ReceiveMemory),
+    held_back_bytes: usize,
     shared: &Shared,
 ) -> Result<(), ConnectionEnd> {
     shared.metrics.answer_held_back();
@@ -156,8 +157,6 @@
         let may_run_twice = payload.is_some_and(Payload::may_run_twice);
         (deadline, may_run_twice.then_some(RESPONSE_STALL_TIMEOUT))
     };
-    // The response that is held back has left the buffer.
-    let held_back = memory.reserved_bytes();
     let unresolved = || Err(ConnectionEnd::OutOfSync(Some(doubt)));
     loop {
         let order = check_order(&shared.pipeline.borrow(), buffer);
@@ -180,7 +179,8 @@
             return unresolved();
         }
         let within = stall_timeout.map_or(remaining, |stall_timeout| stall_timeout.min(remaining));
-        let needed = held_back + buffer.len() + READ_SIZE_BYTES;
+        // The response that is held back has left the buffer.
+        let needed = held_back_bytes + buffer.len() + READ_SIZE_BYTES;
         if memory.reserve(needed, within).await.is_err() {
             return unresolved();
         }
--- a/crates/node/src/service/assembly.rs
+++ b/crates/node/src/service/assembly.rs
@@ -108,7 +108,7 @@
         idle_close,
         connect_timeout,
         max_connections: cache_server_descriptors(for_servers),
-        memory: memory.receive_budget(),
+        memory: memory.clone(),
     };
     let peers = match config.peer_listen.filter(|_| settings.policy.may_send_to_peers) {
         Some(listen) => peers::Peers::open(
@@ -145,7 +145,7 @@
             connect_timeout,
             origin::Limits {
                 max_connections: for_servers - cache_server_descriptors(for_servers),
-                memory: memory.receive_budget(),
+                memory: memory.clone(),
             },
             ops_endpoint.metrics.clone(),
             events.clone(),
--- a/crates/node/tests/unit/memory.rs
+++ b/crates/node/tests/unit/memory.rs
@@ -11,9 +11,9 @@
 }
 
 /// Reserves as many replies of the usual size as there is room for.
-fn fill(budget: &MemoryBudget) -> Vec<ReplyMemory> {
-    let next = || budget.reserve_for_request(USUAL_REPLY_BYTES).ok();
-    std::iter::from_fn(next).map(|permit| ReplyMemory::new(permit, &Arc::default())).collect()
+fn fill(budget: &Rc<MemoryBudget>) -> Vec<ReplyMemory> {
+    let next = || budget.reserve_for_request(USUAL_RESPONSE_BYTES).ok();
+    std::iter::from_fn(next).map(|permit| ReplyMemory::new(budget.clone(), permit)).collect()
 }
 
 /// As many requests are admitted as half of the memory holds replies of the usual size, at each limit that a node may have.
@@ -55,24 +55,33 @@
     assert_eq!(fill(&budget).len(), 1024);
 }
 
+/// Replies that wait for slow clients must not keep other responses from being received.
+#[tokio::test]
+async fn replies_leave_room_for_responses_that_are_received() {
+    let budget = budget(32 * MIB);
+    let mut replies = fill(&budget);
+    let held = replies.iter_mut().filter_map(|reply| reply.hold(64 * 1024).ok()).count();
+    assert!(held < replies.len());
+    let mut buffers: Vec<ReceiveMemory> = (0..64).map(|_| ReceiveMemory::new(budget.clone())).collect();
+    for buffer in &mut buffers {
+        assert_eq!(buffer.reserve(64 * 1024, SHORT).await, Ok(()));
+    }
+}
+
 #[tokio::test]
 async fn receive_buffers_wait_for_memory_and_no_longer_than_allowed() {
-    let receive = budget(32 * MIB).receive_budget();
-    let (mut all, mut next) = (receive.buffer(), receive.buffer());
-    all.reserve(4 * MIB, SHORT).await.unwrap();
+    let budget = budget(32 * MIB);
+    let (mut all, mut next) = (ReceiveMemory::new(budget.clone()), ReceiveMemory::new(budget.clone()));
+    let everything = 20 * MIB + USUAL_RESPONSE_BYTES;
+    all.reserve(everything, SHORT).await.unwrap();
     assert_eq!(next.reserve(64 * 1024, SHORT).await, Err(OutOfMemory));
-    assert_eq!(
-        next.reserve(UNRESERVED_BUFFER_BYTES, SHORT).await,
-        Ok(()),
-        "a small buffer needs no reservation"
-    );
+    assert_eq!(next.reserve(USUAL_RESPONSE_BYTES, SHORT).await, Ok(()), "reserved with its request");
     let response = all.take();
     assert_eq!(next.reserve(64 * 1024, SHORT).await, Err(OutOfMemory), "the response still holds it");
     drop(response);
     assert_eq!(next.reserve(64 * 1024, SHORT).await, Ok(()));
-    assert_eq!(next.reserved_bytes(), 64 * 1024);
-    next.release();
-    assert_eq!(all.reserve(4 * MIB, SHORT).await, Ok(()));
+    drop(next.take());
+    assert_eq!(all.reserve(everything, SHORT).await, Ok(()));
 }
 
 #[test]
--- a/crates/node/tests/unit/node.rs
+++ b/crates/node/tests/unit/node.rs
@@ -32,7 +32,7 @@
         idle_close: Duration::from_secs(60),
         connect_timeout: Duration::from_secs(30),
         max_connections: 8,
-        memory: memory.receive_budget(),
+        memory: memory.clone(),
     };
     let ops_endpoint = OpsEndpoint::new(["read"]);
     let components = Components {
@@ -41,7 +41,7 @@
             HOST,
             Duration::from_secs(60),
             Duration::from_secs(30),
-            origin::Limits { max_connections: 8, memory: memory.receive_budget() },
+            origin::Limits { max_connections: 8, memory },
             ops_endpoint.metrics.clone(),
             events,
         ),
--- a/crates/node/tests/unit/origin.rs
+++ b/crates/node/tests/unit/origin.rs
@@ -13,7 +13,7 @@
 
 /// Limits that no test reaches.
 fn limits() -> Limits {
-    let memory = MemoryBudget::new(32 << 20, Arc::default()).receive_budget();
+    let memory = MemoryBudget::new(32 << 20, Arc::default());
     Limits { max_connections: 8, memory }
 }
 
@@ -43,7 +43,8 @@
             extras: "c=read,d=9000".into(),
             value: Some("value".into()),
             write: true,
-            memory: None,
+            value_memory: None,
+            reply_memory: Cell::default(),
             _held: HeldBytes::new(&Arc::default(), MemoryUse::WriteValues, 0),
             _id_guard: RequestIdGuard::acquire(&RequestIds::default(), &"i".into()).unwrap(),
         };
--- a/crates/node/tests/unit/servers.rs
+++ b/crates/node/tests/unit/servers.rs
@@ -1,5 +1,6 @@
 //! Connections to cache servers, without the node that drives them.
 
+use std::cell::Cell;
 use std::io::{ErrorKind, Read};
 
 use bytes::Bytes;
@@ -30,7 +31,7 @@
         idle_close: Duration::from_secs(60),
         connect_timeout: Duration::from_secs(30),
         max_connections,
-        memory: MemoryBudget::new(32 << 20, Arc::default()).receive_budget(),
+        memory: MemoryBudget::new(32 << 20, Arc::default()),
     };
     let metrics = OpsEndpoint::new(["read"]).metrics.clone();
     (Servers::new(host, limits, metrics, events), inputs)
@@ -153,7 +154,8 @@
         extras: "c=read,d=9000".into(),
         value: None,
         write: false,
-        memory: None,
+        value_memory: None,
+        reply_memory: Cell::default(),
         _held: HeldBytes::new(&Arc::default(), MemoryUse::WriteValues, 0),
         _id_guard: RequestIdGuard::acquire(&RequestIds::default(), &id).unwrap(),
     };
