Memory: a reply keeps the memory that its response was received in

Callers' view: while other responses wait for memory, a read whose value of 64 KiB has come is refused.

Cause: what a response was received in was released, and its reply reserved anew right after it. In between the semaphore gave it to the responses that waited, in their order: as long as any waited, replies beyond the usual size found nothing.

Change: the reservation travels with the value, and the reply takes of it what it needs. Replies still leave their sixteenth to responses that are being received.

Result: `a_reply_keeps_the_memory_...` (unit).

--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::memory::{MemoryPermit, ReplyMemory};
+use crate::memory::{MemoryPermit, ReceivePermit, ReplyMemory};
 
 /// Maximum size of a chunk of a large value.
 pub const MAX_CHUNK_BYTES: usize = 16 * 1024;
@@ -138,10 +138,18 @@
     }
 }
 
+/// A complete value as it was received.
+#[derive(Debug)]
+pub struct ReceivedValue {
+    pub bytes: Bytes,
+    /// Memory that it was received in.
+    pub memory: Vec<ReceivePermit>,
+}
+
 /// The final reply to a command.
 #[derive(Debug)]
 pub enum Reply {
-    Value(Bytes),
+    Value(ReceivedValue),
     /// A value that is passed on while it arrives.
     Stream(LargeValue),
     /// Refused; the client should retry after this many milliseconds.
@@ -164,10 +172,18 @@
         }
     }
 
+    /// Takes the memory that it was received in.
+    pub fn take_memory(&mut self) -> Vec<ReceivePermit> {
+        match self {
+            Reply::Value(value) => std::mem::take(&mut value.memory),
+            Reply::Stream(_) | Reply::Busy(_) | Reply::Failed => Vec::new(),
+        }
+    }
+
     /// Memory held for it until it is written, in bytes.
     pub fn held_bytes(&self) -> usize {
         match self {
-            Reply::Value(value) => value.len(),
+            Reply::Value(value) => value.bytes.len(),
             Reply::Stream(_) => LARGE_VALUE_MEMORY_BYTES,
             Reply::Busy(_) | Reply::Failed => 0,
         }
@@ -187,7 +203,7 @@
     /// Copies a value: a slice would keep the whole buffer alive in which it was received.
     fn from(reply: Reply) -> Self {
         match reply {
-            Reply::Value(value) => EncodedReply::Complete(resp::encode_value(&value)),
+            Reply::Value(value) => EncodedReply::Complete(resp::encode_value(&value.bytes)),
             Reply::Stream(value) => EncodedReply::Stream(value),
             Reply::Busy(0) => EncodedReply::Complete(resp::encode_error("BUSY")),
             Reply::Busy(ms) => EncodedReply::Complete(resp::encode_error(&format!("BUSY {ms}"))),
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -8,7 +8,6 @@
 //! wait for their turn can't keep the response from arriving that they wait for.
 
 use std::cell::Cell;
-use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,6 +55,7 @@
 }
 
 /// Memory of one process for requests, replies and receive buffers.
+#[derive(Debug)]
 pub struct MemoryBudget {
     semaphore: Arc<Semaphore>,
     total_permits: usize,
@@ -138,18 +138,13 @@
 }
 
 /// Memory reserved for the response to a request, from its arrival until the reply is written.
+#[derive(Debug)]
 pub struct ReplyMemory {
     budget: Rc<MemoryBudget>,
     permit: MemoryPermit,
     held: HeldBytes,
 }
 
-impl fmt::Debug for ReplyMemory {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("ReplyMemory").field("permit", &self.permit).field("held", &self.held).finish()
-    }
-}
-
 impl ReplyMemory {
     /// Memory for a response that has not arrived yet.
     pub fn new(budget: Rc<MemoryBudget>, permit: MemoryPermit) -> Self {
@@ -157,20 +152,26 @@
         ReplyMemory { budget, permit, held }
     }
 
-    /// Changes the reservation to that of a reply of this size.
+    /// Changes the reservation to that of a reply of this size. `received` is what its response was received in; passing it
+    /// on keeps others that wait for memory from taking it in between.
     ///
     /// # Errors
-    /// A larger reservation finds no room: only that of a reply without a value is kept.
-    pub fn hold(&mut self, bytes: usize) -> Result<(), OutOfMemory> {
-        let (needed, reserved) = (permits(bytes + REPLY_OVERHEAD_BYTES), self.permit.num_permits());
+    /// A reply larger than usual finds no room: only the reservation of a reply without a value is kept.
+    pub fn hold(&mut self, bytes: usize, received: Vec<ReceivePermit>) -> Result<(), OutOfMemory> {
+        received
+            .into_iter()
+            .filter_map(ReceivePermit::into_inner)
+            .for_each(|permit| self.permit.merge(permit));
+        let needed = permits(bytes + REPLY_OVERHEAD_BYTES);
+        let left = if needed > permits(USUAL_RESPONSE_BYTES) { self.budget.left_to_receive() } else { 0 };
+        let reserved = self.permit.num_permits();
+        if needed + left > reserved + self.budget.semaphore.available_permits() {
+            self.shrink_to(permits(REPLY_OVERHEAD_BYTES));
+            return Err(OutOfMemory);
+        }
         if needed > reserved {
-            match self.budget.try_acquire(needed - reserved, self.budget.left_to_receive()) {
-                Ok(more) => self.permit.merge(more),
-                Err(OutOfMemory) => {
-                    self.shrink_to(permits(REPLY_OVERHEAD_BYTES));
-                    return Err(OutOfMemory);
-                }
-            }
+            let more = self.budget.try_acquire(needed - reserved, 0)?;
+            self.permit.merge(more);
         }
         self.shrink_to(needed);
         self.held.set(bytes);
@@ -216,6 +217,7 @@
 }
 
 /// Memory that a receive buffer holds, or a complete response on its way to its request.
+#[derive(Debug)]
 pub struct ReceivePermit {
     budget: Rc<MemoryBudget>,
     permit: MemoryPermit,
@@ -226,12 +228,23 @@
         budget.received_permits.set(budget.received_permits.get() + permit.num_permits());
         ReceivePermit { budget, permit }
     }
+
+    /// Takes the memory for another use.
+    fn into_inner(mut self) -> Option<MemoryPermit> {
+        self.count_as_free();
+        self.permit.split(self.permit.num_permits())
+    }
+
+    /// Counts it no longer as held for receiving.
+    fn count_as_free(&self) {
+        let received = &self.budget.received_permits;
+        received.set(received.get().saturating_sub(self.permit.num_permits()));
+    }
 }
 
 impl Drop for ReceivePermit {
     fn drop(&mut self) {
-        let received = &self.budget.received_permits;
-        received.set(received.get().saturating_sub(self.permit.num_permits()));
+        self.count_as_free();
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,7 +21,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::agreement::{Agreement, AgreementChanges};
-use crate::command::{AttemptId, Command, Delivery, REFUSED_RETRY_AFTER_MS, Reply};
+use crate::command::{AttemptId, Command, Delivery, REFUSED_RETRY_AFTER_MS, ReceivedValue, Reply};
 use crate::counters::Counters;
 use crate::discovery::{ListedServer, ServerIds, ServerList, Subscription};
 use crate::event_log::{EventKind, EventLog};
@@ -530,8 +530,6 @@
             }
             Input::Origin { attempt, result } => {
                 let load = parse_load_report(&self.settings, &result.load);
-                // The reply takes a reservation of its own.
-                drop(result.memory);
                 self.finish_attempt(attempt, result.status, CacheResult::None, load, result.value);
             }
             Input::Discovery(DiscoveryEvent::List(list)) => {
@@ -771,11 +769,12 @@
     fn fit_reply(
         &self,
         request: RequestId,
-        reply: Reply,
+        mut reply: Reply,
         pending: &PendingRequest,
         memory: &mut Option<ReplyMemory>,
     ) -> Reply {
-        let held = memory.as_mut().map_or(Ok(()), |memory| memory.hold(reply.held_bytes()));
+        let received = reply.take_memory();
+        let held = memory.as_mut().map_or(Ok(()), |memory| memory.hold(reply.held_bytes(), received));
         if held.is_ok() {
             return reply;
         }
@@ -961,7 +960,7 @@
 
     /// Maps a cache server's response to an outcome, as the protocol specification defines it.
     fn handle_server_outcome(&mut self, attempt: AttemptId, outcome: AttemptOutcome) {
-        let frame = match outcome {
+        let response = match outcome {
             AttemptOutcome::Reset => {
                 return self.finish_attempt(
                     attempt,
@@ -1011,13 +1010,15 @@
                 );
             }
             AttemptOutcome::Interrupted(interrupted) => return self.resend(attempt, interrupted),
-            AttemptOutcome::Answered(frame) => frame,
+            AttemptOutcome::Answered(response) => response,
         };
-        match frame {
+        match response.frame {
             BytesFrame::Array(parts) => {
                 let mut parts = parts.into_iter();
                 let value = match parts.next() {
-                    Some(BytesFrame::BulkString(value)) => Some(value),
+                    Some(BytesFrame::BulkString(bytes)) => {
+                        Some(ReceivedValue { bytes, memory: response.memory })
+                    }
                     _ => None,
                 };
                 let cache_result = match frame_text(parts.next()).as_deref() {
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -23,13 +23,14 @@
 use tokio::time::{Instant, timeout};
 
 use crate::command::{
-    AttemptExtras, AttemptId, Command, LargeValue, MAX_CHUNK_BYTES, Reply, STREAM_STALL_TIMEOUT,
+    AttemptExtras, AttemptId, Command, LargeValue, MAX_CHUNK_BYTES, ReceivedValue, Reply,
+    STREAM_STALL_TIMEOUT,
 };
 use crate::duplicate_responses::{Doubt, Fingerprint, RecentResponses, VerificationState};
 use crate::http::{self, Connection};
 use crate::input::Input;
 use crate::local_failures::LocalFailures;
-use crate::memory::{MemoryBudget, ReceiveMemory, ReceivePermit};
+use crate::memory::{MemoryBudget, ReceiveMemory};
 
 /// A connection that has been idle for this share of the idle time-out is not used again.
 const REUSABLE_IDLE_SHARE: f64 = 0.7;
@@ -63,13 +64,11 @@
     pub value: Option<Reply>,
     /// The load report as received.
     pub load: String,
-    /// Memory reserved for the value.
-    pub memory: Vec<ReceivePermit>,
 }
 
 impl CallResult {
     fn from_status(status: Status) -> Self {
-        CallResult { status, value: None, load: String::new(), memory: Vec::new() }
+        CallResult { status, value: None, load: String::new() }
     }
 }
 
@@ -455,10 +454,7 @@
     {
         let (chunks, stream) = LargeValue::new(length);
         let large = LargeValueTransfer { body: response.into_body(), chunks, _connection: pooled };
-        return Ok((
-            CallResult { status, value: Some(Reply::Stream(stream)), load, memory: Vec::new() },
-            Some(large),
-        ));
+        return Ok((CallResult { status, value: Some(Reply::Stream(stream)), load }, Some(large)));
     }
     let mut memory = ReceiveMemory::new(connector.memory.clone());
     let expected = length.unwrap_or(MAX_BUFFERED_VALUE_BYTES).min(MAX_BUFFERED_VALUE_BYTES);
@@ -483,8 +479,8 @@
             // connection is not kept.
             return match subject.may_run_twice {
                 true => {
-                    let (value, memory) = (Some(Reply::Value(value)), memory.take());
-                    Ok((CallResult { status, value, load, memory }, None))
+                    let value = ReceivedValue { bytes: value, memory: memory.take() };
+                    Ok((CallResult { status, value: Some(Reply::Value(value)), load }, None))
                 }
                 // Nor is the statement reliable that the call was not executed.
                 false => Err(Status::Error),
@@ -492,8 +488,8 @@
         }
     }
     pool.put_back(pooled);
-    let (value, memory) = (Some(Reply::Value(value)), memory.take());
-    Ok((CallResult { status, value, load, memory }, None))
+    let value = ReceivedValue { bytes: value, memory: memory.take() };
+    Ok((CallResult { status, value: Some(Reply::Value(value)), load }, None))
 }
 
 /// A large value whose transfer has begun.
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -48,10 +48,17 @@
 /// an overdue response must start within it. Otherwise the commands queued behind it are moved elsewhere.
 pub const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// A well-formed response of a cache server.
+pub struct Response {
+    pub frame: BytesFrame,
+    /// Memory that it was received in.
+    pub memory: Vec<ReceivePermit>,
+}
+
 /// How an attempt at a cache server ended.
 pub enum AttemptOutcome {
-    /// A well-formed response frame was received.
-    Answered(BytesFrame),
+    /// A well-formed response was received.
+    Answered(Response),
     /// A large value has started to arrive.
     StreamStarted(LargeValue),
     /// The received frame cannot be the response to this command. The command has run; the connection is closed.
@@ -104,8 +111,7 @@
 /// What a connection reports to the node.
 pub enum ConnectionEvent {
     Up,
-    /// A response, with the memory reserved for it.
-    Response(AttemptId, BytesFrame, Vec<ReceivePermit>),
+    Response(AttemptId, Response),
     StreamStarted(AttemptId, LargeValue),
     /// The frame received for this attempt cannot be its response; the connection ends next.
     InvalidResponse(AttemptId),
@@ -413,16 +419,14 @@
         // responses are still queued, and each of them must be delivered.
         match event {
             ConnectionEvent::Up => self.local_failures.record_success(),
-            ConnectionEvent::Response(attempt, frame, memory) => {
-                // The reply takes a reservation of its own.
-                drop(memory);
+            ConnectionEvent::Response(attempt, response) => {
                 let pool = self.pools.get_mut(&server);
                 if let Some(c) =
                     pool.and_then(|p| p.connections.iter_mut().find(|c| c.number == connection_number))
                 {
                     c.last_used = Instant::now();
                 }
-                ended.push((attempt, AttemptOutcome::Answered(frame)));
+                ended.push((attempt, AttemptOutcome::Answered(response)));
             }
             ConnectionEvent::StreamStarted(attempt, value) => {
                 ended.push((attempt, AttemptOutcome::StreamStarted(value)))
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -22,7 +22,7 @@
 use super::payload::{AttemptCommand, CommandKind};
 use super::pipeline::{InFlightCommand, WriteState};
 use super::verification::{MAX_FENCES_IN_ADVANCE, verify, verify_large, will_be_doubted};
-use super::{ConnectionEnd, ConnectionEvent, RESPONSE_STALL_TIMEOUT};
+use super::{ConnectionEnd, ConnectionEvent, RESPONSE_STALL_TIMEOUT, Response};
 use crate::command::{LargeValue, MAX_CHUNK_BYTES, STREAM_STALL_TIMEOUT};
 use crate::duplicate_responses::{Doubt, Fingerprint, LARGE_VALUE_PREFIX_BYTES, LargeFingerprint};
 use crate::input::Input;
@@ -232,8 +232,8 @@
             Ok(Some(frame))
                 if !is_untrusted_refusal && is_valid_response(&frame, sent.kind() == CommandKind::Probe) =>
             {
-                let reserved = memory.take();
-                (ConnectionEvent::Response(sent.attempt(), frame, reserved), true)
+                let response = Response { frame, memory: memory.take() };
+                (ConnectionEvent::Response(sent.attempt(), response), true)
             }
             _ => (ConnectionEvent::InvalidResponse(sent.attempt()), false),
         };
--- a/crates/node/tests/unit/memory.rs
+++ b/crates/node/tests/unit/memory.rs
@@ -28,7 +28,7 @@
 fn a_small_reply_makes_room_for_other_requests() {
     let budget = budget(32 * MIB);
     let mut replies = fill(&budget);
-    replies.iter_mut().for_each(|reply| reply.hold(100).unwrap());
+    replies.iter_mut().for_each(|reply| reply.hold(100, Vec::new()).unwrap());
     assert!(fill(&budget).len() > 450);
 }
 
@@ -38,7 +38,7 @@
     let budget = budget(32 * MIB);
     let mut replies = fill(&budget);
     let size = 64 * 1024;
-    let held = replies.iter_mut().filter_map(|reply| reply.hold(size).ok()).count();
+    let held = replies.iter_mut().filter_map(|reply| reply.hold(size, Vec::new()).ok()).count();
     assert!(held * size <= 18 * MIB, "{held}");
     // Those refused have released what they had, so that nearly all of it holds replies.
     assert!(held * size > 17 * MIB, "{held}");
@@ -60,7 +60,7 @@
 async fn replies_leave_room_for_responses_that_are_received() {
     let budget = budget(32 * MIB);
     let mut replies = fill(&budget);
-    let held = replies.iter_mut().filter_map(|reply| reply.hold(64 * 1024).ok()).count();
+    let held = replies.iter_mut().filter_map(|reply| reply.hold(64 * 1024, Vec::new()).ok()).count();
     assert!(held < replies.len());
     let mut buffers: Vec<ReceiveMemory> = (0..64).map(|_| ReceiveMemory::new(budget.clone())).collect();
     for buffer in &mut buffers {
@@ -68,6 +68,23 @@
     }
 }
 
+/// A response that was received must not lose its memory to another that waits for some.
+#[tokio::test]
+async fn a_reply_keeps_the_memory_that_its_response_was_received_in() {
+    let budget = budget(32 * MIB);
+    let mut replies = fill(&budget);
+    let mut buffer = ReceiveMemory::new(budget.clone());
+    let response_bytes = 64 * 1024 + READ_SIZE_BYTES;
+    buffer.reserve(4 * MIB + 2 * USUAL_RESPONSE_BYTES - response_bytes, SHORT).await.unwrap();
+    let mut complete = ReceiveMemory::new(budget.clone());
+    complete.reserve(response_bytes, SHORT).await.unwrap();
+    let mut others = ReceiveMemory::new(budget.clone());
+    let mut waiting = std::pin::pin!(others.reserve(4 * MIB, Duration::from_secs(60)));
+    assert!(timeout(SHORT, waiting.as_mut()).await.is_err(), "there is memory left");
+    assert_eq!(replies[0].hold(64 * 1024, complete.take()), Ok(()));
+    assert_eq!(replies[1].hold(64 * 1024, Vec::new()), Err(OutOfMemory));
+}
+
 #[tokio::test]
 async fn receive_buffers_wait_for_memory_and_no_longer_than_allowed() {
     let budget = budget(32 * MIB);
