Node: one function for attempts that end without a response

Cause: twelve calls of finish_attempt passed the same three empty values.

Change: finish_without_response. No behaviour changes.

Result: tests of the node's library pass (108).

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -677,7 +677,7 @@
         let servers = entries.into_iter().map(|(entry, _)| entry).collect();
         self.events.push_back(Event::ServerList { kind, servers });
         for attempt in unsent {
-            self.finish_attempt(attempt, Status::NotSent, CacheResult::None, LoadReport::default(), None);
+            self.finish_without_response(attempt, Status::NotSent);
         }
     }
 
@@ -834,7 +834,7 @@
                 }
             };
             if withdrawn {
-                self.finish_attempt(id, Status::NotSent, CacheResult::None, LoadReport::default(), None);
+                self.finish_without_response(id, Status::NotSent);
             }
         }
     }
@@ -873,7 +873,7 @@
             InFlightAttempt { attempt: Some((request, number)), server, sent, origin_call: None },
         );
         if u32::from(counted_attempts) >= self.settings.policy.max_attempts || deadline <= sent {
-            return self.finish_attempt(id, Status::NotSent, CacheResult::None, LoadReport::default(), None);
+            return self.finish_without_response(id, Status::NotSent);
         }
         if was_reset {
             // Whatever reset that connection may also have dropped the idle connections beside it, so this
@@ -895,13 +895,7 @@
         };
         match result {
             Ok(()) => self.schedule.push(Reverse((deadline, ScheduledTask::AttemptTimeout(id)))),
-            Err(error) => self.finish_attempt(
-                id,
-                send_error_status(error),
-                CacheResult::None,
-                LoadReport::default(),
-                None,
-            ),
+            Err(error) => self.finish_without_response(id, send_error_status(error)),
         }
     }
 
@@ -919,13 +913,7 @@
         self.in_flight.insert(id, InFlightAttempt { attempt: None, server, sent, origin_call: call });
         match result {
             Ok(()) => self.schedule_after(PROBE_TIMEOUT, ScheduledTask::AttemptTimeout(id)),
-            Err(error) => self.finish_attempt(
-                id,
-                send_error_status(error),
-                CacheResult::None,
-                LoadReport::default(),
-                None,
-            ),
+            Err(error) => self.finish_without_response(id, send_error_status(error)),
         }
     }
 
@@ -955,48 +943,24 @@
             }
         };
         let status = if written { status } else { Status::NotSent };
-        self.finish_attempt(id, status, CacheResult::None, LoadReport::default(), None);
+        self.finish_without_response(id, status);
     }
 
     /// Maps a cache server's response to an outcome, as the protocol specification defines it.
     fn handle_server_outcome(&mut self, attempt: AttemptId, outcome: AttemptOutcome) {
         let response = match outcome {
             AttemptOutcome::Reset => {
-                return self.finish_attempt(
-                    attempt,
-                    Status::Reset,
-                    CacheResult::None,
-                    LoadReport::default(),
-                    None,
-                );
+                return self.finish_without_response(attempt, Status::Reset);
             }
             AttemptOutcome::NotConnected => {
-                return self.finish_attempt(
-                    attempt,
-                    Status::ConnectFailed,
-                    CacheResult::None,
-                    LoadReport::default(),
-                    None,
-                );
+                return self.finish_without_response(attempt, Status::ConnectFailed);
             }
             AttemptOutcome::LocalFailure => {
-                return self.finish_attempt(
-                    attempt,
-                    Status::LocalFailure,
-                    CacheResult::None,
-                    LoadReport::default(),
-                    None,
-                );
+                return self.finish_without_response(attempt, Status::LocalFailure);
             }
             // The command was executed, although the response is unusable.
             AttemptOutcome::InvalidResponse => {
-                return self.finish_attempt(
-                    attempt,
-                    Status::Error,
-                    CacheResult::None,
-                    LoadReport::default(),
-                    None,
-                );
+                return self.finish_without_response(attempt, Status::Error);
             }
             // Counts as served for the decision module: the transfer concerns only the server and the client.
             AttemptOutcome::StreamStarted(value) => {
@@ -1054,7 +1018,7 @@
                     None,
                 );
             }
-            _ => self.finish_attempt(attempt, Status::Error, CacheResult::None, LoadReport::default(), None),
+            _ => self.finish_without_response(attempt, Status::Error),
         }
     }
 
@@ -1083,10 +1047,15 @@
         };
         if let Err(status) = sent {
             let status = if was_written { Status::Reset } else { status };
-            self.finish_attempt(id, status, CacheResult::None, LoadReport::default(), None);
+            self.finish_without_response(id, status);
         }
     }
 
+    /// Completes an attempt or probe that no response has told anything about.
+    fn finish_without_response(&mut self, id: AttemptId, status: Status) {
+        self.finish_attempt(id, status, CacheResult::None, LoadReport::default(), None);
+    }
+
     /// Completes an attempt or probe. The first value served is the reply to the request.
     fn finish_attempt(
         &mut self,
