Node: how an attempt ended is read in modules of their own

The parsing of responses and of load reports needs nothing of the node but its settings, and what an attempt brought was passed on as five arguments.

Change: `attempt_result.rs` (`AttemptResult`, of a response, an origin call, a large value or a bare status) and `load_report.rs`, with its test; `finish_attempt` takes the one value. `finish_without_response` is gone.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod accept_failures;
 mod agreement;
+mod attempt_result;
 mod clients;
 mod command;
 pub mod config;
@@ -27,6 +28,7 @@
 mod http;
 mod input;
 pub mod keys;
+mod load_report;
 mod local_failures;
 mod locality;
 mod memory;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,19 +9,19 @@
 
 use brassrouter::settings::DeploymentSettings;
 use brassrouter::{
-    Action, CacheResult, Condition, Effect, Event, InheritedState, ListKind, LoadField, LoadReport, Micros,
-    Outcome, Policy, RequestId, ServerId, Status,
+    Action, Condition, Effect, Event, InheritedState, ListKind, Micros, Outcome, Policy, RequestId, ServerId,
+    Status,
 };
 use mothpier_handover::{PredecessorState, RemainingResources};
 use mothpier_host::Host;
 use mothpier_ops::{DoubtedAnswers, Gauges, LifecycleEvent, OpsEndpoint, Reason, RefuseReason, RetryReason};
 use mothpier_record::{Recorder, entry};
-use redis_protocol::resp2::types::BytesFrame;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
 use crate::agreement::{Agreement, AgreementChanges};
-use crate::command::{AttemptId, Command, Delivery, REFUSED_RETRY_AFTER_MS, ReceivedValue, Reply};
+use crate::attempt_result::{AttemptResult, unexpected_error};
+use crate::command::{AttemptId, Command, Delivery, REFUSED_RETRY_AFTER_MS, Reply};
 use crate::counters::Counters;
 use crate::discovery::{ListedServer, ServerIds, ServerList, Subscription};
 use crate::event_log::{EventKind, EventLog};
@@ -44,11 +44,6 @@
 /// Interval of the activity summary in the log.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Largest plausible load in cores; reports beyond it are rejected.
-const MAX_BUSY_CORES: f32 = 8.0;
-/// Largest plausible value of any other load field: a minute in milliseconds.
-const MAX_LOAD_VALUE: f32 = 60_000.0;
-
 /// Maximum share of fetches among origin calls; must match the decision module.
 const MAX_FETCH_SHARE: f64 = 0.7;
 /// Maximum age of a handed-over state when the successor reads it. A larger difference between the wall-clock
@@ -529,8 +524,7 @@
                 }
             }
             Input::Origin { attempt, result } => {
-                let load = parse_load_report(&self.settings, &result.load);
-                self.finish_attempt(attempt, result.status, CacheResult::None, load, result.value);
+                self.finish_attempt(attempt, AttemptResult::of_origin_call(result, &self.settings));
             }
             Input::Discovery(DiscoveryEvent::List(list)) => {
                 self.components.ops_endpoint.lifecycle.apply(LifecycleEvent::Ready);
@@ -677,7 +671,7 @@
         let servers = entries.into_iter().map(|(entry, _)| entry).collect();
         self.events.push_back(Event::ServerList { kind, servers });
         for attempt in unsent {
-            self.finish_without_response(attempt, Status::NotSent);
+            self.finish_attempt(attempt, Status::NotSent.into());
         }
     }
 
@@ -834,7 +828,7 @@
                 }
             };
             if withdrawn {
-                self.finish_without_response(id, Status::NotSent);
+                self.finish_attempt(id, Status::NotSent.into());
             }
         }
     }
@@ -873,7 +867,7 @@
             InFlightAttempt { attempt: Some((request, number)), server, sent, origin_call: None },
         );
         if u32::from(counted_attempts) >= self.settings.policy.max_attempts || deadline <= sent {
-            return self.finish_without_response(id, Status::NotSent);
+            return self.finish_attempt(id, Status::NotSent.into());
         }
         if was_reset {
             // Whatever reset that connection may also have dropped the idle connections beside it, so this
@@ -895,7 +889,7 @@
         };
         match result {
             Ok(()) => self.schedule.push(Reverse((deadline, ScheduledTask::AttemptTimeout(id)))),
-            Err(error) => self.finish_without_response(id, send_error_status(error)),
+            Err(error) => self.finish_attempt(id, send_error_status(error).into()),
         }
     }
 
@@ -913,7 +907,7 @@
         self.in_flight.insert(id, InFlightAttempt { attempt: None, server, sent, origin_call: call });
         match result {
             Ok(()) => self.schedule_after(PROBE_TIMEOUT, ScheduledTask::AttemptTimeout(id)),
-            Err(error) => self.finish_without_response(id, send_error_status(error)),
+            Err(error) => self.finish_attempt(id, send_error_status(error).into()),
         }
     }
 
@@ -943,83 +937,27 @@
             }
         };
         let status = if written { status } else { Status::NotSent };
-        self.finish_without_response(id, status);
+        self.finish_attempt(id, status.into());
     }
 
-    /// Maps a cache server's response to an outcome, as the protocol specification defines it.
+    /// Handles what a cache server or its connection reports about an attempt.
     fn handle_server_outcome(&mut self, attempt: AttemptId, outcome: AttemptOutcome) {
-        let response = match outcome {
-            AttemptOutcome::Reset => {
-                return self.finish_without_response(attempt, Status::Reset);
-            }
-            AttemptOutcome::NotConnected => {
-                return self.finish_without_response(attempt, Status::ConnectFailed);
-            }
-            AttemptOutcome::LocalFailure => {
-                return self.finish_without_response(attempt, Status::LocalFailure);
-            }
-            // The command was executed, although the response is unusable.
-            AttemptOutcome::InvalidResponse => {
-                return self.finish_without_response(attempt, Status::Error);
-            }
-            // Counts as served for the decision module: the transfer concerns only the server and the client.
-            AttemptOutcome::StreamStarted(value) => {
-                let value = Some(Reply::Stream(value));
-                return self.finish_attempt(
-                    attempt,
-                    Status::Served,
-                    CacheResult::None,
-                    LoadReport::default(),
-                    value,
-                );
-            }
+        let result = match outcome {
             AttemptOutcome::Interrupted(interrupted) => return self.resend(attempt, interrupted),
-            AttemptOutcome::Answered(response) => response,
-        };
-        match response.frame {
-            BytesFrame::Array(parts) => {
-                let mut parts = parts.into_iter();
-                let value = match parts.next() {
-                    Some(BytesFrame::BulkString(bytes)) => {
-                        Some(ReceivedValue { bytes, memory: response.memory })
-                    }
-                    _ => None,
-                };
-                let cache_result = match frame_text(parts.next()).as_deref() {
-                    Some("hit") => CacheResult::Hit,
-                    Some("miss") => CacheResult::Miss,
-                    Some("pending") => CacheResult::MissBeingFetched,
-                    _ => CacheResult::None,
-                };
-                let load = frame_text(parts.next())
-                    .map(|l| parse_load_report(&self.settings, &l))
-                    .unwrap_or_default();
-                let status = if value.is_some() { Status::Served } else { Status::Miss };
-                self.finish_attempt(attempt, status, cache_result, load, value.map(Reply::Value));
-            }
-            // Only probes get this: `servers.rs` rejects it for requests.
-            BytesFrame::BulkString(report) => {
-                let load = parse_load_report(&self.settings, &String::from_utf8_lossy(&report));
-                self.finish_attempt(attempt, Status::Served, CacheResult::None, load, None);
-            }
-            BytesFrame::Error(line) => {
-                let load =
-                    line.rsplit(' ').next().map(|l| parse_load_report(&self.settings, l)).unwrap_or_default();
-                let is_busy = line.split(' ').next() == Some("BUSY");
-                if !is_busy && !line.starts_with("ERR failed") {
-                    self.host
-                        .log(format_args!("a cache server replied with an unexpected error: {:?}", line));
+            AttemptOutcome::Reset => Status::Reset.into(),
+            AttemptOutcome::NotConnected => Status::ConnectFailed.into(),
+            AttemptOutcome::LocalFailure => Status::LocalFailure.into(),
+            // The command was executed, although the response is unusable.
+            AttemptOutcome::InvalidResponse => Status::Error.into(),
+            AttemptOutcome::StreamStarted(value) => AttemptResult::of_large_value(value),
+            AttemptOutcome::Answered(response) => {
+                if let Some(line) = unexpected_error(&response) {
+                    self.host.log(format_args!("a cache server replied with an unexpected error: {line:?}"));
                 }
-                self.finish_attempt(
-                    attempt,
-                    if is_busy { Status::Full } else { Status::Error },
-                    CacheResult::None,
-                    load,
-                    None,
-                );
+                AttemptResult::of_response(response, &self.settings)
             }
-            _ => self.finish_without_response(attempt, Status::Error),
-        }
+        };
+        self.finish_attempt(attempt, result);
     }
 
     /// Repeats an attempt whose connection has ended, unless it may have been executed and must not run
@@ -1047,24 +985,13 @@
         };
         if let Err(status) = sent {
             let status = if was_written { Status::Reset } else { status };
-            self.finish_without_response(id, status);
+            self.finish_attempt(id, status.into());
         }
     }
 
-    /// Completes an attempt or probe that no response has told anything about.
-    fn finish_without_response(&mut self, id: AttemptId, status: Status) {
-        self.finish_attempt(id, status, CacheResult::None, LoadReport::default(), None);
-    }
-
     /// Completes an attempt or probe. The first value served is the reply to the request.
-    fn finish_attempt(
-        &mut self,
-        id: AttemptId,
-        status: Status,
-        cache_result: CacheResult,
-        load: LoadReport,
-        value: Option<Reply>,
-    ) {
+    fn finish_attempt(&mut self, id: AttemptId, result: AttemptResult) {
+        let AttemptResult { status, cache_result, load, reply } = result;
         let Some(in_flight) = self.in_flight.remove(&id) else { return };
         if let Some(locality) = &mut self.components.locality {
             locality.attempt_ended(id, status);
@@ -1099,7 +1026,7 @@
             pending.local_failures = pending.local_failures.saturating_add(failures);
         }
         let others = match status {
-            Status::Served => self.send_reply(request, value.unwrap_or(Reply::Failed)),
+            Status::Served => self.send_reply(request, reply.unwrap_or(Reply::Failed)),
             _ => Vec::new(),
         };
         let request_finished = !self.pending.contains_key(&request);
@@ -1147,32 +1074,6 @@
     }
 }
 
-/// Parses a load report: names and values, in the order of the configured fields.
-fn parse_load_report(settings: &DeploymentSettings, report: &str) -> LoadReport {
-    let mut load = LoadReport::default();
-    for (name, field) in
-        settings.load_field_names.iter().zip(&settings.policy.load_fields).take(load.values.len())
-    {
-        let max = if *field == LoadField::Busy { MAX_BUSY_CORES } else { MAX_LOAD_VALUE };
-        let value = report.split(',').filter_map(|p| p.trim().split_once('=')).find(|(n, _)| n == name);
-        // Reports can be corrupt: a value that no load can have must not reach the module's averages.
-        let value = value.and_then(|(_, v)| v.parse::<f32>().ok()).filter(|v| (0.0..=max).contains(v));
-        let Some(value) = value else { return LoadReport::default() };
-        load.values[usize::from(load.count)] = value;
-        load.count += 1;
-    }
-    load
-}
-
-fn frame_text(frame: Option<BytesFrame>) -> Option<String> {
-    match frame {
-        Some(BytesFrame::BulkString(b) | BytesFrame::SimpleString(b)) => {
-            Some(String::from_utf8_lossy(&b).into_owned())
-        }
-        _ => None,
-    }
-}
-
 #[cfg(test)]
 #[path = "../tests/unit/node.rs"]
 mod tests;
