Memory: replies and receive buffers have a module each

Need: one file of 295 lines held the pool and four of its users, two of which released a surplus of their reservation in nearly the same way.

Change: `memory.rs` keeps the pool, `memory/replies.rs` and `memory/receiving.rs` hold its users; `shrink_to` serves both kinds of replies. No behaviour changes.

--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -10,14 +10,18 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
-use mothpier_ops::{HeldBytes, MemoryGauges, MemoryUse};
+use mothpier_ops::MemoryGauges;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
 
 use crate::stream::READ_SIZE_BYTES;
 
+mod receiving;
+mod replies;
+
+pub use receiving::{ReceiveMemory, ReceivePermit};
+pub use replies::{QueueMemory, ReplyMemory};
+
 /// Bytes for which one semaphore permit stands.
 const PERMIT_BYTES: usize = 1024;
 
@@ -33,12 +37,6 @@
 
 /// Size of a response for which memory is reserved before its actual size is known.
 pub const USUAL_RESPONSE_BYTES: usize = 32 * 1024;
-/// Memory held for each open request and each reply beside its bytes.
-const REPLY_OVERHEAD_BYTES: usize = 1024;
-/// Memory for a short reply in the queue of a connection.
-const QUEUED_REPLY_BYTES: usize = 256;
-/// A queue of up to this many short replies needs no reservation.
-const UNRESERVED_REPLIES: usize = 16;
 /// A buffer of up to this size, that of one read, needs no reservation.
 pub const UNRESERVED_BUFFER_BYTES: usize = READ_SIZE_BYTES;
 
@@ -137,159 +135,6 @@
     }
 }
 
-/// Memory reserved for the response to a request, from its arrival until the reply is written.
-#[derive(Debug)]
-pub struct ReplyMemory {
-    budget: Rc<MemoryBudget>,
-    permit: MemoryPermit,
-    held: HeldBytes,
-}
-
-impl ReplyMemory {
-    /// Memory for a response that has not arrived yet.
-    pub fn new(budget: Rc<MemoryBudget>, permit: MemoryPermit) -> Self {
-        let held = HeldBytes::new(&budget.gauges, MemoryUse::Replies, 0);
-        ReplyMemory { budget, permit, held }
-    }
-
-    /// Changes the reservation to that of a reply of this size. `received` is what its response was received in; passing it
-    /// on keeps others that wait for memory from taking it in between.
-    ///
-    /// # Errors
-    /// A reply larger than usual finds no room: only the reservation of a reply without a value is kept.
-    pub fn hold(&mut self, bytes: usize, received: Vec<ReceivePermit>) -> Result<(), OutOfMemory> {
-        received
-            .into_iter()
-            .filter_map(ReceivePermit::into_inner)
-            .for_each(|permit| self.permit.merge(permit));
-        let needed = permits(bytes + REPLY_OVERHEAD_BYTES);
-        let left = if needed > permits(USUAL_RESPONSE_BYTES) { self.budget.left_to_receive() } else { 0 };
-        let reserved = self.permit.num_permits();
-        if needed + left > reserved + self.budget.semaphore.available_permits() {
-            self.shrink_to(permits(REPLY_OVERHEAD_BYTES));
-            return Err(OutOfMemory);
-        }
-        if needed > reserved {
-            let more = self.budget.try_acquire(needed - reserved, 0)?;
-            self.permit.merge(more);
-        }
-        self.shrink_to(needed);
-        self.held.set(bytes);
-        Ok(())
-    }
-
-    fn shrink_to(&mut self, needed: usize) {
-        let surplus = self.permit.num_permits().saturating_sub(needed);
-        drop(self.permit.split(surplus));
-    }
-}
-
-/// Memory reserved for the short replies that wait for their turn on one connection.
-pub struct QueueMemory {
-    budget: Rc<MemoryBudget>,
-    permit: Option<MemoryPermit>,
-}
-
-impl QueueMemory {
-    /// Memory for an empty queue.
-    pub fn new(budget: Rc<MemoryBudget>) -> Self {
-        QueueMemory { budget, permit: None }
-    }
-
-    /// Changes the reservation to that of a queue of this length; a short queue needs none.
-    ///
-    /// # Errors
-    /// A longer queue finds no room; the reservation is left as it is.
-    pub fn hold(&mut self, replies: usize) -> Result<(), OutOfMemory> {
-        let needed = if replies <= UNRESERVED_REPLIES { 0 } else { permits(replies * QUEUED_REPLY_BYTES) };
-        let reserved = self.permit.as_ref().map_or(0, MemoryPermit::num_permits);
-        if needed > reserved {
-            let more = self.budget.reserve_for_request((needed - reserved) * PERMIT_BYTES)?;
-            match &mut self.permit {
-                Some(permit) => permit.merge(more),
-                None => self.permit = Some(more),
-            }
-        } else if let Some(permit) = &mut self.permit {
-            drop(permit.split(reserved - needed));
-        }
-        Ok(())
-    }
-}
-
-/// Memory that a receive buffer holds, or a complete response on its way to its request.
-#[derive(Debug)]
-pub struct ReceivePermit {
-    budget: Rc<MemoryBudget>,
-    permit: MemoryPermit,
-}
-
-impl ReceivePermit {
-    fn new(budget: Rc<MemoryBudget>, permit: MemoryPermit) -> Self {
-        budget.received_permits.set(budget.received_permits.get() + permit.num_permits());
-        ReceivePermit { budget, permit }
-    }
-
-    /// Takes the memory for another use.
-    fn into_inner(mut self) -> Option<MemoryPermit> {
-        self.count_as_free();
-        self.permit.split(self.permit.num_permits())
-    }
-
-    /// Counts it no longer as held for receiving.
-    fn count_as_free(&self) {
-        let received = &self.budget.received_permits;
-        received.set(received.get().saturating_sub(self.permit.num_permits()));
-    }
-}
-
-impl Drop for ReceivePermit {
-    fn drop(&mut self) {
-        self.count_as_free();
-    }
-}
-
-/// Memory reserved for one buffer in which responses are received, beyond that of a response of the usual size, which is
-/// reserved with its request.
-pub struct ReceiveMemory {
-    budget: Rc<MemoryBudget>,
-    permits: Vec<ReceivePermit>,
-    held: HeldBytes,
-}
-
-impl ReceiveMemory {
-    /// Memory for an empty buffer.
-    pub fn new(budget: Rc<MemoryBudget>) -> Self {
-        let held = HeldBytes::new(&budget.gauges, MemoryUse::ServerInput, 0);
-        ReceiveMemory { budget, permits: Vec::new(), held }
-    }
-
-    /// Reserves memory for a buffer of this size, unless as much is reserved already. Waits while there is too little, for
-    /// other buffers free theirs as soon as their responses are complete.
-    ///
-    /// # Errors
-    /// There was too little for this long.
-    pub async fn reserve(&mut self, bytes: usize, within: Duration) -> Result<(), OutOfMemory> {
-        let needed = permits(bytes.saturating_sub(USUAL_RESPONSE_BYTES));
-        let reserved: usize = self.permits.iter().map(|held| held.permit.num_permits()).sum();
-        if needed > reserved {
-            let missing = u32::try_from(needed - reserved).map_err(|_| OutOfMemory)?;
-            let acquired = self.budget.semaphore.clone().acquire_many_owned(missing);
-            let permit =
-                timeout(within, acquired).await.map_err(|_| OutOfMemory)?.map_err(|_| OutOfMemory)?;
-            self.permits.push(ReceivePermit::new(self.budget.clone(), permit));
-        }
-        self.held.set(bytes);
-        Ok(())
-    }
-
-    /// Takes the reservation, for a complete response that leaves the buffer, or because the buffer is empty. What stays
-    /// in the buffer is reserved for with the next read.
-    pub fn take(&mut self) -> Vec<ReceivePermit> {
-        self.held.set(0);
-        std::mem::take(&mut self.permits)
-    }
-}
-
 #[cfg(test)]
 #[path = "../tests/unit/memory.rs"]
 mod tests;
--- a/crates/node/tests/unit/memory.rs
+++ b/crates/node/tests/unit/memory.rs
@@ -1,5 +1,10 @@
 //! The account of memory without the node that uses it.
 
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::replies::UNRESERVED_REPLIES;
 use super::*;
 
 const MIB: usize = 1024 * 1024;
