--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -117,15 +117,6 @@
             self.writers.discard(writer)
             writer.close()
 
-    def stop_listening(self):
-        """No new connections; those that are open stay so."""
-        self.server.close()
-
-    def reset_all(self):
-        """As when its process dies: its connections are reset."""
-        for writer in list(self.writers):
-            writer.transport.abort()
-
 
 class Cache(Server):
     """A cache server: it stores, and answers in the order of the commands."""
