Servers: a large value ends only once its whole response was read

What callers saw: a cache server states 90,000 bytes for a value of 100,000, and the client is served the first 90,000 bytes as a whole value, with a correct end of line.

Cause: the stated number of bytes was passed on before what follows the value was read, and the client's connection wrote the end of line by itself. What the server's connection found behind the value reached nobody, and no log line told of it.

Change: a large value travels as chunks and an end. The end is sent once the rest of the response was read and is valid; the client's end of line is written then, and the connection ends without it. No byte of the value waits for that. The cache result of a large response is checked like that of a small one. The relaying has a module of its own. Bodies of the origin pass their end on in the same way.

Why it works: the client's reply is complete with its end of line only, which nothing writes before the response is known to be readable.

--- a/crates/mothpier/tests/large.rs
+++ b/crates/mothpier/tests/large.rs
@@ -168,6 +168,77 @@
     node.wait_for_metric("edge_router_in_flight", 0);
 }
 
+/// Reads what the node sends for one read, until it closes the connection.
+fn read_until_closed(node: &Node, key: &str) -> Vec<u8> {
+    let mut all = Vec::new();
+    // A reset or a close: what came before it counts.
+    let _ = get(node, key, key).read_to_end(&mut all);
+    all
+}
+
+/// Guards against a value that is served as whole although the response of its cache server can't be read to its end.
+#[test]
+fn a_value_whose_response_is_unreadable_is_not_served_as_whole() {
+    const STATED_BYTES: usize = 90_000;
+    let head = format!("*3\r\n${STATED_BYTES}\r\n").into_bytes();
+    let value = bytes(3, STATED_BYTES);
+    let endings: [(&str, &[u8]); 4] = [
+        ("a longer value", b"more of the value\r\n$3\r\nhit\r\n$-1\r\n"),
+        ("no end of the value", b""),
+        ("no cache result", b"\r\n"),
+        ("an unreadable cache result", b"\r\n:1\r\n$-1\r\n"),
+    ];
+    for (number, (name, ending)) in endings.into_iter().enumerate() {
+        let response = [&head, &value, ending].concat();
+        let spoilt = server(move |_, stream| {
+            stream.write_all(&response).unwrap();
+            stream.shutdown(Shutdown::Write).unwrap();
+        });
+        let node = start_node(
+            &format!("spoilt-{number}"),
+            &Discovery::start(&member("s-1", spoilt, "m", "ready")),
+            &[],
+        );
+        let whole = [format!("${STATED_BYTES}\r\n").as_bytes(), &value, b"\r\n"].concat();
+        let received = read_until_closed(&node, "k");
+        assert!(received.len() < whole.len(), "{name}: the client can't tell that it is not whole");
+        assert!(whole.starts_with(&received), "{name}: {} other bytes", received.len());
+        node.wait_for_metric("edge_router_failed_total{class=\"read\"}", 1);
+    }
+}
+
+/// Guards against a value of the origin that is served as whole although its body ends early, in either coding.
+#[test]
+fn a_body_of_the_origin_that_ends_early_is_not_served_as_whole() {
+    const STATED_BYTES: usize = 90_000;
+    let by_length = [
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {STATED_BYTES}\r\n\r\n").into_bytes(),
+        bytes(3, STATED_BYTES - 1),
+    ];
+    let chunk = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n", 1000);
+    let chunked = [chunk.into_bytes(), bytes(3, 1000)];
+    for (number, response) in [by_length.concat(), chunked.concat()].into_iter().enumerate() {
+        let cached = server(|_, stream| stream.write_all(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n").unwrap());
+        let origin =
+            serve(read_call, move |_| Reaction::AnswerAndClose(response.clone(), Mutex::new(channel().0)));
+        let members =
+            [member("s-1", cached, "m", "ready"), member("o-1", origin, "origin", "ready")].join(",");
+        let node = start_node(&format!("cut-body-{number}"), &Discovery::start(&members), &[]);
+        let mut client = get(&node, "k", "a1");
+        let mut line = String::new();
+        client.read_line(&mut line).unwrap();
+        let mut rest = Vec::new();
+        match line.strip_prefix('$') {
+            // Its beginning was passed on, and the connection is closed within it.
+            Some(_) => {
+                let _ = client.read_to_end(&mut rest);
+                assert!(rest.len() < STATED_BYTES, "{} bytes of {line}", rest.len());
+            }
+            None => assert!(line.starts_with('-'), "{line}"),
+        }
+    }
+}
+
 #[test]
 fn many_slow_readers_use_little_memory_and_delay_nobody_else() {
     let large = server(|asked, stream| {
--- a/crates/node/src/clients/writing.rs
+++ b/crates/node/src/clients/writing.rs
@@ -16,7 +16,7 @@
 use super::parsing::Rejected;
 use super::pending_replies::{PendingReply, ReplyState};
 use super::session::Session;
-use crate::command::STREAM_STALL_TIMEOUT;
+use crate::command::{LargeValue, LargeValuePart, STREAM_STALL_TIMEOUT};
 use crate::input::Input;
 
 /// A client that reads nothing of its reply for this long is disconnected.
@@ -67,42 +67,45 @@
         };
         self.forwarded_requests -= usize::from(forwarded);
         self.publish_state(ConnectionState::LargeValue);
+        let result = self.relay_parts(&mut value, inbox, writing).await;
+        drop(memory);
+        let end = match result {
+            Ok(()) => Some(RequestEnd::Served),
+            Err(CloseReason::ValueCut) => Some(RequestEnd::Failed),
+            // A request whose client stopped reading was abandoned.
+            Err(_) => None,
+        };
+        if let (Some((ticket, _)), Some(end)) = (ticket, end) {
+            self.replies += u64::from(result.is_ok());
+            ticket.end(end);
+        }
+        result
+    }
+
+    /// Writes a large value as its parts arrive, and its end of line once its response is known to be whole.
+    async fn relay_parts<R: Reading>(
+        &mut self,
+        value: &mut LargeValue,
+        inbox: &mut Inbox<'_, R>,
+        writing: &mut ClientWriting<H>,
+    ) -> WriteResult {
         let mut remaining = value.length;
-        let mut chunk = resp::value_header(remaining);
-        let mut result = Ok(());
+        self.write_bytes(&resp::value_header(remaining), WriteKind::LargeValue, inbox, writing).await?;
         loop {
-            result = result.and(self.write_bytes(&chunk, WriteKind::LargeValue, inbox, writing).await);
-            if remaining == 0 || result.is_err() {
-                break;
-            }
             // Longer than the stall time-out of its server, which ends the value there.
-            let next = timeout(STREAM_STALL_TIMEOUT * 2, value.chunks.recv());
+            let next = timeout(STREAM_STALL_TIMEOUT * 2, value.parts.recv());
             match self.read_while_waiting(inbox, WriteKind::AwaitsPiece, next).await {
-                Some(Ok(Some(next))) if next.len() <= remaining => chunk = next,
-                None if self.input.client_has_closed() => {
-                    result = Err(CloseReason::Client);
-                    break;
+                Some(Ok(Some(LargeValuePart::Chunk(chunk)))) if chunk.len() <= remaining => {
+                    remaining -= chunk.len();
+                    self.write_bytes(&chunk, WriteKind::LargeValue, inbox, writing).await?;
                 }
-                _ => break,
-            }
-            remaining -= chunk.len();
-        }
-        let finished = match result {
-            Ok(()) if remaining == 0 => {
-                self.write_bytes(b"\r\n", WriteKind::LargeValue, inbox, writing).await
+                Some(Ok(Some(LargeValuePart::End))) if remaining == 0 => {
+                    return self.write_bytes(resp::END_OF_LINE, WriteKind::LargeValue, inbox, writing).await;
+                }
+                None if self.input.client_has_closed() => return Err(CloseReason::Client),
+                _ => return Err(CloseReason::ValueCut),
             }
-            Ok(()) => Err(CloseReason::ValueCut),
-            Err(reason) => Err(reason),
-        };
-        drop(memory);
-        if let Some((ticket, _)) = ticket
-            && (finished.is_ok() || result.is_ok())
-        {
-            // A request whose client stopped reading was abandoned.
-            self.replies += u64::from(finished.is_ok());
-            ticket.end(if finished.is_ok() { RequestEnd::Served } else { RequestEnd::Failed });
         }
-        finished
     }
 
     /// Writes replies that are ready.
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -134,19 +134,28 @@
     }
 }
 
-/// A large value whose transfer has begun. It is truncated if its channel ends before `length` bytes have
-/// arrived.
+/// A part of a large value on its way to the client.
+#[derive(Debug)]
+pub enum LargeValuePart {
+    /// At most [`MAX_CHUNK_BYTES`] of the value.
+    Chunk(Bytes),
+    /// All of the value has been sent, and its whole response was readable.
+    End,
+}
+
+/// A large value whose transfer has begun. It is truncated if its channel ends before `length` bytes and
+/// [`LargeValuePart::End`] have arrived.
 #[derive(Debug)]
 pub struct LargeValue {
     pub length: usize,
-    pub chunks: mpsc::Receiver<Bytes>,
+    pub parts: mpsc::Receiver<LargeValuePart>,
 }
 
 impl LargeValue {
-    /// Creates a value and the sender for its chunks.
-    pub fn new(length: usize) -> (mpsc::Sender<Bytes>, LargeValue) {
-        let (sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
-        (sender, LargeValue { length, chunks })
+    /// Creates a value and the sender for its parts.
+    pub fn new(length: usize) -> (mpsc::Sender<LargeValuePart>, LargeValue) {
+        let (sender, parts) = mpsc::channel(MAX_QUEUED_CHUNKS);
+        (sender, LargeValue { length, parts })
     }
 }
 
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -23,7 +23,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::command::{
-    AttemptExtras, AttemptId, Command, LargeValue, MAX_CHUNK_BYTES, ReceivedValue, Reply,
+    AttemptExtras, AttemptId, Command, LargeValue, LargeValuePart, MAX_CHUNK_BYTES, ReceivedValue, Reply,
     STREAM_STALL_TIMEOUT,
 };
 use crate::duplicate_responses::{Doubt, Fingerprint, RecentResponses, VerificationState};
@@ -452,8 +452,8 @@
     if status == Status::Served
         && let Some(length) = length.filter(|n| (MAX_BUFFERED_VALUE_BYTES + 1..=MAX_VALUE_BYTES).contains(n))
     {
-        let (chunks, stream) = LargeValue::new(length);
-        let large = LargeValueTransfer { body: response.into_body(), chunks, _connection: pooled };
+        let (parts, stream) = LargeValue::new(length);
+        let large = LargeValueTransfer { body: response.into_body(), parts, _connection: pooled };
         return Ok((CallResult { status, value: Some(Reply::Stream(stream)), load }, Some(large)));
     }
     let mut memory = ReceiveMemory::new(connector.memory.clone());
@@ -495,7 +495,7 @@
 /// A large value whose transfer has begun.
 struct LargeValueTransfer {
     body: Incoming,
-    chunks: mpsc::Sender<Bytes>,
+    parts: mpsc::Sender<LargeValuePart>,
     _connection: PooledConnection,
 }
 
@@ -503,16 +503,31 @@
     /// Passes the value on as fast as the client reads it, and closes the connection afterwards: a streamed
     /// value cannot be compared with another one, so no later call may meet a duplicate of it.
     async fn pass_on(mut self) {
-        while let Ok(Some(Ok(frame))) = timeout(STREAM_STALL_TIMEOUT, self.body.frame()).await {
-            let Ok(mut data) = frame.into_data() else { continue };
-            while !data.is_empty() {
-                let chunk = data.split_to(data.len().min(MAX_CHUNK_BYTES));
-                if self.chunks.send(chunk).await.is_err() {
+        loop {
+            let data = match timeout(STREAM_STALL_TIMEOUT, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(None) => {
+                    // If it fails, the client has gone.
+                    let _ = self.parts.send(LargeValuePart::End).await;
                     return;
                 }
+                // The body stalls, or ends before its stated length.
+                Ok(Some(Err(_))) | Err(_) => return,
+            };
+            if self.send_chunks(data).await.is_err() {
+                return;
             }
         }
     }
+
+    /// Sends a part of the body; fails once the client has gone.
+    async fn send_chunks(&self, mut data: Bytes) -> Result<(), mpsc::error::SendError<LargeValuePart>> {
+        while !data.is_empty() {
+            let chunk = data.split_to(data.len().min(MAX_CHUNK_BYTES));
+            self.parts.send(LargeValuePart::Chunk(chunk)).await?;
+        }
+        Ok(())
+    }
 }
 
 #[cfg(test)]
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -33,6 +33,7 @@
 mod payload;
 mod pipeline;
 mod pool;
+mod relaying;
 mod verification;
 
 /// Target number of connections to one server from all nodes together. A server accepts few connections and each
--- a/crates/node/src/servers/driver.rs
+++ b/crates/node/src/servers/driver.rs
@@ -21,10 +21,10 @@
 use super::fence::{take_fence_replies, write_requested_fences};
 use super::payload::{AttemptCommand, CommandKind};
 use super::pipeline::{InFlightCommand, WriteState};
-use super::verification::{MAX_FENCES_IN_ADVANCE, verify, verify_large, will_be_doubted};
+use super::relaying::{RelayResult, relay_large_value};
+use super::verification::{MAX_FENCES_IN_ADVANCE, verify, will_be_doubted};
 use super::{ConnectionEnd, ConnectionEvent, RESPONSE_STALL_TIMEOUT, Response};
-use crate::command::{LargeValue, MAX_CHUNK_BYTES, STREAM_STALL_TIMEOUT};
-use crate::duplicate_responses::{Doubt, Fingerprint, LARGE_VALUE_PREFIX_BYTES, LargeFingerprint};
+use crate::duplicate_responses::Fingerprint;
 use crate::input::Input;
 use crate::memory::{OutOfMemory, ReceiveMemory};
 use crate::memory_shortage::RetryingStream;
@@ -53,16 +53,17 @@
         BytesFrame::BulkString(_) => probe,
         BytesFrame::Array(parts) if !probe => {
             let [value, cache_result, _report] = parts.as_slice() else { return false };
-            matches!(value, BytesFrame::BulkString(_) | BytesFrame::Null)
-                && matches!(
-                    cache_result,
-                    BytesFrame::BulkString(_) | BytesFrame::SimpleString(_) | BytesFrame::Null
-                )
+            matches!(value, BytesFrame::BulkString(_) | BytesFrame::Null) && is_cache_result(cache_result)
         }
         _ => false,
     }
 }
 
+/// Whether a frame can tell how a read went at a cache server.
+pub(super) fn is_cache_result(frame: &BytesFrame) -> bool {
+    matches!(frame, BytesFrame::BulkString(_) | BytesFrame::SimpleString(_) | BytesFrame::Null)
+}
+
 /// Opens a connection and carries its commands until it ends; returns how it ended.
 pub(super) async fn run_connection<H: Host>(
     host: &H,
@@ -183,6 +184,12 @@
             match relay_large_value(large, reading, &mut buffer, shared, notify).await {
                 RelayResult::Complete => continue,
                 RelayResult::Aborted => return ConnectionEnd::Broken,
+                RelayResult::Unreadable(reason) => {
+                    host.log(format_args!(
+                        "{address}: closing the connection within a large value: {reason}"
+                    ));
+                    return ConnectionEnd::Broken;
+                }
                 RelayResult::Doubted(doubt) => return ConnectionEnd::OutOfSync(Some(doubt)),
             }
         }
@@ -315,121 +322,3 @@
     })
     .await
 }
-
-/// Result of relaying a large value.
-enum RelayResult {
-    /// It was received completely; the connection can be reused.
-    Complete,
-    /// It was cut off, or nobody wants it any more: the connection ends.
-    Aborted,
-    /// It may belong to another command. Nothing of it was relayed.
-    Doubted(Doubt),
-}
-
-/// Relays a large value as it arrives, as fast as its client reads it, and consumes the rest of the response. The
-/// attempt stays in flight meanwhile, so that it ends with the connection.
-async fn relay_large_value<T: Future<Output = Result<(), mpsc::error::SendError<Input>>>>(
-    large: resp::LargeValue,
-    reading: &impl Reading,
-    buffer: &mut BytesMut,
-    shared: &Shared,
-    notify: impl Fn(ConnectionEvent) -> T,
-) -> RelayResult {
-    let Some(attempt) = shared
-        .pipeline
-        .borrow()
-        .in_flight
-        .front()
-        .filter(|s| s.kind() != CommandKind::Probe)
-        .map(InFlightCommand::attempt)
-    else {
-        return RelayResult::Aborted;
-    };
-    let mut fingerprint = Some(LargeFingerprint::new(large.length));
-    // Hold back as many bytes as are needed to tell it from other values of this length.
-    if shared.pipeline.borrow().may_be_mismatched(large.length) {
-        let held_back = large.header_length + large.length.min(LARGE_VALUE_PREFIX_BYTES);
-        while buffer.len() < held_back {
-            if read_more_within(reading, buffer, MAX_CHUNK_BYTES, RESPONSE_STALL_TIMEOUT).await.is_err() {
-                return RelayResult::Aborted;
-            }
-        }
-        let value = fingerprint.take().and_then(|mut f| f.update(&buffer[large.header_length..]));
-        if let Err(doubt) = verify_large(value, shared) {
-            return RelayResult::Doubted(doubt);
-        }
-    }
-    let (sender, value) = LargeValue::new(large.length);
-    shared.pipeline.borrow_mut().streaming = true;
-    if notify(ConnectionEvent::StreamStarted(attempt, value)).await.is_err() {
-        return RelayResult::Aborted;
-    }
-    let _ = buffer.split_to(large.header_length);
-    let mut remaining = large.length;
-    let mut is_wanted = true;
-    while remaining > 0 {
-        if buffer.is_empty() {
-            *buffer = BytesMut::new();
-            let more = read_more_within(reading, buffer, MAX_CHUNK_BYTES, STREAM_STALL_TIMEOUT);
-            if report_stall(more, shared, &notify).await.is_err() {
-                return RelayResult::Aborted;
-            }
-        }
-        let chunk = buffer.split_to(buffer.len().min(remaining).min(MAX_CHUNK_BYTES)).freeze();
-        remaining -= chunk.len();
-        if let Some(value) = fingerprint.as_mut().and_then(|f| f.update(&chunk)) {
-            // No earlier value has this length, so it can't be doubted.
-            let _ = verify_large(Some(value), shared);
-        }
-        is_wanted = is_wanted && report_stall(sender.send(chunk), shared, &notify).await.is_ok();
-        // The client has gone. The rest is read only for the sake of the commands behind it.
-        if !is_wanted && !shared.pipeline.borrow().others_waiting() {
-            return RelayResult::Aborted;
-        }
-    }
-    drop(sender);
-    // The end of the value, the cache result and the load report: nobody needs them any more, but they must be
-    // consumed to find the next response.
-    let mut parts_read = 0;
-    while parts_read < 3 {
-        let received = match parts_read {
-            0 => resp::take_line_end(buffer).map(|end| end.is_some()),
-            _ => resp::take_frame(buffer, resp::MAX_BUFFERED_VALUE_BYTES).map(|frame| frame.is_some()),
-        };
-        match received {
-            Ok(true) => parts_read += 1,
-            Ok(false) => {
-                let more = read_more_within(reading, buffer, READ_SIZE_BYTES, STREAM_STALL_TIMEOUT);
-                if report_stall(more, shared, &notify).await.is_err() {
-                    return RelayResult::Aborted;
-                }
-            }
-            Err(_) => return RelayResult::Aborted,
-        }
-    }
-    let mut pipeline = shared.pipeline.borrow_mut();
-    pipeline.pop_answered();
-    (pipeline.streaming, pipeline.stream_stalled, pipeline.has_responded) = (false, false, true);
-    RelayResult::Complete
-}
-
-/// Waits for a large value to progress. If it stalls for longer than a response may, the node is notified once, so
-/// that nothing else waits behind it.
-async fn report_stall<T, Notified>(
-    progress: impl Future<Output = T>,
-    shared: &Shared,
-    notify: &impl Fn(ConnectionEvent) -> Notified,
-) -> T
-where
-    Notified: Future<Output = Result<(), mpsc::error::SendError<Input>>>,
-{
-    let mut progress = std::pin::pin!(progress);
-    if let Ok(done) = timeout(RESPONSE_STALL_TIMEOUT, progress.as_mut()).await {
-        return done;
-    }
-    if !shared.pipeline.borrow().stream_stalled {
-        // If the node has gone, this task ends with it.
-        let _ = notify(ConnectionEvent::Stalled).await;
-    }
-    progress.await
-}
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -15,7 +15,7 @@
 /// The longest number in a header, in bytes, with its end of line.
 const MAX_NUMBER_BYTES: usize = 12;
 /// The end of a line and of a value.
-const END_OF_LINE: &[u8] = b"\r\n";
+pub const END_OF_LINE: &[u8] = b"\r\n";
 /// A frame of up to this many bytes is copied off its buffer. A slice would keep the whole buffer alive.
 const MAX_COPIED_FRAME_BYTES: usize = 4096;
 /// The most elements of one frame, nested ones included: also bounds the recursion of the decoder.
@@ -165,11 +165,11 @@
 
 /// Takes the end of line that closes a value off a buffer; `None` while it is incomplete.
 pub fn take_line_end(buffer: &mut BytesMut) -> Result<Option<()>, Malformed> {
-    if buffer.len() < 2 {
+    if buffer.len() < END_OF_LINE.len() {
         return Ok(None);
     }
-    match &buffer.split_to(2)[..] {
-        b"\r\n" => Ok(Some(())),
+    match &buffer.split_to(END_OF_LINE.len())[..] {
+        END_OF_LINE => Ok(Some(())),
         _ => Err(Malformed("bad end of value")),
     }
 }
