Clients: replies behind a large value are written before a process ends

What callers saw: three requests on one connection, for a large value, a small read and a write; SIGTERM while the value is on its way.

Cause: the retirement plan is not asked while a value is relayed. A value that outlasts the close of all connections was followed by Disconnect at once; the step that fails what is open and writes what is ready was due meanwhile and left out.

Both new tests on sockets fail before: "end" instead of "$v", and a connection cut within a reply to a slow client.

Change: the plan puts off the last moment of a connection while its client takes what is written, up to the time until which large values are relayed; in a drain only behind a large value, since other connections must close after 4 s. What is open fails there, commands that arrived unread are refused, and replies that the node has given are written instead of an error. The end of a process waits for all connections that are open then, in place of a look at those that relay a value.

Why it works: one plan decides on each close, and no bound is in the past when a large value ends.

--- a/crates/mothpier/tests/slow_transfers.rs
+++ b/crates/mothpier/tests/slow_transfers.rs
@@ -5,10 +5,13 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Mutex;
+use std::sync::mpsc::{Receiver, channel};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use harness::*;
+use socket2::SockRef;
 
 const VALUE_BYTES: usize = 1 << 20;
 /// The largest value of a write.
@@ -145,6 +148,81 @@
     check_long_answer("terminated", |_, node, _| node.signal("TERM"));
 }
 
+/// An origin that runs each write at once, and reports it.
+fn origin() -> (SocketAddr, Receiver<()>) {
+    let (sender, has_run) = channel();
+    let sender = Mutex::new(sender);
+    let address = serve(read_call, move |_| {
+        let _ = sender.lock().unwrap().send(());
+        http("200 OK", "receipt")
+    });
+    (address, has_run)
+}
+
+/// Guards against ready replies that are dropped because a large value before them outlasts the end of the process.
+#[test]
+fn replies_behind_a_long_answer_are_written_before_the_process_ends() {
+    let (origin, has_run) = origin();
+    let members =
+        [member("s-1", slowly_writing_server(), "m", "ready"), member("o-1", origin, "origin", "ready")];
+    let mut node = start_node("replies-behind", &Discovery::start(&members.join(",")), &[]);
+    let mut client = node.client();
+    client.send(&["CACHE.GET", "long", "long-1", "c=read,t=acme,d=9000"]);
+    client.send(&["CACHE.GET", "short", "short-1", "c=read,t=acme,d=9000"]);
+    client.send(&["CACHE.SET", "other", "write-1", "c=once,t=acme,d=9000", "v"]);
+    has_run.recv_timeout(HANG_TIMEOUT).unwrap();
+    node.signal("TERM");
+    let mut sending = client.sending_side();
+    let sent_later = thread::spawn(move || {
+        // After the time by which the process would have ended without the value.
+        thread::sleep(EARLIEST_KILL + PIECE_PAUSE);
+        sending
+            .write_all(b"*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$4\r\nlate\r\n$21\r\nc=read,t=acme,d=09000\r\n")
+    });
+    assert_eq!(client.answer().len(), VALUE_BYTES + 1);
+    assert_eq!(client.answer(), "$v");
+    assert_eq!(client.answer(), "$receipt");
+    assert_eq!(client.answer(), "-BUSY 100");
+    assert_eq!(client.answer(), "end");
+    sent_later.join().unwrap().unwrap();
+    assert!(node.wait_for_exit().success());
+}
+
+/// Guards against ready replies that are dropped at the end of a process although their client takes them.
+#[test]
+fn replies_to_a_slow_client_are_written_before_the_process_ends() {
+    const REPLIES: usize = 128;
+    const REPLY_BYTES: usize = 65_000;
+    const TRANSFER_TIME: Duration = Duration::from_secs(11);
+    let value = "v".repeat(REPLY_BYTES);
+    let (sender, answered) = channel();
+    let sender = Mutex::new(sender);
+    let server = serve(read_command, move |_| {
+        let _ = sender.lock().unwrap().send(());
+        hit(&value)
+    });
+    let mut node = start_node("slow-client", &Discovery::start(&member("s-1", server, "m", "ready")), &[]);
+    let mut client = node.client();
+    SockRef::from(&client.sending_side()).set_recv_buffer_size(REPLY_BYTES).unwrap();
+    for number in 0..REPLIES {
+        let id = format!("r-{number}");
+        client.send(&["CACHE.GET", &id, &id, "c=read,t=acme,d=9000"]);
+    }
+    // More than the buffers of the connection hold.
+    for _ in 0..REPLIES / 2 {
+        answered.recv_timeout(HANG_TIMEOUT).unwrap();
+    }
+    node.signal("TERM");
+    for number in 0..REPLIES {
+        // A node that has just started may refuse some.
+        let answer = client.answer();
+        assert!(answer.starts_with('$') || answer.starts_with("-BUSY"), "{number}: {answer:.20}");
+        thread::sleep(TRANSFER_TIME / REPLIES as u32);
+    }
+    assert_eq!(client.answer(), "end");
+    assert!(node.wait_for_exit().success());
+}
+
 /// A cache server that stops within a value, and leaves its connection open.
 fn stalling_server() -> SocketAddr {
     listen(|mut stream| {
--- a/crates/node/src/clients/executing.rs
+++ b/crates/node/src/clients/executing.rs
@@ -14,6 +14,9 @@
 /// it, or whose queue finds no memory, is disconnected.
 const MAX_PENDING_REPLIES: usize = 1024;
 
+/// Reads of what has arrived by the time when open requests fail: a client may go on sending at full speed.
+const MAX_LATE_READS: usize = 64;
+
 impl<H: Host> Session<H> {
     /// Whether it may have a complete command to be executed.
     pub(super) fn has_unexecuted_input<R: Reading>(&self, inbox: &Inbox<'_, R>) -> bool {
@@ -43,6 +46,23 @@
         }
     }
 
+    /// Executes the complete commands that have arrived and were not read yet, since nothing is read while much is unread
+    /// behind a large value.
+    pub(super) async fn execute_unread<R: Reading>(
+        &mut self,
+        inbox: &mut Inbox<'_, R>,
+        progress: &mut Progress,
+    ) {
+        let clients = self.clients.clone();
+        for _ in 0..MAX_LATE_READS {
+            if !inbox.read_late(|| (clients.now)()).await {
+                return;
+            }
+            self.settle_input(inbox, progress);
+            self.execute_all(inbox, progress).await;
+        }
+    }
+
     /// Executes the command at the front of the buffer, if it is complete.
     async fn execute_next<R: Reading>(&mut self, inbox: &mut Inbox<'_, R>, progress: &mut Progress) {
         let length = inbox.buffer.len();
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -41,7 +41,7 @@
 mod work;
 mod writing;
 
-use connection_state::{ConnectionEntry, ConnectionState};
+use connection_state::ConnectionEntry;
 pub use parsing::ParserConfig;
 pub use retirement::RetirementPlan;
 pub use retirement_control::{AcceptMode, RetirementControl};
@@ -165,12 +165,6 @@
         self.open_connections.borrow().len()
     }
 
-    /// Whether a large value is being relayed to any client.
-    pub fn relays_large_value(&self) -> bool {
-        let open = self.open_connections.borrow();
-        open.values().any(|entry| entry.state == ConnectionState::LargeValue)
-    }
-
     /// Sets the limit of open connections. Those beyond it stay open, and none is accepted until there are fewer.
     pub fn set_max_connections(&self, limit: usize) {
         self.max_connections.set(limit);
--- a/crates/node/src/clients/pending_replies.rs
+++ b/crates/node/src/clients/pending_replies.rs
@@ -129,12 +129,36 @@
     /// Takes the node's reply if it has arrived.
     fn poll_reply(&mut self, cx: &mut Context<'_>) {
         let ReplyState::Pending(_, receiver) = &mut self.state else { return };
-        let Poll::Ready(delivery) = Pin::new(receiver).poll(cx) else { return };
-        let Ok(Delivery { reply, end, memory }) = delivery else {
+        match Pin::new(receiver).poll(cx) {
+            Poll::Ready(Ok(delivery)) => self.deliver(delivery),
             // The node drops a request without a reply only at shutdown.
-            self.state = ReplyState::Ready(resp::encode_error("ERR failed"));
-            return;
-        };
+            Poll::Ready(Err(_)) => self.fail(),
+            Poll::Pending => {}
+        }
+    }
+
+    /// Takes the node's reply if it has arrived, for a request that is given up otherwise. Returns the request if there is
+    /// none: the node is told that nobody waits for it.
+    pub(super) fn give_up(&mut self) -> Option<RequestId> {
+        let ReplyState::Pending(request, receiver) = &mut self.state else { return None };
+        // The request may still wait in its queue, behind which the node is notified.
+        receiver.close();
+        match receiver.try_recv() {
+            Ok(delivery) => {
+                self.deliver(delivery);
+                None
+            }
+            Err(_) => Some(*request),
+        }
+    }
+
+    /// Replaces the reply by an error.
+    pub(super) fn fail(&mut self) {
+        self.state = ReplyState::Ready(resp::encode_error("ERR failed"));
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        let Delivery { reply, end, memory } = delivery;
         self.memory = memory;
         if let Some((_, ticket_end)) = &mut self.ticket {
             *ticket_end = end;
--- a/crates/node/src/clients/retirement.rs
+++ b/crates/node/src/clients/retirement.rs
@@ -17,6 +17,9 @@
 /// A retirement lets a large value be relayed for this long after the last deadline: it may be many times as large as what a
 /// slow client reads in a second.
 const LARGE_VALUE_GRACE: Duration = Duration::from_secs(10);
+/// A client that takes nothing of its replies for this long no longer takes them. A socket accepts more only once a third
+/// of its buffer is free, which may take a slow client seconds.
+const MAX_TAKING_PAUSE: Duration = Duration::from_secs(3);
 
 /// Delays after a drain was announced. Four seconds after it a client's connection may neither be idle nor have a request
 /// from the last two seconds; a delayed process may use up 0.15 s of either limit.
@@ -93,10 +96,19 @@
     fail_scope: FailScope,
     /// If a client does not read the replies of failed requests, its connection is closed now.
     disconnect_failed: Instant,
-    /// Every connection is closed now, unless a large value is relayed on it.
+    /// Every connection is closed now, unless its client still takes a large value or replies.
     disconnect_all: Instant,
-    /// No large value is relayed any more.
-    cut_large_values: Instant,
+    /// Nothing is written any more.
+    end_of_writing: Instant,
+}
+
+/// How far the client of a connection takes what is written to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplyTaking {
+    /// When it last took something.
+    pub taken_at: Option<Instant>,
+    /// When the last large value ended. Replies behind it could not be written before.
+    pub large_value_ended_at: Option<Instant>,
 }
 
 /// The state of a connection that its retirement depends on.
@@ -118,6 +130,8 @@
     pub last_replied_at: Option<Instant>,
     /// When input was last received.
     pub last_received_at: Instant,
+    /// How far its client takes what is written.
+    pub taking: ReplyTaking,
 }
 
 /// What to do with a connection, from the mildest to the strictest.
@@ -154,7 +168,7 @@
             fail_scope: FailScope::RecentlyUsed,
             disconnect_failed: announced_at + drain::DISCONNECT_RECENT,
             disconnect_all,
-            cut_large_values: disconnect_all,
+            end_of_writing: disconnect_all,
         }
     }
 
@@ -194,8 +208,8 @@
             fail_scope: FailScope::All,
             disconnect_failed: end,
             disconnect_all: end,
-            // The platform may kill the process later than it might: until then the value goes on.
-            cut_large_values: end + LARGE_VALUE_GRACE,
+            // The platform may kill the process later than it might: until then what clients take goes on.
+            end_of_writing: end + LARGE_VALUE_GRACE,
         }
     }
 
@@ -214,14 +228,14 @@
         self.close_idle
     }
 
-    /// By when every connection is closed.
+    /// By when every connection is closed whose client takes nothing more.
     pub fn disconnect_all_at(&self) -> Instant {
         self.disconnect_all
     }
 
-    /// Until when large values are relayed.
-    pub fn large_values_until(&self) -> Instant {
-        self.cut_large_values
+    /// Until when large values and replies are written to clients that take them.
+    pub fn end_of_writing(&self) -> Instant {
+        self.end_of_writing
     }
 
     /// Whether a request that arrives now is refused, on a connection with or without another one open.
@@ -232,7 +246,7 @@
     /// What to do with a connection now.
     pub fn action(&self, snapshot: &ConnectionSnapshot, now: Instant) -> RetirementAction {
         let last_command = self.connection_last_command_time(snapshot);
-        if now >= self.disconnect_all {
+        if now >= self.connection_end(snapshot) {
             RetirementAction::Disconnect
         } else if self.will_fail(snapshot) && now >= self.fail {
             RetirementAction::FailOpen
@@ -258,21 +272,39 @@
             .then(|| self.connection_last_command_time(snapshot));
         let failure = self.will_fail(snapshot).then_some(self.fail);
         let next = [idle_close, partial_command, failure].into_iter().flatten().filter(|at| *at > now).min();
-        next.unwrap_or(self.disconnect_all).min(self.disconnect_all)
+        let end = self.connection_end(snapshot);
+        next.unwrap_or(end).min(end)
     }
 
     /// Until when a reply may be written to a slow client. `received` is when input last arrived, or `None` if it may arrive
     /// at any time; `large` is for a relayed value, for which the client may take its time.
-    pub fn write_until(&self, received: Option<Instant>, large: bool) -> Instant {
+    pub fn write_until(&self, received: Option<Instant>, large: bool, taking: ReplyTaking) -> Instant {
         let is_recent = received.is_none_or(|received| received >= self.last_command);
         let is_short = self.fail_scope == FailScope::All || is_recent;
         match large {
-            true => self.cut_large_values,
-            false if is_short => self.disconnect_failed,
-            false => self.disconnect_all,
+            true => self.end_of_writing,
+            false if is_short => self.extended(self.disconnect_failed, taking),
+            false => self.extended(self.disconnect_all, taking),
+        }
+    }
+
+    /// The time by which replies must have been written, put off while the client takes them: at the end of a process, and
+    /// on a connection that a large value has held up until after that time.
+    fn extended(&self, until: Instant, taking: ReplyTaking) -> Instant {
+        let is_held_up = taking.large_value_ended_at.is_some_and(|ended_at| ended_at >= until);
+        match taking.taken_at {
+            Some(taken_at) if self.fail_scope == FailScope::All || is_held_up => {
+                (taken_at + MAX_TAKING_PAUSE).min(self.end_of_writing).max(until)
+            }
+            _ => until,
         }
     }
 
+    /// When a connection is closed whatever its state.
+    fn connection_end(&self, snapshot: &ConnectionSnapshot) -> Instant {
+        self.extended(self.disconnect_all, snapshot.taking)
+    }
+
     /// Whether the open requests of a connection fail before it is closed, and have not failed yet.
     fn will_fail(&self, snapshot: &ConnectionSnapshot) -> bool {
         let is_in_scope = self.fail_scope == FailScope::All || snapshot.last_received_at >= self.last_command;
@@ -337,11 +369,16 @@
     }
 
     /// Until when a reply may be written.
-    pub fn write_until(&self, received: Option<Instant>, large: bool) -> Option<Instant> {
-        self.active().map(|plan| plan.write_until(received, large)).min()
+    pub fn write_until(
+        &self,
+        received: Option<Instant>,
+        large: bool,
+        taking: ReplyTaking,
+    ) -> Option<Instant> {
+        self.active().map(|plan| plan.write_until(received, large, taking)).min()
     }
 
-    /// When the last connection is closed.
+    /// When the last connection is closed whose client takes nothing more.
     pub fn disconnect_all_at(&self) -> Option<Instant> {
         self.active().map(|plan| plan.disconnect_all).min()
     }
--- a/crates/node/src/clients/serving.rs
+++ b/crates/node/src/clients/serving.rs
@@ -53,9 +53,10 @@
         self.report_close(closing.reason(), &progress);
         if let Closing::Graceful(_) = closing {
             self.publish_state(ConnectionState::Closing);
-            let latest = Instant::now() + CLOSE_TIMEOUT;
-            let latest =
-                self.clients.retirement.plans().disconnect_all_at().map_or(latest, |end| end.min(latest));
+            let now = Instant::now();
+            // A connection that is served beyond that time is closed like any other.
+            let end = self.clients.retirement.plans().disconnect_all_at().filter(|end| *end > now);
+            let latest = end.map_or(now + CLOSE_TIMEOUT, |end| end.min(now + CLOSE_TIMEOUT));
             let discarding = Discarding::new(&self.clients.discard_rate);
             let _ = timeout_at(latest, close_gracefully(&reading, &mut writing, discarding)).await;
         }
@@ -122,6 +123,7 @@
                 (RetirementAction::FailOpen, cause) => {
                     // Each of them is refused by now.
                     self.execute_all(inbox, progress).await;
+                    self.execute_unread(inbox, progress).await;
                     self.finish(close_reason(cause));
                     self.fail_open_requests().await;
                     continue;
@@ -223,6 +225,7 @@
             reads_commands: self.input.reads_commands(),
             last_replied_at: progress.last_replied_at(),
             last_received_at: inbox.last_read_at,
+            taking: self.taking(),
         }
     }
 
--- a/crates/node/src/clients/session.rs
+++ b/crates/node/src/clients/session.rs
@@ -11,6 +11,7 @@
 use super::connection_state::ConnectionState;
 use super::input_state::InputState;
 use super::pending_replies::PendingReply;
+use super::retirement::ReplyTaking;
 use super::turns::WorkAccount;
 use super::work::ConnectionWork;
 use crate::memory::{OutOfMemory, QueueMemory};
@@ -51,6 +52,10 @@
     /// refused requests.
     pub(super) requests: u64,
     pub(super) replies: u64,
+    /// When its client last took something that was written to it.
+    pub(super) taken_at: Rc<Cell<Option<Instant>>>,
+    /// When the last large value ended.
+    pub(super) large_value_ended_at: Option<Instant>,
     pub(super) work: ConnectionWork,
     pub(super) account: WorkAccount,
 }
@@ -70,6 +75,8 @@
             finish_reason: None,
             requests: 0,
             replies: 0,
+            taken_at: Rc::default(),
+            large_value_ended_at: None,
             work: ConnectionWork::new(Instant::now()),
             account: WorkAccount::new(Instant::now()),
         }
@@ -81,6 +88,11 @@
         self.input.finish();
     }
 
+    /// How far its client takes what is written to it.
+    pub(super) fn taking(&self) -> ReplyTaking {
+        ReplyTaking { taken_at: self.taken_at.get(), large_value_ended_at: self.large_value_ended_at }
+    }
+
     /// Reserves memory for the queued replies that have no reservation of their own.
     pub(super) fn reserve_queue(&mut self) -> Result<(), OutOfMemory> {
         self.queue_memory.hold(self.pending.len().saturating_sub(self.forwarded_requests))
--- a/crates/node/src/clients/writing.rs
+++ b/crates/node/src/clients/writing.rs
@@ -1,12 +1,14 @@
 //! Writing replies to a client, and reading from it meanwhile.
 
+use std::cell::Cell;
+use std::io::{self, ErrorKind};
 use std::time::Duration;
 
 use bytes::Bytes;
 use mothpier_host::{Host, Reading};
 use mothpier_ops::{CloseReason, RequestEnd, RequestTicket};
 use mothpier_resp::{self as resp, Malformed};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::ClientWriting;
@@ -68,6 +70,7 @@
         self.forwarded_requests -= usize::from(forwarded);
         self.publish_state(ConnectionState::LargeValue);
         let result = self.relay_parts(&mut value, inbox, writing).await;
+        self.large_value_ended_at = Some(Instant::now());
         drop(memory);
         let end = match result {
             Ok(()) => Some(RequestEnd::Served),
@@ -140,7 +143,8 @@
         inbox: &mut Inbox<'_, R>,
         writing: &mut ClientWriting<H>,
     ) -> WriteResult {
-        let all = timeout(SLOW_CLIENT_TIMEOUT, writing.write_all(bytes));
+        let taken_at = self.taken_at.clone();
+        let all = timeout(SLOW_CLIENT_TIMEOUT, write_all(writing, bytes, &taken_at));
         match self.read_while_waiting(inbox, kind, all).await {
             Some(Ok(Ok(()))) => Ok(()),
             Some(Ok(Err(_))) => Err(CloseReason::Client),
@@ -179,7 +183,9 @@
             let received = (!buffer_full).then_some(inbox.last_read_at);
             // The end of the process waits for a value only while its client is there.
             let has_large_value_grace = kind.is_large() && !self.input.client_has_closed();
-            let until = clients.retirement.plans().write_until(received, has_large_value_grace);
+            let write_until =
+                |taking| clients.retirement.plans().write_until(received, has_large_value_grace, taking);
+            let until = write_until(self.taking());
             let awaits_piece_for_left_client =
                 kind == WriteKind::AwaitsPiece && self.input.client_has_closed();
             let mut has_left = false;
@@ -194,7 +200,12 @@
                 () = sleep(DISCONNECT_POLL_INTERVAL), if buffer_full && self.input.awaits_commands() => {
                     has_left = inbox.reading.remote_end_closed();
                 }
-                () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => return None,
+                () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => {
+                    // Unless the client has taken something meanwhile.
+                    if write_until(self.taking()) <= until {
+                        return None;
+                    }
+                }
                 () = sleep_until(left_at + LEFT_CLIENT_PIECE_TIMEOUT), if awaits_piece_for_left_client => return None,
                 () = clients.retirement.changed.notified() => {}
             }
@@ -215,18 +226,14 @@
     /// Fails all open requests: there is no time left to answer them otherwise.
     pub(super) async fn fail_open_requests(&mut self) {
         self.abandon_requests().await;
-        for reply in self.pending.iter_mut().filter(|reply| reply.is_pending()) {
-            reply.state = ReplyState::Ready(resp::encode_error("ERR failed"));
-        }
+        self.pending.iter_mut().filter(|reply| reply.is_pending()).for_each(PendingReply::fail);
     }
 
-    /// Notifies the node that nobody waits for the open requests any more.
+    /// Notifies the node that nobody waits any more for the open requests that it has not replied to.
     pub(super) async fn abandon_requests(&mut self) {
         for reply in &mut self.pending {
-            if let ReplyState::Pending(id, receiver) = &mut reply.state {
-                // The request may still wait in its queue, behind which the node is notified.
-                receiver.close();
-                let _ = self.clients.events.send(Input::ClientGone(*id)).await;
+            if let Some(request) = reply.give_up() {
+                let _ = self.clients.events.send(Input::ClientGone(request)).await;
             }
         }
     }
@@ -268,3 +275,20 @@
         self.pending.push_back(PendingReply::ready(bytes, None));
     }
 }
+
+/// Writes all bytes, and records when the client last took some.
+async fn write_all(
+    writing: &mut (impl AsyncWrite + Unpin),
+    mut bytes: &[u8],
+    taken_at: &Cell<Option<Instant>>,
+) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let written = writing.write(bytes).await?;
+        if written == 0 {
+            return Err(ErrorKind::WriteZero.into());
+        }
+        taken_at.set(Some(Instant::now()));
+        bytes = &bytes[written..];
+    }
+    Ok(())
+}
--- a/crates/node/src/service/shutdown.rs
+++ b/crates/node/src/service/shutdown.rs
@@ -39,7 +39,8 @@
             }
         };
         if !closed_in_time {
-            self.wait_for_large_values(&plan).await;
+            // Connections are still open whose clients take a large value or replies, which the end of the process would cut.
+            let _ = timeout_at(plan.end_of_writing(), self.wait_until_all_closed()).await;
             self.clients.log_end(&plan);
         }
         log_task.abort();
@@ -47,15 +48,6 @@
         let _ = timeout_at(final_steps_end, self.run_final_steps()).await;
     }
 
-    /// Waits until no large value is relayed any more: a process that ends by itself would cut it.
-    async fn wait_for_large_values(&self, plan: &RetirementPlan) {
-        while self.clients.relays_large_value() {
-            if timeout_at(plan.large_values_until(), self.clients.wait_for_close()).await.is_err() {
-                return;
-            }
-        }
-    }
-
     /// Leaves new connections to the successor, and accepts them again if that ends first because nobody else would. Returns
     /// whether all connections have closed in time.
     async fn end_beside_successor(&mut self, plan: &RetirementPlan) -> bool {
--- a/crates/node/tests/unit/retirement.rs
+++ b/crates/node/tests/unit/retirement.rs
@@ -20,6 +20,7 @@
         reads_commands: true,
         last_replied_at: Some(announced_at - ms(3000)),
         last_received_at: announced_at - ms(3000),
+        taking: ReplyTaking::default(),
     }
 }
 
@@ -83,7 +84,8 @@
     assert_eq!(actions(plan, recent, &[3599, 3600]), [RetirementAction::Keep, RetirementAction::FailOpen]);
     let failed = ConnectionSnapshot { awaits_node: false, reads_commands: false, ..recent };
     assert_eq!(actions(plan, failed, &[3600]), [RetirementAction::Keep]);
-    let at = |last_received_at, large| plan.write_until(last_received_at, large) - announced_at;
+    let taking = ReplyTaking::default();
+    let at = |last_received_at, large| plan.write_until(last_received_at, large, taking) - announced_at;
     assert_eq!(at(Some(announced_at + ms(1799)), false), ms(17_800));
     assert_eq!(at(Some(announced_at + ms(1800)), false), ms(3750));
     assert_eq!(at(None, false), ms(3750));
@@ -130,9 +132,10 @@
                 )
             );
             // A value that is relayed goes on: the platform may kill the process later.
-            assert_eq!(plan.write_until(None, true), plan.disconnect_all + LARGE_VALUE_GRACE);
-            assert_eq!(plan.large_values_until(), plan.disconnect_all + LARGE_VALUE_GRACE);
-            assert!(plan.write_until(None, false) <= plan.disconnect_all);
+            let taking = ReplyTaking::default();
+            assert_eq!(plan.write_until(None, true, taking), plan.disconnect_all + LARGE_VALUE_GRACE);
+            assert_eq!(plan.end_of_writing(), plan.disconnect_all + LARGE_VALUE_GRACE);
+            assert!(plan.write_until(None, false, taking) <= plan.disconnect_all);
         }
     }
 }
@@ -149,6 +152,43 @@
     );
 }
 
+/// Guards against ready replies that are dropped because a large value before them outlasted the end of the process.
+#[test]
+fn replies_are_written_beyond_the_end_as_long_as_the_client_takes_them() {
+    let announced_at = announced_at();
+    let plan = RetirementPlan::stop(announced_at, LONGEST_DEADLINE);
+    let after = |milliseconds| plan.disconnect_all + ms(milliseconds);
+    let taking = ReplyTaking { taken_at: Some(after(2000)), large_value_ended_at: Some(after(2000)) };
+    let open = ConnectionSnapshot { has_pending_replies: true, taking, ..idle(announced_at) };
+    assert_eq!(plan.action(&open, after(2000)), RetirementAction::FailOpen);
+    let failed = ConnectionSnapshot { reads_commands: false, ..open };
+    assert_eq!(plan.action(&failed, after(4999)), RetirementAction::Keep);
+    assert_eq!(plan.next_change(&failed, after(4999)), after(5000));
+    assert_eq!(plan.action(&failed, after(5000)), RetirementAction::Disconnect);
+    assert_eq!(plan.write_until(None, false, taking), after(5000));
+    let written = ConnectionSnapshot { has_pending_replies: false, ..failed };
+    assert_eq!(plan.action(&written, after(2000)), RetirementAction::Close);
+    let at_last = ReplyTaking { taken_at: Some(after(9900)), ..taking };
+    assert_eq!(plan.write_until(None, false, at_last), plan.end_of_writing());
+}
+
+/// Four seconds after a drain a connection with a recent request may be open only because of a large value.
+#[test]
+fn a_drain_is_put_off_by_replies_only_behind_a_large_value() {
+    let announced_at = announced_at();
+    let plan = RetirementPlan::drain(announced_at, LONGEST_DEADLINE);
+    let taken_at = Some(announced_at + ms(3700));
+    let alone = ReplyTaking { taken_at, large_value_ended_at: None };
+    assert_eq!(plan.write_until(None, false, alone), announced_at + ms(3750));
+    let behind = ReplyTaking {
+        taken_at: Some(announced_at + ms(8000)),
+        large_value_ended_at: Some(announced_at + ms(8000)),
+    };
+    assert_eq!(plan.write_until(None, false, behind), announced_at + ms(11_000));
+    let earlier = ReplyTaking { taken_at, large_value_ended_at: Some(announced_at + ms(3700)) };
+    assert_eq!(plan.write_until(None, false, earlier), announced_at + ms(3750));
+}
+
 /// Every combination of connection states.
 fn every_snapshot(announced_at: Instant) -> impl Iterator<Item = ConnectionSnapshot> {
     (0..64u32).flat_map(move |bits| {
@@ -162,6 +202,7 @@
             reads_commands: bit(5),
             last_replied_at: bit(1).then_some(announced_at + ms(time)),
             last_received_at: announced_at + ms(time),
+            taking: ReplyTaking::default(),
         })
     })
 }
