Handover: two processes of a node stay within its memory limit together

Cause: the new process took half of the account of memory at once, while the old one set aside only what was free of its half, at that moment, and told nothing of it. And memory that a process had freed stayed resident: glibc raises the size from which blocks are mapped one by one with the first such block that is freed, and keeps free blocks behind the last one in use.

Change: the old process withholds what becomes free beyond half, from new requests first, and tells the most that it may hold, its resident memory included, ten times a second. The new one reserves what is left by that, less two sixteenths, and half at most. Limits beside a predecessor and beside a successor are kept apart, so that takeovers in a row give back all. New figure: reservable_bytes. The exchanges of ids and of memory have modules of their own.

The message is a new kind behind all others. It is sent only to a process that answers a second Hello, which older ones ignore; beside an older predecessor the new process takes half, as before.

Why it works: both limits come from one sum that counts what is resident and what is promised, and what is freed leaves that sum.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -9,6 +9,9 @@
 //! Behind its first state the predecessor sends a [`Message::Hello`], which older successors ignore. A successor that
 //! answers with [`Message::ForwardedIds`] shows that it knows these messages; from then on either process sends the ids
 //! that it forwards.
+//!
+//! A second [`Message::Hello`] behind the first says that the predecessor knows [`Message::Memory`]. A successor that
+//! knows it too answers with one; from then on the predecessor goes on to send what memory it may hold.
 
 use std::fmt;
 
@@ -27,7 +30,8 @@
 /// A message between the two processes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// From the successor: it asks to take over. From the predecessor: it knows [`Message::ForwardedIds`].
+    /// From the successor: it asks to take over. From the predecessor: it knows [`Message::ForwardedIds`], and with a
+    /// second one [`Message::Memory`].
     Hello {
         /// The name of its node.
         node_name: String,
@@ -42,6 +46,11 @@
     Remaining(RemainingResources),
     /// From either: hashes of the ids of requests that must not run twice and that it has forwarded.
     ForwardedIds(Vec<u64>),
+    /// From either: the most memory that it may hold.
+    Memory {
+        /// Its resident memory, and what it may still reserve.
+        most_bytes: u64,
+    },
 }
 
 /// The state of the predecessor.
--- a/crates/handover/tests/frames.rs
+++ b/crates/handover/tests/frames.rs
@@ -27,8 +27,13 @@
 #[test]
 fn messages_survive_any_split_of_the_byte_stream() {
     let hello = Message::Hello { node_name: "n0".into(), state_layout: 2 };
-    let messages =
-        [hello, state(), Message::Declined("x".into()), Message::ForwardedIds(vec![0, 7, u64::MAX])];
+    let messages = [
+        hello,
+        state(),
+        Message::Declined("x".into()),
+        Message::ForwardedIds(vec![0, 7, u64::MAX]),
+        Message::Memory { most_bytes: u64::MAX },
+    ];
     let frames = messages.each_ref().map(|message| encode(message).unwrap());
     for chunk_size in 1..40 {
         let (mut decoder, mut decoded) = (Decoder::default(), Vec::new());
@@ -48,10 +53,16 @@
     const HEADER_BYTES: usize = 14;
     let remaining = Message::Remaining(RemainingResources::default());
     let hello = Message::Hello { node_name: String::new(), state_layout: 0 };
-    let messages =
-        [hello, state(), Message::Declined(String::new()), remaining, Message::ForwardedIds(vec![])];
+    let messages = [
+        hello,
+        state(),
+        Message::Declined(String::new()),
+        remaining,
+        Message::ForwardedIds(vec![]),
+        Message::Memory { most_bytes: 0 },
+    ];
     let kinds = messages.map(|message| encode(&message).unwrap()[HEADER_BYTES]);
-    assert_eq!(kinds, [0, 1, 2, 3, 4]);
+    assert_eq!(kinds, [0, 1, 2, 3, 4, 5]);
 }
 
 #[test]
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -19,7 +19,7 @@
 use crate::forwarded_ids::ForwardedIds;
 use crate::input::{Input, NewRequest};
 use crate::keys::KeyHasher;
-use crate::memory::{MemoryBudget, SharedHalf};
+use crate::memory::{MemoryBudget, OtherProcess, SharedMemory};
 use crate::memory_shortage::RetryingStream;
 
 mod accepting;
@@ -170,9 +170,9 @@
         self.max_connections.set(limit);
     }
 
-    /// Sets aside half of the memory for another process of this node.
-    pub fn share_memory(&self) -> SharedHalf {
-        self.memory.share_half()
+    /// Shares the memory with another process of this node.
+    pub fn share_memory(&self, other: OtherProcess) -> SharedMemory {
+        self.memory.share_with(other)
     }
 
     /// Waits until a connection has closed.
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -14,9 +14,14 @@
 
 use crate::clients::Clients;
 use crate::discovery::ServerList;
-use crate::forwarded_ids::{IdHash, IdReader};
 use crate::input::Input;
-use crate::memory::SharedHalf;
+use crate::memory::OtherProcess;
+
+mod id_exchange;
+mod memory_exchange;
+
+use id_exchange::IdExchange;
+use memory_exchange::{PredecessorMemory, SuccessorMemory};
 
 /// Interval of the messages with the state that the predecessor would leave behind.
 const STATE_INTERVAL: Duration = Duration::from_millis(100);
@@ -98,55 +103,6 @@
     }
 }
 
-/// Exchanges with the other process the ids of requests that must not run twice.
-struct IdExchange<H: Host> {
-    clients: Rc<Clients<H>>,
-    reader: IdReader,
-    /// Whether the other process is known to take them.
-    is_begun: bool,
-    /// Whether any were sent. The first message is sent even without ids, and tells the other process to begin.
-    has_sent: bool,
-}
-
-impl<H: Host> IdExchange<H> {
-    fn new(clients: Rc<Clients<H>>) -> Self {
-        IdExchange { reader: clients.forwarded_ids().reader(), clients, is_begun: false, has_sent: false }
-    }
-
-    /// Called when the other process is known to take them.
-    fn begin(&mut self) {
-        self.is_begun = true;
-    }
-
-    /// Called with ids of the other process, which therefore takes those of this one.
-    fn learn(&mut self, ids: &[IdHash]) {
-        self.clients.forwarded_ids().learn(ids);
-        self.begin();
-    }
-
-    /// Waits until there are ids to send, and sends them. Cancellation safe: they are taken only once there is room for
-    /// them.
-    async fn send_next(&mut self, outbox: &mpsc::Sender<Message>) {
-        if !self.is_begun {
-            return std::future::pending().await;
-        }
-        if self.has_sent {
-            self.reader.changed().await;
-        }
-        match outbox.reserve().await {
-            Ok(place) => {
-                self.has_sent = true;
-                place.send(Message::ForwardedIds(self.reader.take(self.clients.forwarded_ids())));
-            }
-            // The other process has ended, which its inbox reports.
-            Err(_) => std::future::pending().await,
-        }
-    }
-}
-
-/// Half of the memory for requests, held by the predecessor while its successor runs.
-type MemoryReserve = SharedHalf;
-
 impl<H: Host> HandoverParticipant<H> {
     async fn send_input(&self, input: Input) {
         let _ = self.inputs.send(input).await;
@@ -154,10 +110,9 @@
 
     /// Divides the node between two processes: this one gets one of `parts` equal shares of the limits, and this many
     /// descriptors.
-    async fn share_node(&self, parts: u32, descriptors: (usize, usize)) -> MemoryReserve {
+    async fn share_node(&self, parts: u32, descriptors: (usize, usize)) {
         self.send_input(Input::ProcessCount(parts)).await;
         self.set_descriptor_limits(descriptors).await;
-        self.clients.share_memory()
     }
 
     /// Sets how many connections of clients and to servers may be open.
@@ -167,14 +122,14 @@
     }
 
     /// Makes this process the whole node.
-    async fn take_over_alone(&self, reserve: MemoryReserve) {
+    async fn take_over_alone(&self, memory: SuccessorMemory<H>) {
+        drop(memory);
         self.send_input(Input::ProcessCount(1)).await;
-        self.restore_own_limits(reserve).await;
+        self.restore_descriptor_limits().await;
     }
 
-    /// Restores all memory and descriptors of this process.
-    async fn restore_own_limits(&self, reserve: MemoryReserve) {
-        drop(reserve);
+    /// Restores all descriptors of this process.
+    async fn restore_descriptor_limits(&self) {
         self.set_descriptor_limits((self.budget.clients, self.budget.servers)).await;
     }
 
@@ -210,6 +165,8 @@
 
     /// Runs beside the predecessor until that ends.
     pub(crate) async fn run_beside_predecessor(self, first: RemainingResources, mut link: Link) {
+        let shared_memory = self.clients.share_memory(OtherProcess::Predecessor);
+        let mut memory = SuccessorMemory::new(self.host.clone(), shared_memory);
         let own_limits = |held_by_predecessor: u32| {
             let taken = held_by_predecessor as usize + self.budget.reserved;
             let free = self.budget.total.saturating_sub(taken);
@@ -218,7 +175,7 @@
                 |of: usize| (free * of / (clients + servers).max(1)).clamp(MIN_CONNECTIONS.min(of), of);
             (share(clients), share(servers))
         };
-        let reserve = self.share_node(PROCESSES_PER_HANDOVER, own_limits(first.descriptors)).await;
+        self.share_node(PROCESSES_PER_HANDOVER, own_limits(first.descriptors)).await;
         let mut last = first;
         let mut is_updated = false;
         let mut ids = IdExchange::new(self.clients.clone());
@@ -232,6 +189,7 @@
             match message {
                 Message::Remaining(remaining) => {
                     self.set_descriptor_limits(own_limits(remaining.descriptors)).await;
+                    memory.assume_half_if_untold();
                     (last, is_updated) = (remaining, true);
                 }
                 // A server list that the predecessor received counts as received by the node.
@@ -239,7 +197,11 @@
                     Ok(list) => self.send_input(Input::ListFromPredecessor(list)).await,
                     Err(e) => self.host.log(format_args!("handover: {e}")),
                 },
-                Message::Hello { .. } => ids.begin(),
+                Message::Hello { .. } => {
+                    ids.begin();
+                    memory.receive_hello(&link.outbox).await;
+                }
+                Message::Memory { most_bytes } => memory.receive_predecessor_memory(most_bytes),
                 Message::ForwardedIds(forwarded) => ids.learn(&forwarded),
                 Message::Declined(_) => {}
             }
@@ -247,11 +209,11 @@
         // Origin calls last reported by the predecessor may still be running. Those reported at the start were counted by
         // half, because this process was one of two.
         if is_updated {
-            self.take_over_alone(reserve).await;
+            self.take_over_alone(memory).await;
             self.send_input(Input::Inherited(last.inherited)).await;
         } else {
             self.send_input(Input::Inherited(last.inherited)).await;
-            self.take_over_alone(reserve).await;
+            self.take_over_alone(memory).await;
         }
         self.host.log(format_args!("the process before this one has ended"));
     }
@@ -290,7 +252,9 @@
             // It keeps the connections that it holds and gets few more.
             let client_limit = self.clients.open_count().max(MIN_CONNECTIONS);
             parts = parts.saturating_mul(PROCESSES_PER_HANDOVER);
-            let reserve = self.share_node(parts, (client_limit, self.budget.servers / 2)).await;
+            let shared_memory = self.clients.share_memory(OtherProcess::Successor);
+            let mut memory = PredecessorMemory::new(self.host.clone(), shared_memory);
+            self.share_node(parts, (client_limit, self.budget.servers / 2)).await;
             let Some(mut state) = self.request_state(true).await else { return };
             if state_layout != STATE_VERSION {
                 state.module_state.clear();
@@ -299,8 +263,11 @@
                 .log(format_args!("a new process takes over: {} bytes of state", state.module_state.len()));
             let mut revision = state.list_revision;
             let mut is_connected = link.outbox.send(Message::State(state)).await.is_ok();
+            // The second one tells of messages about memory.
             let hello = Message::Hello { node_name: self.name.clone(), state_layout: STATE_VERSION };
-            is_connected = is_connected && link.outbox.send(hello).await.is_ok();
+            for hello in [hello.clone(), hello] {
+                is_connected = is_connected && link.outbox.send(hello).await.is_ok();
+            }
             *self.successor.borrow_mut() = Some(link.outbox.clone());
             let mut ids = IdExchange::new(self.clients.clone());
             while is_connected {
@@ -308,6 +275,10 @@
                     biased;
                     message = link.inbox.recv() => match message {
                         Some(Message::ForwardedIds(forwarded)) => ids.learn(&forwarded),
+                        Some(Message::Memory { .. }) => {
+                            memory.begin();
+                            is_connected = send_memory(&memory, &link.outbox).await;
+                        }
                         // The successor sends nothing else: this is its end.
                         _ => is_connected = false,
                     },
@@ -327,13 +298,15 @@
                             revision = update.list_revision;
                             let _ = link.outbox.send(Message::State(update)).await;
                         }
-                        is_connected = link.outbox.send(Message::Remaining(state.remaining)).await.is_ok();
+                        is_connected = link.outbox.send(Message::Remaining(state.remaining)).await.is_ok()
+                            && send_memory(&memory, &link.outbox).await;
                     }
                 }
             }
             self.successor.borrow_mut().take();
             self.successor_ended.notify_waiters();
-            self.restore_own_limits(reserve).await;
+            drop(memory);
+            self.restore_descriptor_limits().await;
             calls_end_at = Some(Instant::now() + self.longest_deadline);
             // Nor does the next successor use that share: it is notified of these calls.
             self.send_input(Input::ProcessEnded { origin_calls_end_within: self.longest_deadline }).await;
@@ -342,6 +315,14 @@
     }
 }
 
+/// Tells the successor what memory this process may hold, if it takes that; returns whether it is still connected.
+async fn send_memory<H: Host>(memory: &PredecessorMemory<H>, outbox: &mpsc::Sender<Message>) -> bool {
+    match memory.update() {
+        Some(message) => outbox.send(message).await.is_ok(),
+        None => true,
+    }
+}
+
 /// Waits until a time, or forever if there is none.
 async fn wait_until(time: Option<Instant>) {
     match time {
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -7,7 +7,7 @@
 //! New requests leave room for large replies, and replies leave room for responses that are being received: replies that
 //! wait for their turn can't keep the response from arriving that they wait for.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -18,9 +18,11 @@
 
 mod receiving;
 mod replies;
+mod sharing;
 
 pub use receiving::{ReceiveMemory, ReceivePermit};
 pub use replies::{QueueMemory, ReplyMemory};
+pub use sharing::SharedMemory;
 
 /// Bytes for which one semaphore permit stands.
 const PERMIT_BYTES: usize = 1024;
@@ -34,6 +36,8 @@
 const LARGE_REPLY_SHARES: usize = 1;
 /// Shares that new requests and replies leave to responses that are being received.
 const RECEIVE_SHARES: usize = 1;
+/// All shares that are reserved from.
+const RESERVED_SHARES: usize = REQUEST_SHARES + LARGE_REPLY_SHARES + RECEIVE_SHARES;
 
 /// Size of a response for which memory is reserved before its actual size is known.
 pub const USUAL_RESPONSE_BYTES: usize = 32 * 1024;
@@ -52,33 +56,44 @@
     bytes.div_ceil(PERMIT_BYTES)
 }
 
+/// The other process of this node, beside which this one may hold less than all memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OtherProcess {
+    Predecessor,
+    Successor,
+}
+
 /// Memory of one process for requests, replies and receive buffers.
 #[derive(Debug)]
 pub struct MemoryBudget {
     semaphore: Arc<Semaphore>,
+    /// Memory limit of the node, in bytes.
+    node_bytes: u64,
     total_permits: usize,
-    /// Permits that new requests and replies leave to receive buffers, those that the buffers hold among them.
-    receive_permits: Cell<usize>,
+    /// Permits that this process may hold beside its predecessor and beside its successor.
+    limits: [Cell<usize>; 2],
+    /// Permits that are not to be used because of these limits, as far as they have become free.
+    withheld: RefCell<Option<MemoryPermit>>,
     /// Permits that receive buffers hold.
     received_permits: Cell<usize>,
-    /// Permits that new requests leave to large replies, beside those.
-    large_reply_permits: Cell<usize>,
     gauges: Arc<MemoryGauges>,
 }
 
 impl MemoryBudget {
-    /// The budget of a process with this memory limit.
+    /// The budget of a process of a node with this memory limit.
     pub fn new(limit_bytes: usize, gauges: Arc<MemoryGauges>) -> Rc<Self> {
-        let permits_of = |shares: usize| permits(limit_bytes / SHARES * shares);
-        let total_permits = permits_of(REQUEST_SHARES + LARGE_REPLY_SHARES + RECEIVE_SHARES);
-        Rc::new(MemoryBudget {
+        let total_permits = permits(limit_bytes / SHARES * RESERVED_SHARES);
+        let budget = Rc::new(MemoryBudget {
             semaphore: Arc::new(Semaphore::new(total_permits)),
+            node_bytes: limit_bytes as u64,
             total_permits,
-            receive_permits: Cell::new(permits_of(RECEIVE_SHARES)),
+            limits: [Cell::new(total_permits), Cell::new(total_permits)],
+            withheld: RefCell::default(),
             received_permits: Cell::new(0),
-            large_reply_permits: Cell::new(permits_of(LARGE_REPLY_SHARES)),
             gauges,
-        })
+        });
+        budget.publish_limit();
+        budget
     }
 
     /// Reserves memory for a new request or a part of it.
@@ -86,27 +101,61 @@
     /// # Errors
     /// Too little is left.
     pub fn reserve_for_request(&self, bytes: usize) -> Result<MemoryPermit, OutOfMemory> {
-        self.try_acquire(permits(bytes), self.left_to_receive() + self.large_reply_permits.get())
+        self.withhold();
+        let large_replies = self.limit() * LARGE_REPLY_SHARES / RESERVED_SHARES;
+        self.try_acquire(permits(bytes), self.left_to_receive() + large_replies + self.missing())
     }
 
-    /// Sets aside half of the memory, or as much of that half as is free, for another process of this node.
-    pub fn share_half(self: &Rc<Self>) -> SharedHalf {
-        let half = (self.total_permits / 2).min(self.semaphore.available_permits());
-        let (receive, large_reply) = (self.receive_permits.get(), self.large_reply_permits.get());
-        let shared = SharedHalf {
-            _permit: self.try_acquire(half, 0),
-            receive_permits: receive,
-            large_reply_permits: large_reply,
-            budget: self.clone(),
-        };
-        self.receive_permits.set(receive / 2);
-        self.large_reply_permits.set(large_reply / 2);
+    /// Shares the memory of the node with another process, at first half of it.
+    pub fn share_with(self: &Rc<Self>, other: OtherProcess) -> SharedMemory {
+        let shared = SharedMemory { budget: self.clone(), other };
+        shared.limit_to_half();
         shared
     }
 
+    /// Permits that this process may hold now.
+    fn limit(&self) -> usize {
+        self.limits.iter().map(Cell::get).min().unwrap_or(self.total_permits)
+    }
+
+    fn set_limit(&self, other: OtherProcess, permits: usize) {
+        self.limits[other as usize].set(permits);
+        self.withhold();
+        self.publish_limit();
+    }
+
+    fn publish_limit(&self) {
+        self.gauges.set_limit((self.limit() * PERMIT_BYTES) as u64);
+    }
+
+    /// Permits that must not be used and are still held by requests, replies or buffers.
+    fn missing(&self) -> usize {
+        (self.total_permits - self.limit()).saturating_sub(self.withheld_permits())
+    }
+
+    fn withheld_permits(&self) -> usize {
+        self.withheld.borrow().as_ref().map_or(0, MemoryPermit::num_permits)
+    }
+
+    /// Withholds free permits beyond the limit, or releases those that may be used again.
+    fn withhold(&self) {
+        let free = self.semaphore.available_permits().saturating_sub(self.left_to_receive());
+        let more = self.try_acquire(self.missing().min(free), 0).ok();
+        let mut withheld = self.withheld.borrow_mut();
+        match (&mut *withheld, more) {
+            (Some(permit), Some(more)) => permit.merge(more),
+            (None, more) => *withheld = more,
+            (Some(_), None) => {}
+        }
+        if let Some(permit) = &mut *withheld {
+            shrink_to(permit, self.total_permits - self.limit());
+        }
+    }
+
     /// Permits that must be left to receive buffers.
     fn left_to_receive(&self) -> usize {
-        self.receive_permits.get().saturating_sub(self.received_permits.get())
+        let receive = self.limit() * RECEIVE_SHARES / RESERVED_SHARES;
+        receive.saturating_sub(self.received_permits.get())
     }
 
     /// Acquires permits if this many others are left.
@@ -119,20 +168,10 @@
     }
 }
 
-/// Memory that is set aside for another process of this node, until this is dropped.
-pub struct SharedHalf {
-    _permit: Result<MemoryPermit, OutOfMemory>,
-    /// What was left to receive buffers and large replies before.
-    receive_permits: usize,
-    large_reply_permits: usize,
-    budget: Rc<MemoryBudget>,
-}
-
-impl Drop for SharedHalf {
-    fn drop(&mut self) {
-        self.budget.receive_permits.set(self.receive_permits);
-        self.budget.large_reply_permits.set(self.large_reply_permits);
-    }
+/// Releases what a reservation has beyond the permits needed.
+fn shrink_to(permit: &mut MemoryPermit, needed: usize) {
+    let surplus = permit.num_permits().saturating_sub(needed);
+    drop(permit.split(surplus));
 }
 
 #[cfg(test)]
--- a/crates/node/src/memory/replies.rs
+++ b/crates/node/src/memory/replies.rs
@@ -6,6 +6,7 @@
 
 use super::{
     MemoryBudget, MemoryPermit, OutOfMemory, PERMIT_BYTES, ReceivePermit, USUAL_RESPONSE_BYTES, permits,
+    shrink_to,
 };
 
 /// Memory held for each open request and each reply beside its bytes.
@@ -88,9 +89,3 @@
         Ok(())
     }
 }
-
-/// Releases what a reservation has beyond the permits needed.
-fn shrink_to(permit: &mut MemoryPermit, needed: usize) {
-    let surplus = permit.num_permits().saturating_sub(needed);
-    drop(permit.split(surplus));
-}
--- a/crates/node/tests/unit/memory.rs
+++ b/crates/node/tests/unit/memory.rs
@@ -54,12 +54,67 @@
 #[test]
 fn two_processes_share_the_memory() {
     let budget = budget(64 * MIB);
-    let half = budget.share_half();
+    let half = budget.share_with(OtherProcess::Successor);
     assert_eq!(fill(&budget).len(), 512);
     drop(half);
     assert_eq!(fill(&budget).len(), 1024);
 }
 
+/// Guards against a successor that takes half of the memory while its predecessor holds nearly all.
+#[test]
+fn two_processes_together_hold_no_more_than_the_limit() {
+    let (old, new) = (budget(32 * MIB), budget(32 * MIB));
+    let mut requests = fill(&old);
+    let old_share = old.share_with(OtherProcess::Successor);
+    let new_share = new.share_with(OtherProcess::Predecessor);
+    let mut last_admitted = 0;
+    loop {
+        // Nothing of what is reserved has arrived yet; all of it may.
+        new_share.limit_beside(old_share.most_bytes(None), None);
+        let admitted = fill(&new).len();
+        let together = old_share.most_bytes(None) + new_share.most_bytes(None);
+        assert!(together <= 28 * MIB as u64, "{together}: two MiB for each process are left to other uses");
+        assert!(admitted >= last_admitted && admitted > 0, "{admitted} after {last_admitted}");
+        last_admitted = admitted;
+        assert_eq!(old.reserve_for_request(1).is_ok(), requests.len() < 256, "{}", requests.len());
+        if requests.is_empty() {
+            break;
+        }
+        requests.truncate(requests.len() / 2);
+    }
+    assert_eq!(last_admitted, 256, "half of what a process may have alone");
+    drop(new_share);
+    assert_eq!(fill(&new).len(), 512);
+}
+
+/// What the allocator keeps counts as well.
+#[test]
+fn resident_memory_beside_reservations_leaves_less_to_reserve() {
+    let budget = budget(32 * MIB);
+    let share = budget.share_with(OtherProcess::Successor);
+    share.limit_to_resident_half(Some(2 * MIB as u64));
+    assert_eq!(fill(&budget).len(), 256);
+    share.limit_to_resident_half(Some(10 * MIB as u64));
+    assert_eq!(fill(&budget).len() * USUAL_RESPONSE_BYTES / MIB, 4, "of the 6 MiB that are left of 16");
+    assert_eq!(share.most_bytes(Some(10 * MIB as u64)), 16 * MIB as u64);
+}
+
+/// A process may be the successor of one and the predecessor of the next at the same moment.
+#[test]
+fn takeovers_in_a_row_give_back_all_memory() {
+    let budget = budget(32 * MIB);
+    for _ in 0..3 {
+        let beside_predecessor = budget.share_with(OtherProcess::Predecessor);
+        let beside_successor = budget.share_with(OtherProcess::Successor);
+        beside_predecessor.limit_to_minimum();
+        assert!(fill(&budget).len() < 64);
+        drop(beside_predecessor);
+        assert_eq!(fill(&budget).len(), 256);
+        drop(beside_successor);
+        assert_eq!(fill(&budget).len(), 512);
+    }
+}
+
 /// Replies that wait for slow clients must not keep other responses from being received.
 #[tokio::test]
 async fn replies_leave_room_for_responses_that_are_received() {
--- a/crates/ops/src/memory.rs
+++ b/crates/ops/src/memory.rs
@@ -28,11 +28,16 @@
 
 /// Bytes held by a process, by what they are held for.
 #[derive(Debug)]
-pub struct MemoryGauges(Vec<Gauge>);
+pub struct MemoryGauges {
+    uses: Vec<Gauge>,
+    /// The most that may be reserved now.
+    pub(crate) limit: AtomicU64,
+}
 
 impl Default for MemoryGauges {
     fn default() -> Self {
-        MemoryGauges(MemoryUse::ALL.iter().map(|_| Gauge::default()).collect())
+        let uses = MemoryUse::ALL.iter().map(|_| Gauge::default()).collect();
+        MemoryGauges { uses, limit: AtomicU64::new(0) }
     }
 }
 
@@ -47,9 +52,19 @@
         self.values(|gauge| &gauge.peak)
     }
 
+    /// Bytes held now for all uses together.
+    pub fn total(&self) -> u64 {
+        self.uses.iter().map(|gauge| gauge.current.load(Relaxed)).sum()
+    }
+
+    /// Sets the most bytes that may be reserved.
+    pub fn set_limit(&self, bytes: u64) {
+        self.limit.store(bytes, Relaxed);
+    }
+
     fn values(&self, value: fn(&Gauge) -> &AtomicU64) -> impl Iterator<Item = (&'static str, u64)> + '_ {
         let names = MemoryUse::ALL.iter().map(|use_| use_.name());
-        names.zip(self.0.iter().map(move |gauge| value(gauge).load(Relaxed)))
+        names.zip(self.uses.iter().map(move |gauge| value(gauge).load(Relaxed)))
     }
 }
 
@@ -73,7 +88,7 @@
     pub fn set(&mut self, bytes: usize) {
         let (before, bytes) = (self.bytes, bytes as u64);
         self.bytes = bytes;
-        let Some(gauge) = self.gauges.0.get(self.use_.index()) else { return };
+        let Some(gauge) = self.gauges.uses.get(self.use_.index()) else { return };
         if bytes < before {
             gauge.current.fetch_sub(before - bytes, Relaxed);
         } else if bytes > before {
--- a/crates/ops/src/text.rs
+++ b/crates/ops/src/text.rs
@@ -55,6 +55,12 @@
                 "gauge",
                 &self.resident_bytes,
             ),
+            (
+                "reservable_bytes",
+                "Bytes that may be reserved for requests; fewer beside another process of the node.",
+                "gauge",
+                &self.memory.limit,
+            ),
             ("origin_calls_out", "Calls out at the origin.", "gauge", &self.origin_calls_out),
             (
                 "origin_calls_limit",
@@ -212,6 +218,7 @@
         metrics.refusals.increment(RefuseReason::Retiring);
         metrics.retries.increment(RetryReason::Miss);
         metrics.set_resident_bytes(4096);
+        metrics.memory.set_limit(2048);
         metrics.client_command();
         metrics.client_bytes_read(70);
         metrics.input_waits.requests.record(Duration::from_millis(30));
@@ -241,6 +248,7 @@
             "edge_router_doubts_refuted_total 1",
             "edge_router_answers_held_back_total 5",
             "edge_router_resident_bytes 4096",
+            "edge_router_reservable_bytes 2048",
             "edge_router_client_commands_total 1",
             "edge_router_client_bytes_total 70",
             "# TYPE edge_router_request_wait_seconds histogram",
