--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -28,6 +28,7 @@
 mod executing;
 mod inbox;
 mod input_state;
+mod large_values;
 mod parsing;
 mod pending_replies;
 mod reading;
--- a/crates/node/src/clients/writing.rs
+++ b/crates/node/src/clients/writing.rs
@@ -16,9 +16,8 @@
 use super::inbox::{DISCONNECT_POLL_INTERVAL, Inbox};
 use super::input_state::InputUse;
 use super::parsing::Rejected;
-use super::pending_replies::{PendingReply, ReplyState};
+use super::pending_replies::PendingReply;
 use super::session::Session;
-use crate::command::{LargeValue, LargeValuePart, STREAM_STALL_TIMEOUT};
 use crate::input::Input;
 
 /// A client that reads nothing of its reply for this long is disconnected.
@@ -35,7 +34,7 @@
 
 /// What is being written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum WriteKind {
+pub(super) enum WriteKind {
     /// Complete replies.
     Replies,
     /// A piece of a value that is relayed as it arrives.
@@ -55,62 +54,6 @@
 pub(super) type WriteResult = Result<(), CloseReason>;
 
 impl<H: Host> Session<H> {
-    /// Relays the large value at the front as it arrives. If it is cut off, the connection must end, because nothing else
-    /// tells the client so.
-    pub(super) async fn stream_large_value<R: Reading>(
-        &mut self,
-        inbox: &mut Inbox<'_, R>,
-        writing: &mut ClientWriting<H>,
-    ) -> WriteResult {
-        let Some(PendingReply { state: ReplyState::Stream(mut value), forwarded, memory, ticket }) =
-            self.pending.pop_front()
-        else {
-            return Err(CloseReason::ValueCut);
-        };
-        self.forwarded_requests -= usize::from(forwarded);
-        self.publish_state(ConnectionState::LargeValue);
-        let result = self.relay_parts(&mut value, inbox, writing).await;
-        self.large_value_ended_at = Some(Instant::now());
-        drop(memory);
-        let end = match result {
-            Ok(()) => Some(RequestEnd::Served),
-            Err(CloseReason::ValueCut) => Some(RequestEnd::Failed),
-            // A request whose client stopped reading was abandoned.
-            Err(_) => None,
-        };
-        if let (Some((ticket, _)), Some(end)) = (ticket, end) {
-            self.replies += u64::from(result.is_ok());
-            ticket.end(end);
-        }
-        result
-    }
-
-    /// Writes a large value as its parts arrive, and its end of line once its response is known to be whole.
-    async fn relay_parts<R: Reading>(
-        &mut self,
-        value: &mut LargeValue,
-        inbox: &mut Inbox<'_, R>,
-        writing: &mut ClientWriting<H>,
-    ) -> WriteResult {
-        let mut remaining = value.length;
-        self.write_bytes(&resp::value_header(remaining), WriteKind::LargeValue, inbox, writing).await?;
-        loop {
-            // Longer than the stall time-out of its server, which ends the value there.
-            let next = timeout(STREAM_STALL_TIMEOUT * 2, value.parts.recv());
-            match self.read_while_waiting(inbox, WriteKind::AwaitsPiece, next).await {
-                Some(Ok(Some(LargeValuePart::Chunk(chunk)))) if chunk.len() <= remaining => {
-                    remaining -= chunk.len();
-                    self.write_bytes(&chunk, WriteKind::LargeValue, inbox, writing).await?;
-                }
-                Some(Ok(Some(LargeValuePart::End))) if remaining == 0 => {
-                    return self.write_bytes(resp::END_OF_LINE, WriteKind::LargeValue, inbox, writing).await;
-                }
-                None if self.input.client_has_closed() => return Err(CloseReason::Client),
-                _ => return Err(CloseReason::ValueCut),
-            }
-        }
-    }
-
     /// Writes replies that are ready.
     pub(super) async fn write_replies<R: Reading>(
         &mut self,
@@ -136,7 +79,7 @@
     }
 
     /// Writes bytes to the client.
-    async fn write_bytes<R: Reading>(
+    pub(super) async fn write_bytes<R: Reading>(
         &mut self,
         bytes: &[u8],
         kind: WriteKind,
@@ -161,7 +104,7 @@
     /// Waits for a part of a reply to arrive or to be written; `None` once the connection must end. Bytes from the client
     /// are read meanwhile so that a disconnect is noticed at once: the client may leave with a reply half read and other
     /// requests open. A large value that stands still ends then.
-    async fn read_while_waiting<R: Reading, W: Future>(
+    pub(super) async fn read_while_waiting<R: Reading, W: Future>(
         &mut self,
         inbox: &mut Inbox<'_, R>,
         kind: WriteKind,
--- a/crates/node/src/memory/sharing.rs
+++ b/crates/node/src/memory/sharing.rs
@@ -41,8 +41,9 @@
     /// Limits this process to the memory that another one leaves, which may hold this many bytes, and to half at most.
     pub fn limit_beside(&self, other_bytes: u64, resident: Option<u64>) {
         let node_bytes = self.budget.node_bytes;
-        let taken = other_bytes + node_bytes * SECOND_PROCESS_SHARES as u64 / SHARES as u64;
-        self.limit_to_bytes(node_bytes.saturating_sub(taken), resident);
+        let beside_reservations = node_bytes * SECOND_PROCESS_SHARES as u64 / SHARES as u64;
+        let left = node_bytes.saturating_sub(other_bytes).saturating_sub(beside_reservations);
+        self.limit_to_bytes(left, resident);
     }
 
     /// The most bytes that this process may hold: resident memory, and what is reserved or may be reserved and is not
