Scale runs: a run ends only once its real nodes have ended

Callers saw: `chalksill scale real-sockets` ends, and a node of its run may still be there for a moment.

Cause: real nodes are children of a worker. At its end the worker killed them and exited at once. The command waits for its workers; a process whose parent has exited was waited for by nobody.

Change: the worker waits for the nodes that it has killed, for 4 s at most, less than the command waits for the worker. What tests of the command share has a module of its own and tells which processes are left.

Why it works: the command ends after its workers, and a worker now after its nodes.

--- a/crates/scale/src/real_sockets/real_nodes.rs
+++ b/crates/scale/src/real_sockets/real_nodes.rs
@@ -3,7 +3,7 @@
 
 use std::future::pending;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use chalksill_world::process::{self, Process};
 use nix::sys::signal::Signal;
@@ -15,6 +15,10 @@
 
 /// Interval at which it is checked whether a node has ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which it is checked whether a killed node has ended.
+const END_POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// Time within which killed nodes must have ended; less than what the command waits for this worker.
+const END_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// The started processes. The lock is held while processes are started or ended, so that none is started once
 /// the end has begun.
@@ -26,18 +30,30 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// A hook that kills all processes and prevents further starts.
+    /// A hook that kills all processes, waits for their end, and prevents further starts.
     pub fn kill_hook(&self) -> ExitHook {
         let nodes = self.0.clone();
         Box::new(move || {
-            let nodes = nodes.lock().unwrap_or_else(PoisonError::into_inner);
-            nodes.iter().for_each(|node| node.signal(Signal::SIGKILL));
+            let mut nodes = nodes.lock().unwrap_or_else(PoisonError::into_inner);
+            end_all(&mut nodes);
             // Keeps the lock until the process exits.
             std::mem::forget(nodes);
         })
     }
 }
 
+/// Kills all processes and waits for their end: a killed process goes on to exist for as long as the machine
+/// takes to end it, and once this worker has exited nobody could wait for it.
+fn end_all(nodes: &mut [Process]) {
+    nodes.iter().for_each(|node| node.signal(Signal::SIGKILL));
+    let until = Instant::now() + END_TIMEOUT;
+    for node in nodes {
+        while node.exit_status().is_none() && Instant::now() < until {
+            std::thread::sleep(END_POLL_INTERVAL);
+        }
+    }
+}
+
 /// Runs real nodes until the process ends.
 ///
 /// # Errors
@@ -64,7 +80,7 @@
         }
     };
     let failed: Result<(), _> = supervised.await;
-    nodes.lock().iter().for_each(|node| node.signal(Signal::SIGKILL));
+    end_all(&mut nodes.lock());
     if let Err(e) = failed {
         reply(&Reply::Failed(e.to_string()));
     }
--- a/crates/scale/tests/real_sockets.rs
+++ b/crates/scale/tests/real_sockets.rs
@@ -2,15 +2,17 @@
 //! behind however the command ends.
 #![allow(missing_docs)]
 
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+mod commands;
+
+use std::process::Output;
 use std::time::{Duration, Instant};
 
 use chalksill_scale::real_sockets::{
-    MachineLimits, Programs, RealSocketsError, RealSocketsPlan, Resource, ResourceExceeded, SizePlan,
-    check_resources, run,
+    MachineLimits, Programs, RealSocketsError, RealSocketsPlan, Resource, ResourceExceeded, check_resources,
+    run,
 };
 use chalksill_scale::record::{FleetState, Role, RoleCost, Run, RunRecord};
+use commands::{FoundProcess, StartedCommand, plan, processes, start};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
@@ -18,69 +20,8 @@
 const HANG_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Environment variable that marks all processes of one command except the daemons, which have their own
-/// environment.
-const MARK_VARIABLE: &str = "SCALE_TEST_MARK";
-
-fn plan(name: &str, state: FleetState, measured_s: f64) -> RealSocketsPlan {
-    RealSocketsPlan {
-        name: name.into(),
-        state,
-        sizes: vec![SizePlan {
-            hollow_nodes: 4,
-            real_nodes: 1,
-            sites: 2,
-            zones: 2,
-            regions: 1,
-            cache_servers: 3,
-            changes_per_s: 2.0,
-        }],
-        repetitions: 1,
-        seed: 1,
-        settle_s: 0.2,
-        measured_s,
-        agreement: true,
-        load_per_real_node: 5.0,
-        nodes_per_process: 2,
-        discovery_down_s: 0.5,
-    }
-}
-
-/// A program of this workspace, in the parent of the tests' own folder.
-fn program(name: &str) -> PathBuf {
-    let current = std::env::current_exe().unwrap();
-    let program = current.parent().and_then(Path::parent).unwrap().join(name);
-    assert!(program.is_file(), "{name} is not built: cargo build -p {name}");
-    program
-}
 
-struct StartedCommand {
-    child: Child,
-    record: PathBuf,
-}
-
-/// Starts the command with a plan.
-fn start(plan: &RealSocketsPlan) -> StartedCommand {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
-    let own = |ending| folder.join(format!("{}-{}.{ending}", plan.name, std::process::id()));
-    let (file, record) = (own("toml"), own("json"));
-    let _ = std::fs::remove_file(&record);
-    std::fs::write(&file, toml::to_string(plan).unwrap()).unwrap();
-    program("mothpier");
-    let child = Command::new(program("chalksill"))
-        .args(["scale", "real-sockets"])
-        .arg(file)
-        .arg("--out")
-        .arg(&record)
-        .env(MARK_VARIABLE, &plan.name)
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    StartedCommand { child, record }
-}
-
-fn run_command(plan: &RealSocketsPlan) -> (Output, Option<RunRecord>, Vec<u32>) {
+fn run_command(plan: &RealSocketsPlan) -> (Output, Option<RunRecord>, Vec<FoundProcess>) {
     let StartedCommand { child, record } = start(plan);
     let command = child.id();
     let output = child.wait_with_output().unwrap();
@@ -99,20 +40,6 @@
     record.runs.remove(0)
 }
 
-/// Running processes that a command has started, without the command itself.
-fn processes(command: u32, mark: &str) -> Vec<u32> {
-    let mark = format!("{MARK_VARIABLE}={mark}");
-    let daemon = format!("/chalksill-scale-{command}-");
-    let is_ours = |process: &u32| {
-        let environment = std::fs::read(format!("/proc/{process}/environ")).unwrap_or_default();
-        let mut variables = environment.split(|byte| *byte == 0).map(String::from_utf8_lossy);
-        variables.any(|v| v == mark || (v.starts_with("ROUTER_CONFIG=") && v.contains(&daemon)))
-    };
-    let names =
-        std::fs::read_dir("/proc").unwrap().filter_map(|entry| entry.ok()?.file_name().into_string().ok());
-    names.filter_map(|name| name.parse().ok()).filter(|p| *p != command).filter(is_ours).collect()
-}
-
 fn wait_until(what: &str, condition: impl Fn() -> bool) {
     let end = Instant::now() + HANG_TIMEOUT;
     while !condition() {
