Tests: two runs of the scale tests no longer take each other's processes for their own

Cause: the tests find the processes of a command by a mark in their environment, and the mark was the name of the plan alone, the same in every run of the tests on a machine.

Evidence: with the message that tells which processes are left, a run beside another named a command and its workers with the other run's test as parent.

Change: the mark has the test's own process id. The check is as strict as before.

--- a/crates/scale/tests/commands/mod.rs
+++ b/crates/scale/tests/commands/mod.rs
@@ -11,6 +11,11 @@
 /// environment.
 const MARK_VARIABLE: &str = "SCALE_TEST_MARK";
 
+/// The mark of a plan's command, which differs from that of the same test in another run of the tests.
+fn mark(plan: &str) -> String {
+    format!("{plan}-{}", std::process::id())
+}
+
 /// A plan of the smallest fleet that has all kinds of processes.
 pub fn plan(name: &str, state: FleetState, measured_s: f64) -> RealSocketsPlan {
     RealSocketsPlan {
@@ -65,7 +70,7 @@
         .arg(file)
         .arg("--out")
         .arg(&record)
-        .env(MARK_VARIABLE, &plan.name)
+        .env(MARK_VARIABLE, mark(&plan.name))
         .stdout(Stdio::null())
         .stderr(Stdio::piped())
         .spawn()
@@ -103,8 +108,8 @@
 }
 
 /// Running processes that a command has started, without the command itself.
-pub fn processes(command: u32, mark: &str) -> Vec<FoundProcess> {
-    let mark = format!("{MARK_VARIABLE}={mark}");
+pub fn processes(command: u32, plan: &str) -> Vec<FoundProcess> {
+    let mark = format!("{MARK_VARIABLE}={}", mark(plan));
     let daemon = format!("/chalksill-scale-{command}-");
     let is_ours = |process: &u32| {
         let environment = std::fs::read(format!("/proc/{process}/environ")).unwrap_or_default();
