Scale runs: the nodes of a worker that does not end are ended with it

Callers saw: `chalksill scale real-sockets` ends, and a node of its run goes on for good, if the worker that supervises it did not end within 5 s.

Cause: such a worker was killed alone. Its nodes are its own children, which nothing ends then.

Evidence: the new test stops the supervisor and interrupts the command.

Change: the worker's process group is killed, which only it and what it has started belong to, and the end of the group is awaited for 5 s.

Why it works: workers are started as leaders of groups of their own, and nodes stay in the group of their worker.

--- a/crates/scale/src/real_sockets/processes.rs
+++ b/crates/scale/src/real_sockets/processes.rs
@@ -6,9 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nix::sys::signal::{Signal, killpg};
+use nix::unistd::Pid;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::process::{Child, ChildStdin, ChildStdout, Command};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::error::RealSocketsError;
 use super::protocol::{Reply, Request, WorkerPlan};
@@ -17,8 +19,11 @@
 const START_TIMEOUT: Duration = Duration::from_secs(90);
 /// Time within which a worker must have replied, in addition to the time for which it is to be down.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time after which a worker is killed if it has not ended although its standard input was closed.
+/// Time after which a worker is killed if it has not ended although its standard input was closed; and within
+/// which the processes that it leaves must have ended once they are killed.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval at which it is checked whether the processes of a killed worker have ended.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The programs that a run starts.
 #[derive(Clone, Debug)]
@@ -68,17 +73,32 @@
     }
 
     /// Waits for the end of all workers, whose standard inputs must be closed; kills those that do not end in
-    /// time.
+    /// time, with the processes that they have started.
     pub async fn end(&self) {
         let children = std::mem::take(&mut *self.0.borrow_mut());
         for mut child in children {
             if timeout(EXIT_TIMEOUT, child.wait()).await.is_err() {
-                let _ = child.kill().await;
+                kill_group(&mut child).await;
             }
         }
     }
 }
 
+/// Kills a worker and the processes of its group, which it has started, and waits for their end.
+async fn kill_group(worker: &mut Child) {
+    let Some(group) = worker.id().and_then(|id| i32::try_from(id).ok()).map(Pid::from_raw) else { return };
+    // Fails only where no process of the group is left.
+    let _ = killpg(group, Signal::SIGKILL);
+    let _ = worker.wait().await;
+    let all_ended = async {
+        while killpg(group, None).is_ok() {
+            sleep(EXIT_POLL_INTERVAL).await;
+        }
+    };
+    // They are no children of this process: nothing more can be done about one that does not end.
+    let _ = timeout(EXIT_TIMEOUT, all_ended).await;
+}
+
 impl Worker {
     async fn write(&mut self, line: &impl serde::Serialize) -> Result<(), RealSocketsError> {
         let failed = |reason: String| RealSocketsError::Worker(reason);
--- a/crates/scale/tests/real_sockets.rs
+++ b/crates/scale/tests/real_sockets.rs
@@ -123,6 +123,27 @@
     assert!(stderr.contains("interrupted; all started processes have ended"), "{stderr}");
 }
 
+/// The real node of a supervisor that did not end in time was left behind, for good, when that was killed.
+#[test]
+fn the_nodes_of_a_supervisor_that_does_not_end_are_ended_with_it() {
+    let mut long = plan("stopped", FleetState::Calm, 60.0);
+    long.settle_s = 60.0;
+    let started = start(&long);
+    let command = started.child.id();
+    let real_node = || {
+        let found = processes(command, &long.name);
+        found.into_iter().find(|process| process.description.starts_with("mothpier"))
+    };
+    wait_until("the real node runs", || real_node().is_some());
+    let supervisor = real_node().unwrap().parent;
+    kill(Pid::from_raw(supervisor as i32), Signal::SIGSTOP).unwrap();
+    kill(Pid::from_raw(command as i32), Signal::SIGINT).unwrap();
+    let output = started.child.wait_with_output().unwrap();
+    let left = processes(command, &long.name);
+    assert!(left.is_empty(), "processes are left: {left:?}");
+    assert_eq!(output.status.code(), Some(2));
+}
+
 const UNLIMITED: MachineLimits = MachineLimits { memory: u64::MAX, descriptors: u64::MAX, ports: u64::MAX };
 
 fn plan_with_nodes(hollow_nodes: u32, real_nodes: u32) -> RealSocketsPlan {
