Tests: replies behind a large value are written in a drain

The mend of replies behind a large value has a second place, the limit of a drain for connections that were used of late, which only a unit test of the plan guarded. A test on sockets is added.

--- a/crates/mothpier/tests/slow_transfers.rs
+++ b/crates/mothpier/tests/slow_transfers.rs
@@ -22,6 +22,9 @@
 const PIECE_PAUSE: Duration = Duration::from_millis(200);
 /// Deadline of the requests, long before their answers end.
 const DEADLINE_MS: u64 = 1500;
+/// Behind the announcement of a drain, a connection that is used after this time is closed with a request from its last two
+/// seconds.
+const LATE_USE: Duration = Duration::from_millis(2500);
 /// A final answer that comes later after its deadline than this is lost.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
 /// A server that reads slowly takes this many bytes at a time, with pauses of [`READ_PAUSE`].
@@ -188,6 +191,23 @@
     assert!(node.wait_for_exit().success());
 }
 
+/// Guards against the same at the limit of a drain for connections that were used of late.
+#[test]
+fn replies_behind_a_long_answer_are_written_in_a_drain() {
+    let members = member("s-1", slowly_writing_server(), "m", "ready");
+    let node = start_node("drained-behind", &Discovery::start(&members), &[]);
+    let mut client = node.client();
+    client.send(&["CACHE.GET", "long", "long-1", "c=read,t=acme,d=9000"]);
+    client.send(&["CACHE.GET", "short", "short-1", "c=read,t=acme,d=9000"]);
+    assert_eq!(node.status("PUT /drain"), 200);
+    thread::sleep(LATE_USE);
+    client.send(&["CACHE.GET", "late", "late-1", "c=read,t=acme,d=9000"]);
+    assert_eq!(client.answer().len(), VALUE_BYTES + 1);
+    assert_eq!(client.answer(), "$v");
+    assert_eq!(client.answer(), "-BUSY 100");
+    assert_eq!(client.answer(), "end");
+}
+
 /// Guards against ready replies that are dropped at the end of a process although their client takes them.
 #[test]
 fn replies_to_a_slow_client_are_written_before_the_process_ends() {
