Readers: shared parts of the scale tests; resident memory is read once a turn

Need: parts that stood twice. Nothing that the node does is changed but for the second read.

Change: the two test files of the command share the count of its processes, the wait for a condition and its bounds; `relays_to_client` says in one place when a large value keeps a connection beyond the end; the predecessor of a takeover reads its resident memory once for its limit and for what it tells, not twice.

--- a/crates/node/src/clients/writing.rs
+++ b/crates/node/src/clients/writing.rs
@@ -117,15 +117,13 @@
         let mut left_at = Instant::now();
         loop {
             let buffer_full = inbox.buffer.len() >= READ_AHEAD_BYTES;
-            let reads_commands = self.input.reads_commands();
-            let input_use = self.input.input_use().filter(|_| !(reads_commands && buffer_full));
+            let input_use = self.input.input_use().filter(|_| !(buffer_full && self.input.reads_commands()));
             if input_use != Some(InputUse::Read) {
                 inbox.pause_reading();
             }
             // More bytes may arrive at any time from a client that sends more than is read ahead.
             let received = (!buffer_full).then_some(inbox.last_read_at);
-            // The end of the process waits for a value only while its client is there.
-            let has_large_value_grace = kind.is_large() && !self.input.client_has_closed();
+            let has_large_value_grace = self.relays_to_client(kind);
             let write_until =
                 |taking| clients.retirement.plans().write_until(received, has_large_value_grace, taking);
             let until = write_until(self.taking());
@@ -158,7 +156,7 @@
                 (left_at, published) = (Instant::now(), false);
             }
             if !std::mem::replace(&mut published, true) {
-                self.publish_state(match kind.is_large() && !self.input.client_has_closed() {
+                self.publish_state(match self.relays_to_client(kind) {
                     false => ConnectionState::Writing,
                     true => ConnectionState::LargeValue,
                 });
@@ -166,6 +164,11 @@
         }
     }
 
+    /// Whether a large value is written to a client that is still there: the end of a process waits for no other.
+    fn relays_to_client(&self, kind: WriteKind) -> bool {
+        kind.is_large() && !self.input.client_has_closed()
+    }
+
     /// Fails all open requests: there is no time left to answer them otherwise.
     pub(super) async fn fail_open_requests(&mut self) {
         self.abandon_requests().await;
--- a/crates/node/src/handover/memory_exchange.rs
+++ b/crates/node/src/handover/memory_exchange.rs
@@ -55,9 +55,8 @@
 
 impl<H: Host> PredecessorMemory<H> {
     pub(super) fn new(host: H, shared: SharedMemory) -> Self {
-        let memory = PredecessorMemory { host, shared, is_asked: false };
-        memory.update_limit();
-        memory
+        shared.limit_to_resident_half(host.resident_memory());
+        PredecessorMemory { host, shared, is_asked: false }
     }
 
     /// Called when the successor is known to take messages about memory.
@@ -67,12 +66,9 @@
 
     /// Updates the limit of this process, and the message for the successor; `None` if it takes none.
     pub(super) fn update(&self) -> Option<Message> {
-        self.update_limit();
-        let most_bytes = self.shared.most_bytes(self.host.resident_memory());
+        let resident = self.host.resident_memory();
+        self.shared.limit_to_resident_half(resident);
+        let most_bytes = self.shared.most_bytes(resident);
         self.is_asked.then_some(Message::Memory { most_bytes })
     }
-
-    fn update_limit(&self) {
-        self.shared.limit_to_resident_half(self.host.resident_memory());
-    }
 }
--- a/crates/scale/tests/commands/mod.rs
+++ b/crates/scale/tests/commands/mod.rs
@@ -3,10 +3,18 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
 
 use chalksill_scale::real_sockets::{RealSocketsPlan, SizePlan};
 use chalksill_scale::record::FleetState;
 
+/// Time after which something that should take a few seconds is considered hung.
+pub const HANG_TIMEOUT: Duration = Duration::from_secs(60);
+/// Interval at which a condition is polled.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Processes that the command starts for [`plan`]: two workers of hollow nodes, the idle one, discovery, the cache servers,
+/// the supervisor of the real node, and that node.
+pub const PROCESSES: usize = 7;
 /// Environment variable that marks all processes of one command except the daemons, which have their own
 /// environment.
 const MARK_VARIABLE: &str = "SCALE_TEST_MARK";
@@ -126,3 +134,12 @@
     let own = std::process::id();
     all_processes().filter_map(FoundProcess::read).filter(|process| process.parent == own).collect()
 }
+
+/// Waits for a condition.
+pub fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let end = Instant::now() + HANG_TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < end, "not within {HANG_TIMEOUT:?}: {what}");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
--- a/crates/scale/tests/process_ends.rs
+++ b/crates/scale/tests/process_ends.rs
@@ -4,22 +4,13 @@
 mod commands;
 
 use std::process::Output;
-use std::time::{Duration, Instant};
 
 use chalksill_scale::record::FleetState;
-use commands::{StartedCommand, children, plan, processes, start};
+use commands::{PROCESSES, StartedCommand, children, plan, processes, start, wait_until};
 use nix::sys::prctl::set_child_subreaper;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
-/// Time within which all processes of a command must run.
-const START_TIMEOUT: Duration = Duration::from_secs(60);
-/// Interval at which a condition is polled.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Two workers of hollow nodes, the idle one, discovery, the cache servers, the supervisor of the real node,
-/// and that node.
-const PROCESSES: usize = 7;
-
 /// Waits for the end of a command. What its processes have left to the nearest subreaper, which is this test,
 /// stays visible here, for nobody collects it.
 fn end_of(command: StartedCommand) -> Output {
@@ -41,11 +32,7 @@
     long.settle_s = 60.0;
     let command = start(&long);
     let id = command.child.id();
-    let end = Instant::now() + START_TIMEOUT;
-    while processes(id, &long.name).len() < PROCESSES {
-        assert!(Instant::now() < end, "not all processes run: {:?}", processes(id, &long.name));
-        std::thread::sleep(POLL_INTERVAL);
-    }
+    wait_until("all processes run", || processes(id, &long.name).len() == PROCESSES);
     kill(Pid::from_raw(id as i32), Signal::SIGINT).unwrap();
     let output = end_of(command);
     assert_eq!(output.status.code(), Some(2), "{}", String::from_utf8_lossy(&output.stderr));
--- a/crates/scale/tests/real_sockets.rs
+++ b/crates/scale/tests/real_sockets.rs
@@ -5,22 +5,17 @@
 mod commands;
 
 use std::process::Output;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use chalksill_scale::real_sockets::{
     MachineLimits, Programs, RealSocketsError, RealSocketsPlan, Resource, ResourceExceeded, check_resources,
     run,
 };
 use chalksill_scale::record::{FleetState, Role, RoleCost, Run, RunRecord};
-use commands::{FoundProcess, StartedCommand, plan, processes, start};
+use commands::{FoundProcess, HANG_TIMEOUT, PROCESSES, StartedCommand, plan, processes, start, wait_until};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
-/// Time after which something that should take a few seconds is considered hung.
-const HANG_TIMEOUT: Duration = Duration::from_secs(60);
-/// Interval at which a condition is polled.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 fn run_command(plan: &RealSocketsPlan) -> (Output, Option<RunRecord>, Vec<FoundProcess>) {
     let StartedCommand { child, record } = start(plan);
     let command = child.id();
@@ -40,14 +35,6 @@
     record.runs.remove(0)
 }
 
-fn wait_until(what: &str, condition: impl Fn() -> bool) {
-    let end = Instant::now() + HANG_TIMEOUT;
-    while !condition() {
-        assert!(Instant::now() < end, "not within {HANG_TIMEOUT:?}: {what}");
-        std::thread::sleep(POLL_INTERVAL);
-    }
-}
-
 fn assert_within(value: f64, min: f64, max: f64, what: &str) {
     assert!((min..=max).contains(&value), "{what}: {value} is not within {min} to {max}");
 }
@@ -99,9 +86,7 @@
     long.settle_s = 60.0;
     let mut started = start(&long);
     let command = started.child.id();
-    // Two workers of hollow nodes, the idle one, discovery, the cache servers, the supervisor of the real
-    // node, and that node.
-    wait_until("all processes run", || processes(command, &long.name).len() == 7);
+    wait_until("all processes run", || processes(command, &long.name).len() == PROCESSES);
     started.child.kill().unwrap();
     started.child.wait().unwrap();
     wait_until("all processes have ended", || processes(command, &long.name).is_empty());
@@ -113,7 +98,7 @@
     long.settle_s = 60.0;
     let started = start(&long);
     let command = started.child.id();
-    wait_until("all processes run", || processes(command, &long.name).len() == 7);
+    wait_until("all processes run", || processes(command, &long.name).len() == PROCESSES);
     kill(Pid::from_raw(command as i32), Signal::SIGINT).unwrap();
     let output = started.child.wait_with_output().unwrap();
     let left = processes(command, &long.name);
